--- /dev/null
+++ b/include/sequoia/AgentControl.h
@@ -0,0 +1,83 @@
+/** @file AgentControl.h The control thread of an agent: a CAF actor around the core, and its links to entries. */
+#pragma once
+
+#include <sequoia/AgentCore.h>
+#include <sequoia/Link.h>
+
+#include <caf/all.hpp>
+
+namespace sequoia {
+
+/** An entry as discovery found it. */
+struct EntryAddress {
+    std::string link; ///< Address for agents.
+    Incarnation incarnation {};
+};
+
+struct DiscoveredInput {
+    std::vector<EntryAddress> entries;
+};
+struct AgentLinkOpenedInput {
+    LinkId link {};
+};
+struct AgentLinkFrameInput {
+    LinkId link {};
+    FramePtr frame;
+};
+struct AgentLinkClosedInput {
+    LinkId link {};
+};
+struct BackendFinishedInput {
+    TaskKey task;
+    BackendResult result;
+};
+struct AnnouncedInput {
+    uint32_t slots = 0;
+};
+struct LeftInput {
+    std::string reason;
+};
+struct DrainInput {
+    bool isDraining = true;
+};
+struct AgentInspectInput {
+    std::function<void(AgentCore&, TimePoint)> visit;
+};
+struct AgentTickInput { };
+
+/** Everything that the control thread is told. */
+using AgentInput = std::variant<DiscoveredInput, AgentLinkOpenedInput, AgentLinkFrameInput, AgentLinkClosedInput,
+    BackendFinishedInput, AnnouncedInput, LeftInput, DrainInput, AgentInspectInput, AgentTickInput>;
+
+/** Dependencies of the control thread. */
+struct AgentControlParts {
+    AgentCore& core;
+    LinkHub& links;
+    Log& log;
+    wire::HelloT hello; ///< Sent on every new link.
+    ClockHook now;
+    std::function<void(CallBackend)> call; ///< Calls the backend server on a thread of its own.
+};
+
+/** The control thread as other threads see it. */
+class AgentControl {
+public:
+    AgentControl(caf::actor_system& system, AgentControlParts parts);
+    ~AgentControl();
+    /** Ends the actor and waits for it; whatever it is told later is dropped. */
+    void stop();
+    AgentControl(const AgentControl&) = delete;
+    AgentControl& operator=(const AgentControl&) = delete;
+
+    void tell(AgentInput input) const;
+    /** Runs a function on the core and waits for it. */
+    void inspect(const std::function<void(AgentCore&, TimePoint)>& visit) const;
+
+private:
+    caf::actor_system& m_system;
+    caf::actor m_actor;
+};
+
+} // namespace sequoia
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(sequoia::AgentInput)
--- /dev/null
+++ b/include/sequoia/Effects.h
@@ -0,0 +1,77 @@
+/** @file Effects.h What the deterministic cores ask their process to do. */
+#pragma once
+
+#include <sequoia/Job.h>
+#include <sequoia/Log.h>
+#include <sequoia/generated/Messages_generated.h>
+
+#include <variant>
+#include <vector>
+
+namespace sequoia {
+
+/** A caller's request that waits for an answer. */
+enum class WaiterId : uint64_t {};
+
+/** Send a message. */
+struct SendMessage {
+    LinkId link {};
+    wire::BodyUnion body;
+};
+
+/** End a connection; the peer connects again. */
+struct CloseLink {
+    LinkId link {};
+    std::string reason;
+};
+
+/** Give a job's answer to the requests that wait for it. */
+struct DeliverAnswer {
+    JobKey job;
+    JobAnswerPtr answer;
+    std::vector<WaiterId> waiters;
+};
+
+/** Call the backend server. */
+struct CallBackend {
+    TaskKey task;
+    std::string payload;
+    Milliseconds deadline {};
+};
+
+/** Log an event. */
+struct RecordEvent {
+    LogLevel level {};
+    std::string kind;
+    std::vector<LogField> fields;
+};
+
+using Effect = std::variant<SendMessage, CloseLink, DeliverAnswer, CallBackend, RecordEvent>;
+
+/** Effects of one command, in order. */
+class EffectList {
+public:
+    template <typename Message> void send(LinkId link, Message message)
+    {
+        SendMessage effect { link, {} };
+        effect.body.Set(std::move(message));
+        m_effects.emplace_back(std::move(effect));
+    }
+    void add(Effect effect) { m_effects.push_back(std::move(effect)); }
+    void record(LogLevel level, std::string kind, std::vector<LogField> fields)
+    {
+        m_effects.emplace_back(RecordEvent { level, std::move(kind), std::move(fields) });
+    }
+    std::vector<Effect> take() { return std::exchange(m_effects, {}); }
+
+private:
+    std::vector<Effect> m_effects;
+};
+
+/** Key of a message; empty if the message carries none. */
+std::optional<TaskKey> fromWire(const std::unique_ptr<wire::TaskKey>& key);
+std::optional<JobKey> fromWire(const std::unique_ptr<wire::JobKey>& key);
+wire::TaskKey toWire(const TaskKey& key, Attempt attempt);
+wire::JobKey toWire(const JobKey& key);
+
+} // namespace sequoia
--- /dev/null
+++ b/include/sequoia/Log.h
@@ -0,0 +1,74 @@
+/** @file Log.h Events of a process: key=value lines on standard error and a bounded ring for the time line. */
+#pragma once
+
+#include <sequoia/Time.h>
+
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sequoia {
+
+/** Severity of an event; the ring keeps Debug and above, the text output what the settings say. */
+enum class LogLevel : uint8_t { Debug, Info, Warning, Error };
+
+/** Reads `debug`, `info`, `warning` or `error`; Info for any other text. */
+LogLevel parseLogLevel(std::string_view text);
+
+/** One key=value pair of an event. */
+struct LogField {
+    std::string key;
+    std::string value;
+};
+
+/** One event as the time line shows it. */
+struct TimeLineEvent {
+    uint64_t stamp = 0; ///< Hybrid logical time, µs since 1970; causes before effects over all processes.
+    LogLevel level = LogLevel::Info;
+    std::string process; ///< Name of the process.
+    std::string kind; ///< Event kind, such as `task-start`.
+    std::vector<LogField> fields;
+};
+
+/** Hybrid logical clock: wall time that never falls behind a stamp received. Thread-safe. */
+class HybridClock {
+public:
+    /** A stamp for an event of this process, in µs. */
+    uint64_t next();
+    /** Takes note of a stamp received from another process. */
+    void merge(uint64_t stamp);
+
+private:
+    std::atomic<uint64_t> m_last { 0 };
+};
+
+/** Event output of one process. Thread-safe. */
+class Log {
+public:
+    Log(std::string process, LogLevel level, size_t ringSize);
+
+    /** Records an event and, at or above the level, prints it as one line. */
+    void event(LogLevel level, std::string_view kind, std::vector<LogField> fields);
+
+    /** Events of the ring with a stamp above `since`, whose fields contain `filter` (all if empty). */
+    std::vector<TimeLineEvent> events(uint64_t since, std::string_view filter) const;
+
+    /** Changes what is printed while the process runs. */
+    void setLevel(LogLevel level) { m_level = level; }
+
+    HybridClock& clock() { return m_clock; }
+    const std::string& process() const { return m_process; }
+
+private:
+    std::string m_process;
+    std::atomic<LogLevel> m_level;
+    size_t m_ringSize;
+    HybridClock m_clock;
+    mutable std::mutex m_mutex;
+    std::deque<TimeLineEvent> m_ring;
+};
+
+} // namespace sequoia
--- /dev/null
+++ b/include/sequoia/Store.h
@@ -0,0 +1,97 @@
+/** @file Store.h The platform's key-value store, through the etcd v3 JSON gateway. */
+#pragma once
+
+#include <sequoia/Time.h>
+
+#include <atomic>
+#include <boost/leaf/result.hpp>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace sequoia {
+
+/** Errors of this layer. */
+enum class StoreError : uint8_t {
+    Unreachable, ///< No connection: the call had no effect.
+    NoReply, ///< The call was sent and may have taken effect.
+    BadReply ///< The reply was not understood.
+};
+
+/** Revision of a key or of the whole store; 0 for a key that does not exist. */
+enum class StoreRevision : int64_t {};
+/** A lease held from the store; 0 for none. */
+enum class LeaseId : int64_t {};
+
+/** One key with its value. */
+struct StoredValue {
+    std::string key;
+    std::string value;
+    StoreRevision revision {}; ///< Revision of its last change.
+};
+
+/** One write of a transaction. */
+struct StoreWrite {
+    std::string key;
+    std::optional<std::string> value; ///< Empty to delete the key.
+    LeaseId lease {};
+};
+
+/** Change seen by a watch. */
+struct StoreChange {
+    std::string key;
+    std::optional<std::string> value; ///< Empty if the key was deleted.
+};
+
+/** Counters of the calls made, a waiting watch as one. */
+struct StoreCalls {
+    std::atomic<uint64_t> reads { 0 };
+    std::atomic<uint64_t> writes { 0 };
+    std::atomic<uint64_t> watches { 0 };
+};
+
+/** Client of the store. Thread-safe: every call uses its own connection. */
+class Store {
+public:
+    Store(std::string address, Milliseconds timeout);
+
+    boost::leaf::result<std::optional<StoredValue>> get(const std::string& key) const;
+    boost::leaf::result<std::vector<StoredValue>> list(const std::string& prefix) const;
+    /** Applies all writes if the key is still at that revision; false if it is not. */
+    boost::leaf::result<bool> compareAndSwap(
+        const std::string& key, StoreRevision expected, const std::vector<StoreWrite>& writes) const;
+    boost::leaf::result<LeaseId> grantLease(std::chrono::seconds ttl) const;
+    /** Renews a lease; false if it has ended. */
+    boost::leaf::result<bool> renewLease(LeaseId lease) const;
+    boost::leaf::result<void> revokeLease(LeaseId lease) const;
+    /** Reports changes below a prefix until `isStopped` says so or the connection ends. Blocks. */
+    boost::leaf::result<void> watch(const std::string& prefix, const std::function<void(const StoreChange&)>& changed,
+        const std::function<bool()>& isStopped) const;
+
+    /** Ends all running watches. */
+    void stopWatches() const;
+
+    const StoreCalls& calls() const { return m_calls; }
+
+private:
+    boost::leaf::result<std::string> post(const std::string& path, const std::string& body) const;
+
+    std::string m_address;
+    Milliseconds m_timeout;
+    mutable StoreCalls m_calls;
+    mutable std::mutex m_watchMutex;
+    mutable std::map<uint64_t, std::function<void()>> m_watchAborts; ///< One for each running watch.
+    mutable uint64_t m_nextWatch = 0;
+};
+
+/** Base64, as the gateway writes keys and values. */
+std::string toBase64(const std::string& bytes);
+/** Reads base64; empty on text that is not. */
+std::optional<std::string> fromBase64(const std::string& text);
+/** The end of the range of keys with a prefix. */
+std::string prefixEnd(std::string prefix);
+
+} // namespace sequoia
--- /dev/null
+++ b/src/AgentCore.cpp
@@ -0,0 +1,301 @@
+/** @file AgentCore.cpp The start-once gate, recovery replies and the ends of tasks. */
+#include <sequoia/AgentCore.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+AgentCore::AgentCore(Incarnation self, AgentLimits limits)
+    : m_self(self)
+    , m_limits(limits)
+    , m_health(limits)
+{
+}
+
+std::optional<LinkId> AgentCore::linkOf(Incarnation entry) const
+{
+    for (const auto& [id, link] : m_links) {
+        if (link.entry == entry)
+            return id;
+    }
+    return std::nullopt;
+}
+
+void AgentCore::receive(LinkId id, const wire::BodyUnion& body, TimePoint now)
+{
+    const auto it = m_links.find(id);
+    if (it == m_links.end()) {
+        m_effects.add(CloseLink { id, "message before Welcome" });
+        return;
+    }
+    auto& link = it->second;
+    link.lastHeard = now;
+    switch (body.type) {
+    case wire::Body::Start:
+        onStart(id, *body.AsStart(), now);
+        break;
+    case wire::Body::Query:
+        onQuery(id, *body.AsQuery(), now);
+        break;
+    case wire::Body::Recover:
+        onRecover(id, *body.AsRecover(), now);
+        break;
+    case wire::Body::Abandon:
+        onAbandon(id, *body.AsAbandon(), now);
+        break;
+    case wire::Body::Return:
+        onReturn(id, *body.AsReturn(), now);
+        break;
+    case wire::Body::Need:
+        noteBacklog(link, body.AsNeed()->backlog);
+        distribute(now);
+        recallFor(id, now);
+        break;
+    case wire::Body::Beat:
+        link.beat = std::max(m_limits.beat, Milliseconds(body.AsBeat()->beat_ms));
+        break;
+    default:
+        m_effects.add(CloseLink { id, "unexpected message" });
+    }
+}
+
+std::optional<std::string> AgentCore::refusal(
+    LinkId link, const wire::StartT& start, const TaskKey& task, TimePoint now)
+{
+    if (m_links.at(link).entry != task.job.home)
+        return "not sent by its home";
+    if (m_jobs.at(task.job).isAbandoned)
+        return "its job has failed";
+    if (start.agent_incarnation != raw(m_self))
+        return "meant for an earlier life of this agent";
+    if (m_fenced.contains(task.job.home))
+        return "its home counts as ended";
+    if (start.revision > m_newestRevision) {
+        m_newestRevision = start.revision;
+        m_newestRevisionSince = now;
+    }
+    if (start.revision < m_newestRevision && now - m_newestRevisionSince > m_limits.revisionGrace)
+        return "old configuration";
+    if (m_isDraining)
+        return "draining";
+    if (m_slots == 0)
+        return "no backend server";
+    const bool isTrial = start.trial && m_health.health() == Health::Trial && m_running == 0;
+    if (m_health.health() != Health::Good && !isTrial)
+        return "quarantined: " + m_health.reason();
+    if (m_running >= m_slots)
+        return "no free slot";
+    return std::nullopt;
+}
+
+void AgentCore::onStart(LinkId id, const wire::StartT& start, TimePoint now)
+{
+    const auto task = fromWire(start.task);
+    if (!task)
+        return;
+    auto& link = m_links.at(id);
+    noteBacklog(link, start.backlog);
+    auto& job = m_jobs[task->job];
+    job.taskCount = std::max(job.taskCount, start.task_count);
+    touch(task->job, job, now);
+    const auto attempt = Attempt(start.task->attempt());
+    auto& record = job.tasks[task->index];
+    const bool isNotStarted = record.attempt == Attempt() || record.outcome == wire::Outcome::NotStarted;
+    if (attempt <= record.attempt || !isNotStarted) {
+        // The gate: a start that was seen before, or came late, tells the state and starts nothing.
+        m_effects.send(id, answerOf(*task, record));
+        return;
+    }
+    if (link.grants > 0) {
+        --link.grants;
+        --m_granted;
+    }
+    record = TaskRecord();
+    record.attempt = attempt;
+    if (const auto reason = refusal(id, start, *task, now)) {
+        record.outcome = wire::Outcome::NotStarted;
+        record.reason = *reason;
+        m_effects.send(id, answerOf(*task, record));
+        link.lastSent = now;
+        return;
+    }
+    record.started = now;
+    record.declared = Milliseconds(start.declared_ms);
+    ++job.running;
+    ++m_running;
+    ++link.running;
+    m_runningTasks.insert(*task);
+    m_effects.record(LogLevel::Debug, "backend-call", { { "task", toString(*task) } });
+    m_effects.add(CallBackend { *task, start.payload, Milliseconds(start.remaining_ms) });
+}
+
+void AgentCore::touch(const JobKey& key, JobRecord& job, TimePoint now)
+{
+    m_expiries.erase({ job.expires, key });
+    job.expires = now + m_limits.retention;
+    m_expiries.emplace(job.expires, key);
+}
+
+wire::AnswerT AgentCore::answerOf(const TaskKey& task, const TaskRecord& record) const
+{
+    wire::AnswerT answer;
+    answer.task = std::make_unique<wire::TaskKey>(toWire(task, record.attempt));
+    answer.outcome = record.outcome;
+    answer.reason = record.reason;
+    answer.body = record.body;
+    answer.run_us = static_cast<uint32_t>(record.run.count());
+    return answer;
+}
+
+void AgentCore::backendFinished(const TaskKey& task, BackendResult result, TimePoint now)
+{
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end() || m_runningTasks.erase(task) == 0)
+        return;
+    auto& record = job->second.tasks.at(task.index);
+    record.outcome = result.outcome;
+    record.reason = std::move(result.reason);
+    record.body = std::move(result.body);
+    record.run = result.run;
+    --job->second.running;
+    --m_running;
+    if (const auto link = linkOf(task.job.home))
+        --m_links.at(*link).running;
+    touch(task.job, job->second, now);
+    noteOutcome(task, record, now);
+    sendAnswer(task, record, now);
+    if (job->second.running == 0) {
+        for (const auto link : std::exchange(job->second.recoverers, {}))
+            sendRecovered(link, task.job, &job->second);
+    }
+    distribute(now);
+}
+
+void AgentCore::noteOutcome(const TaskKey& task, const TaskRecord& record, TimePoint now)
+{
+    if (record.outcome == wire::Outcome::Succeeded) {
+        if (m_health.succeeded()) {
+            m_effects.record(LogLevel::Info, "quarantine-ended", {});
+            openToAll(now);
+        }
+        return;
+    }
+    if (record.outcome == wire::Outcome::NotStarted) {
+        m_health.suspend(record.reason, now);
+        withdraw("quarantined: " + record.reason, now);
+        return;
+    }
+    if (m_health.failed(task.job, record.reason, now))
+        withdraw("quarantined: " + record.reason, now);
+}
+
+void AgentCore::sendAnswer(const TaskKey& task, const TaskRecord& record, TimePoint now)
+{
+    const auto home = linkOf(task.job.home);
+    if (!home)
+        return; // The home asks when it is linked again.
+    auto answer = answerOf(task, record);
+    auto& link = m_links.at(*home);
+    if (isOpen() && freeSlots() > 0 && receiverOfSlot(*home) == *home) {
+        answer.grants = 1;
+        ++link.grants;
+        ++m_granted;
+        if (link.backlog > 0)
+            --link.backlog;
+    }
+    m_effects.send(*home, std::move(answer));
+    link.lastSent = now;
+}
+
+void AgentCore::onQuery(LinkId id, const wire::QueryT& query, TimePoint now)
+{
+    wire::StateT state;
+    for (const auto& wireKey : query.tasks) {
+        const TaskKey task { *fromWire(std::make_unique<wire::JobKey>(wireKey.job())), TaskIndex(wireKey.index()) };
+        auto& job = m_jobs[task.job];
+        touch(task.job, job, now);
+        auto& record = job.tasks[task.index];
+        const auto attempt = Attempt(wireKey.attempt());
+        const bool isNotStarted = record.attempt == Attempt() || record.outcome == wire::Outcome::NotStarted;
+        if (attempt > record.attempt && isNotStarted) {
+            // A tombstone: a start that was delayed on an earlier link is refused from now on.
+            record.attempt = attempt;
+            record.outcome = wire::Outcome::NotStarted;
+            record.reason = "never arrived";
+        }
+        state.answers.push_back(std::make_unique<wire::AnswerT>(answerOf(task, record)));
+    }
+    m_effects.send(id, std::move(state));
+    m_links.at(id).lastSent = now;
+}
+
+void AgentCore::onRecover(LinkId id, const wire::RecoverT& message, TimePoint now)
+{
+    const auto key = fromWire(message.job);
+    if (!key)
+        return;
+    if (message.fence)
+        m_fenced[key->home] = now + m_limits.retention;
+    const auto it = m_jobs.find(*key);
+    if (it != m_jobs.end() && it->second.running > 0) {
+        it->second.recoverers.insert(id);
+        return;
+    }
+    sendRecovered(id, *key, it == m_jobs.end() ? nullptr : &it->second);
+}
+
+void AgentCore::sendRecovered(LinkId id, const JobKey& key, const JobRecord* job)
+{
+    if (!m_links.contains(id))
+        return;
+    wire::RecoveredT reply;
+    reply.job = std::make_unique<wire::JobKey>(toWire(key));
+    reply.fenced = m_fenced.contains(key.home);
+    if (job != nullptr) {
+        reply.task_count = job->taskCount;
+        for (const auto& [index, record] : job->tasks) {
+            auto answer = std::make_unique<wire::AnswerT>(answerOf({ key, index }, record));
+            if (job->isAbandoned) {
+                answer->outcome = wire::Outcome::Failed;
+                answer->reason = "failed by its home";
+            }
+            reply.answers.push_back(std::move(answer));
+        }
+    }
+    m_effects.send(id, std::move(reply));
+}
+
+void AgentCore::onAbandon(LinkId id, const wire::AbandonT& message, TimePoint now)
+{
+    const auto key = fromWire(message.job);
+    if (!key)
+        return;
+    auto& job = m_jobs[*key];
+    touch(*key, job, now);
+    job.isAbandoned = true;
+    wire::AbandonedT reply;
+    reply.job = std::make_unique<wire::JobKey>(toWire(*key));
+    m_effects.send(id, std::move(reply));
+    m_links.at(id).lastSent = now;
+}
+
+void AgentCore::tick(TimePoint now)
+{
+    tickLinks(now);
+    tickStalls(now);
+    tickTrial(now);
+    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+        const JobKey key = m_expiries.begin()->second;
+        auto& job = m_jobs.at(key);
+        if (job.running > 0) {
+            touch(key, job, now);
+            continue;
+        }
+        m_expiries.erase(m_expiries.begin());
+        m_jobs.erase(key);
+    }
+    std::erase_if(m_fenced, [&](const auto& entry) { return entry.second <= now; });
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/AgentGrants.cpp
@@ -0,0 +1,258 @@
+/** @file AgentGrants.cpp Who gets an agent's free slots, and when they are withdrawn. */
+#include <sequoia/AgentCore.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+namespace {
+
+    /** Another entry gets a freed slot only if its oldest task has waited this much longer. */
+    constexpr Microseconds noticeableWait { 10000 };
+    constexpr Milliseconds trialUnused { 2000 }; // A trial grant that is not used passes to another entry.
+
+} // namespace
+
+uint32_t AgentCore::freeSlots() const
+{
+    const uint32_t used = m_running + m_granted;
+    return m_slots > used ? m_slots - used : 0;
+}
+
+void AgentCore::entryLinked(LinkId id, const wire::WelcomeT& welcome, TimePoint now)
+{
+    auto& link = m_links[id];
+    link.entry = Incarnation(welcome.incarnation);
+    link.lastHeard = now;
+    link.lastSent = now;
+    link.beat = std::max(m_limits.beat, Milliseconds(welcome.beat_ms));
+    link.running = static_cast<uint32_t>(std::count_if(m_runningTasks.begin(), m_runningTasks.end(),
+        [&](const TaskKey& task) { return task.job.home == link.entry; }));
+    m_effects.record(
+        LogLevel::Info, "entry-linked", { { "entry", welcome.entry }, { "link", fmt::to_string(raw(id)) } });
+    // Slots that other entries hold idle are shared with the newcomer.
+    const auto share = m_slots / static_cast<uint32_t>(m_links.size());
+    for (auto& [other, state] : m_links) {
+        if (other == id || state.grants <= share || state.recalling > 0)
+            continue;
+        state.recalling = state.grants - share;
+        wire::RecallT recall;
+        recall.grants = static_cast<uint16_t>(state.recalling);
+        m_effects.send(other, recall);
+    }
+    distribute(now);
+}
+
+void AgentCore::linkClosed(LinkId id, TimePoint now)
+{
+    const auto it = m_links.find(id);
+    if (it == m_links.end())
+        return;
+    m_granted -= it->second.grants;
+    m_links.erase(it);
+    m_effects.record(LogLevel::Info, "entry-unlinked", { { "link", fmt::to_string(raw(id)) } });
+    for (auto& [key, job] : m_jobs)
+        job.recoverers.erase(id);
+    distribute(now);
+}
+
+void AgentCore::noteBacklog(EntryLink& link, const std::unique_ptr<wire::Backlog>& backlog)
+{
+    link.oldestWait = backlog ? Microseconds(backlog->oldest_wait_us()) : Microseconds(0);
+    link.backlog = backlog ? backlog->tasks() : 0;
+}
+
+LinkId AgentCore::receiverOfSlot(LinkId home) const
+{
+    LinkId best = home;
+    const auto& own = m_links.at(home);
+    Microseconds bestWait = own.backlog > 0 ? own.oldestWait + noticeableWait : Microseconds(0);
+    for (const auto& [id, link] : m_links) {
+        if (id != home && link.backlog > 0 && link.oldestWait > bestWait) {
+            best = id;
+            bestWait = link.oldestWait;
+        }
+    }
+    return best;
+}
+
+void AgentCore::distribute(TimePoint now)
+{
+    if (!isOpen() || m_links.empty())
+        return;
+    std::map<LinkId, uint32_t> given;
+    for (uint32_t free = freeSlots(); free > 0; --free) {
+        // Waiting work first, the oldest; without any, whoever holds the least.
+        const auto best = std::min_element(m_links.begin(), m_links.end(), [&](const auto& a, const auto& b) {
+            const auto order = [&](const auto& entry) {
+                const uint32_t n = given[entry.first];
+                const bool isWaiting = entry.second.backlog > n;
+                const auto wait = isWaiting ? entry.second.oldestWait : Microseconds(0);
+                return std::pair(-wait, entry.second.grants + entry.second.running + n);
+            };
+            return order(a) < order(b);
+        });
+        ++given[best->first];
+    }
+    for (const auto& [id, n] : given) {
+        if (n > 0)
+            offer(id, n, false, now);
+    }
+}
+
+void AgentCore::openToAll(TimePoint now)
+{
+    if (!isOpen())
+        return;
+    // An offer of nothing still tells an entry that it may ask again.
+    for (const auto& [id, link] : m_links)
+        offer(id, 0, false, now);
+    distribute(now);
+}
+
+void AgentCore::offer(LinkId id, uint32_t grants, bool trial, TimePoint now)
+{
+    auto& link = m_links.at(id);
+    link.grants += grants;
+    m_granted += grants;
+    link.backlog -= std::min(link.backlog, grants);
+    link.lastSent = now;
+    wire::OfferT message;
+    message.grants = static_cast<uint16_t>(grants);
+    message.trial = trial;
+    m_effects.send(id, message);
+}
+
+void AgentCore::recallFor(LinkId needy, TimePoint now)
+{
+    auto& asking = m_links.at(needy);
+    if (!isOpen() || asking.grants > 0 || asking.backlog == 0)
+        return;
+    const auto richest = std::max_element(
+        m_links.begin(), m_links.end(), [](const auto& a, const auto& b) { return a.second.grants < b.second.grants; });
+    auto& link = richest->second;
+    if (richest->first == needy || link.grants == 0 || link.recalling > 0)
+        return;
+    link.recalling = std::min(asking.backlog, (link.grants + 1) / 2);
+    wire::RecallT message;
+    message.grants = static_cast<uint16_t>(link.recalling);
+    m_effects.send(richest->first, message);
+    link.lastSent = now;
+}
+
+void AgentCore::onReturn(LinkId id, const wire::ReturnT& message, TimePoint now)
+{
+    auto& link = m_links.at(id);
+    const uint32_t n = std::min<uint32_t>(message.grants, link.grants);
+    link.grants -= n;
+    link.recalling = 0;
+    m_granted -= n;
+    noteBacklog(link, message.backlog);
+    distribute(now);
+}
+
+void AgentCore::withdraw(const std::string& reason, TimePoint now)
+{
+    m_effects.record(LogLevel::Warning, "work-withdrawn", { { "reason", reason } });
+    for (auto& [id, link] : m_links) {
+        m_granted -= link.grants;
+        link.grants = 0;
+        link.recalling = 0;
+        link.lastSent = now;
+        wire::WithdrawT message;
+        message.reason = reason;
+        m_effects.send(id, std::move(message));
+    }
+}
+
+void AgentCore::announced(uint32_t slots, TimePoint now)
+{
+    if (slots == m_slots)
+        return;
+    m_effects.record(LogLevel::Info, "backend-announced", { { "slots", fmt::to_string(slots) } });
+    if (slots < m_slots)
+        withdraw("fewer slots", now);
+    m_slots = slots;
+    openToAll(now);
+}
+
+void AgentCore::left(const std::string& reason, TimePoint now)
+{
+    if (m_slots == 0)
+        return;
+    m_slots = 0;
+    withdraw(reason, now);
+}
+
+void AgentCore::drain(TimePoint now)
+{
+    if (m_isDraining)
+        return;
+    m_isDraining = true;
+    withdraw("draining", now);
+}
+
+void AgentCore::resume(TimePoint now)
+{
+    m_isDraining = false;
+    openToAll(now);
+}
+
+void AgentCore::tickLinks(TimePoint now)
+{
+    std::vector<LinkId> silent;
+    for (auto& [id, link] : m_links) {
+        // With work running, the entry expects to hear of it, and this side expects nothing.
+        const auto quiet = link.running > 0 ? m_limits.linkSilence / 3 : link.beat;
+        if (now - link.lastHeard > 3 * link.beat) {
+            silent.push_back(id);
+            continue;
+        }
+        if (now - link.lastSent >= quiet) {
+            m_effects.send(id, wire::BeatT());
+            link.lastSent = now;
+        }
+    }
+    for (const auto id : silent) {
+        m_effects.record(LogLevel::Warning, "link-silent", { { "link", fmt::to_string(raw(id)) } });
+        m_effects.add(CloseLink { id, "silent" });
+        linkClosed(id, now);
+    }
+}
+
+void AgentCore::tickStalls(TimePoint now)
+{
+    if (m_health.health() != Health::Good)
+        return;
+    for (const auto& task : m_runningTasks) {
+        const auto& record = m_jobs.at(task.job).tasks.at(task.index);
+        const auto declared = std::chrono::duration<double, std::milli>(record.declared) * m_limits.stallFactor;
+        const auto allowed = std::max(std::chrono::duration<double, std::milli>(m_limits.stallMinimum), declared);
+        if (now - record.started > allowed) {
+            m_health.suspend("stalled", now);
+            withdraw("quarantined: stalled", now);
+            return;
+        }
+    }
+}
+
+void AgentCore::tickTrial(TimePoint now)
+{
+    if (m_links.empty() || m_slots == 0 || m_isDraining)
+        return;
+    const bool isUnused = m_health.health() == Health::Trial && m_running == 0 && now - m_trialOffered > trialUnused;
+    if (isUnused && m_granted > 0)
+        withdraw("trial unused", now);
+    if (!isUnused && !(m_running < m_slots && m_health.beginTrial(now)))
+        return;
+    // The entry whose work has waited longest is the one most likely to use the trial.
+    const auto best = std::max_element(m_links.begin(), m_links.end(), [&](const auto& a, const auto& b) {
+        return std::pair(a.second.oldestWait, a.second.lastHeard) < std::pair(b.second.oldestWait, b.second.lastHeard);
+    });
+    m_trialOffered = now;
+    m_effects.record(LogLevel::Info, "quarantine-trial", { { "reason", m_health.reason() } });
+    offer(best->first, 1, true, now);
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/BackendPool.cpp
@@ -0,0 +1,144 @@
+/** @file BackendPool.cpp Calls to the backend server. */
+#include "BackendPool.h"
+
+#include <fmt/format.h>
+#include <sequoia/HttpService.h>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr Milliseconds connectTimeout { 1000 };
+    constexpr Milliseconds reusableFor {
+        1000
+    }; // A connection idle for longer may be closed by its peer at any moment.
+    constexpr int statusOk = 200;
+
+    /** One thread's connection. */
+    class Caller {
+    public:
+        explicit Caller(size_t maxAnswerBytes)
+            : m_maxAnswerBytes(maxAnswerBytes)
+        {
+        }
+
+        /** The connection to use for the next call. */
+        httplib::Client& prepare(const std::string& address)
+        {
+            connect(address);
+            return *m_client;
+        }
+
+        BackendResult call(const CallBackend& call)
+        {
+            const auto begin = Clock::now();
+            m_client->set_read_timeout(std::max(call.deadline, Milliseconds(1)));
+            const httplib::Headers headers { { "X-Sequoia-Task", toString(call.task) },
+                { "X-Sequoia-Deadline-Ms", fmt::to_string(call.deadline.count()) } };
+            const auto reply = m_client->Post("/run", headers, call.payload, "application/octet-stream");
+            m_lastUsed = Clock::now();
+            BackendResult out;
+            out.run = toMicroseconds(m_lastUsed - begin);
+            if (!reply) {
+                // Only a connection that was never made proves that nothing ran.
+                const bool isUnsent = reply.error() == httplib::Error::Connection;
+                out.outcome = isUnsent ? wire::Outcome::NotStarted : wire::Outcome::Failed;
+                out.reason = isUnsent ? "backend server unreachable"
+                                      : "no answer of the backend server: " + httplib::to_string(reply.error());
+                return out;
+            }
+            out.body = reply->body;
+            if (reply->status != statusOk || out.body.size() > m_maxAnswerBytes) {
+                out.reason = reply->status != statusOk
+                    ? fmt::format("backend server: status {}: {:.200}", reply->status, out.body)
+                    : "answer too long";
+                out.body.clear();
+                return out;
+            }
+            out.outcome = wire::Outcome::Succeeded;
+            return out;
+        }
+
+    private:
+        void connect(const std::string& address)
+        {
+            const bool isFresh = m_client && m_address == address && Clock::now() - m_lastUsed < reusableFor;
+            if (isFresh)
+                return;
+            m_address = address;
+            m_client = std::make_unique<httplib::Client>("http://" + address);
+            m_client->set_tcp_nodelay(true);
+            m_client->set_keep_alive(true);
+            m_client->set_connection_timeout(connectTimeout);
+            m_client->set_write_timeout(connectTimeout);
+        }
+
+        size_t m_maxAnswerBytes;
+        std::string m_address;
+        std::unique_ptr<httplib::Client> m_client;
+        TimePoint m_lastUsed {};
+    };
+
+} // namespace
+
+BackendPool::BackendPool(size_t mostThreads, size_t maxAnswerBytes, BackendResultHook finished)
+    : m_mostThreads(mostThreads)
+    , m_maxAnswerBytes(maxAnswerBytes)
+    , m_finished(std::move(finished))
+{
+}
+
+BackendPool::~BackendPool()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_isStopped = true;
+        for (auto* client : m_clients)
+            client->stop();
+    }
+    m_changed.notify_all();
+    for (auto& thread : m_threads)
+        thread.join();
+}
+
+void BackendPool::setAddress(const std::string& address)
+{
+    const std::lock_guard lock(m_mutex);
+    m_address = address;
+}
+
+void BackendPool::call(CallBackend call)
+{
+    const std::lock_guard lock(m_mutex);
+    m_calls.push_back(std::move(call));
+    if (m_idle < m_calls.size() && m_threads.size() < m_mostThreads)
+        m_threads.emplace_back([this] { run(); });
+    m_changed.notify_one();
+}
+
+void BackendPool::run()
+{
+    Caller caller(m_maxAnswerBytes);
+    std::unique_lock lock(m_mutex);
+    for (;;) {
+        ++m_idle;
+        m_changed.wait(lock, [&] { return !m_calls.empty() || m_isStopped; });
+        --m_idle;
+        if (m_isStopped)
+            return;
+        const auto call = std::move(m_calls.front());
+        m_calls.pop_front();
+        const auto address = m_address;
+        auto& client = caller.prepare(address);
+        m_clients.insert(&client);
+        lock.unlock();
+        auto result = caller.call(call);
+        lock.lock();
+        m_clients.erase(&client);
+        lock.unlock();
+        m_finished(call.task, std::move(result));
+        lock.lock();
+    }
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/Effects.cpp
@@ -0,0 +1,40 @@
+/** @file Effects.cpp Conversions between identifiers and messages, and the texts of stop reasons. */
+#include <sequoia/Effects.h>
+
+#include <array>
+
+namespace sequoia {
+
+namespace {
+
+    JobKey fromWire(const wire::JobKey& key)
+    {
+        return { Incarnation(key.home()), SessionNumber(key.session()), JobSequence(key.sequence()) };
+    }
+
+    constexpr std::array<std::string_view, 10> reasonNames { "none", "task-failed", "outcome-unknown",
+        "deadline-passed", "cancelled", "overloaded", "impossible", "retries-exhausted", "moved", "stopping" };
+
+} // namespace
+
+std::string_view toString(StopReason reason) { return reasonNames.at(static_cast<size_t>(reason)); }
+
+std::optional<TaskKey> fromWire(const std::unique_ptr<wire::TaskKey>& key)
+{
+    if (!key)
+        return std::nullopt;
+    return TaskKey { fromWire(key->job()), TaskIndex(key->index()) };
+}
+
+std::optional<JobKey> fromWire(const std::unique_ptr<wire::JobKey>& key)
+{
+    if (!key)
+        return std::nullopt;
+    return fromWire(*key);
+}
+
+wire::JobKey toWire(const JobKey& key) { return { raw(key.home), raw(key.session), raw(key.sequence) }; }
+
+wire::TaskKey toWire(const TaskKey& key, Attempt attempt) { return { toWire(key.job), raw(key.index), raw(attempt) }; }
+
+} // namespace sequoia
--- /dev/null
+++ b/src/EntryAgents.cpp
@@ -0,0 +1,289 @@
+/** @file EntryAgents.cpp An entry's side of its links: grants, answers, silence and lost agents. */
+#include <sequoia/EntryCore.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr double smoothing = 0.15; // Weight of the newest run in the speed estimates.
+    constexpr Microseconds firstNeedPause { 2000 };
+    constexpr Microseconds longestNeedPause { 256000 };
+    constexpr size_t queryBatch = 512; // Tasks in one Query.
+
+    /** Bytes of a beat on the wire with its headers and acknowledgement, both ways. */
+    constexpr uint64_t beatBytes = 320;
+    /** Control traffic that beats of one process may use. */
+    constexpr uint64_t beatBytesPerSecond = 2000;
+
+} // namespace
+
+Milliseconds EntryCore::beatInterval() const
+{
+    const Milliseconds affordable(m_agents.size() * beatBytes * 1000 / beatBytesPerSecond);
+    return std::max(m_limits.beat, affordable);
+}
+
+void EntryCore::agentLinked(LinkId link, const wire::HelloT& hello, TimePoint now)
+{
+    const AgentIndex index = m_agents.intern(hello.agent);
+    auto& agent = m_agents.at(index);
+    if (agent.isLinked) {
+        m_effects.add(CloseLink { agent.link, "replaced by a newer connection" });
+        m_agents.unbindLink(agent.link);
+    }
+    if (agent.incarnation != Incarnation(hello.incarnation)) {
+        giveUpStarts(index, "the agent has restarted", now);
+        agent.incarnation = Incarnation(hello.incarnation);
+        for (auto& [key, recovery] : m_recoveries) {
+            recovery.pending.erase(index);
+            concludeRecovery(key, recovery);
+        }
+    }
+    agent.failureDomain = hello.failure_domain;
+    agent.httpAddress = hello.http_address;
+    agent.isWithdrawn = false;
+    agent.lastHeard = now;
+    agent.lastSent = now;
+    agent.needPause = firstNeedPause;
+    m_agents.bindLink(index, link);
+    m_effects.record(LogLevel::Info, "agent-linked",
+        { { "agent", agent.name }, { "incarnation", fmt::format("{:016x}", hello.incarnation) } });
+
+    wire::QueryT query;
+    for (const auto& task : agent.outstanding) {
+        query.tasks.push_back(toWire(task, attemptOf(task)));
+        if (query.tasks.size() == queryBatch) {
+            m_effects.send(link, std::exchange(query, {}));
+            ++m_counters.queries;
+        }
+    }
+    if (!query.tasks.empty()) {
+        m_effects.send(link, std::move(query));
+        ++m_counters.queries;
+    }
+    for (const auto& [key, recovery] : m_recoveries) {
+        if (recovery.pending.contains(index))
+            sendRecover(key, recovery, index);
+    }
+}
+
+void EntryCore::linkClosed(LinkId link, TimePoint now)
+{
+    const auto index = m_agents.byLink(link);
+    if (!index)
+        return;
+    m_agents.unbindLink(link);
+    m_agents.at(*index).lostAt = now;
+    m_effects.record(LogLevel::Info, "agent-unlinked", { { "agent", m_agents.at(*index).name } });
+}
+
+void EntryCore::receive(LinkId link, const wire::BodyUnion& body, TimePoint now)
+{
+    const auto found = m_agents.byLink(link);
+    if (!found) {
+        m_effects.add(CloseLink { link, "message before Hello" });
+        return;
+    }
+    const AgentIndex index = *found;
+    auto& agent = m_agents.at(index);
+    agent.lastHeard = now;
+    ++m_counters.messagesReceived;
+    switch (body.type) {
+    case wire::Body::Answer:
+        onAnswer(index, *body.AsAnswer(), now);
+        break;
+    case wire::Body::Offer:
+        agent.isWithdrawn = false;
+        agent.needPause = firstNeedPause;
+        m_agents.setGrants(index, agent.grants + body.AsOffer()->grants);
+        agent.holdsTrial = body.AsOffer()->trial;
+        break;
+    case wire::Body::Withdraw:
+        agent.isWithdrawn = true;
+        m_agents.setGrants(index, 0);
+        m_effects.record(
+            LogLevel::Info, "agent-withdrawn", { { "agent", agent.name }, { "reason", body.AsWithdraw()->reason } });
+        break;
+    case wire::Body::Recall:
+        onRecall(index, body.AsRecall()->grants, now);
+        break;
+    case wire::Body::State:
+        onState(index, *body.AsState(), now);
+        break;
+    case wire::Body::Recovered:
+        onRecovered(index, *body.AsRecovered(), now);
+        break;
+    case wire::Body::Abandoned:
+        if (const auto key = fromWire(body.AsAbandoned()->job)) {
+            if (auto* job = findJob(*key))
+                confirmAbandoned(*job, index);
+        }
+        break;
+    case wire::Body::Beat:
+        ++m_counters.beatsReceived;
+        break;
+    default:
+        m_effects.add(CloseLink { link, "unexpected message" });
+        return;
+    }
+    pump(now);
+}
+
+void EntryCore::onRecall(AgentIndex index, uint32_t wanted, TimePoint now)
+{
+    auto& agent = m_agents.at(index);
+    const uint32_t n = std::min(wanted, agent.grants);
+    m_agents.setGrants(index, agent.grants - n);
+    wire::ReturnT message;
+    message.grants = static_cast<uint16_t>(n);
+    message.backlog = std::make_unique<wire::Backlog>(backlog(now));
+    m_effects.send(agent.link, std::move(message));
+    agent.lastSent = now;
+    ++m_counters.returns;
+}
+
+void EntryCore::settle(AgentIndex index, const TaskKey& task)
+{
+    m_agents.removeOutstanding(index, task);
+    if (auto* job = findJob(task.job)) {
+        --job->outstanding;
+        m_queue.ended(job->spec.team);
+    }
+}
+
+Attempt EntryCore::attemptOf(const TaskKey& task) const
+{
+    const auto it = m_jobs.find(task.job);
+    return it == m_jobs.end() ? Attempt() : it->second.attempts[raw(task.index)];
+}
+
+void EntryCore::onAnswer(AgentIndex index, const wire::AnswerT& answer, TimePoint now)
+{
+    auto& agent = m_agents.at(index);
+    if (answer.grants > 0)
+        m_agents.setGrants(index, agent.grants + answer.grants);
+    const auto task = fromWire(answer.task);
+    if (!task || !agent.outstanding.contains(*task) || answer.outcome == wire::Outcome::Running)
+        return;
+    if (Attempt(answer.task->attempt()) != attemptOf(*task))
+        return; // A late copy about an earlier start.
+    settle(index, *task);
+    ++m_counters.answers;
+    auto* job = findJob(task->job);
+    if (job == nullptr || raw(task->index) >= job->states.size())
+        return;
+    m_effects.record(LogLevel::Debug, "task-answer",
+        { { "task", toString(*task) }, { "agent", agent.name }, { "outcome", wire::EnumNameOutcome(answer.outcome) },
+            { "run_us", fmt::to_string(answer.run_us) } });
+    switch (answer.outcome) {
+    case wire::Outcome::Succeeded:
+        if (!job->answer)
+            learnSpeed(index, Microseconds(answer.run_us), job->spec.tasks[raw(task->index)].declared);
+        onSucceeded(*job, task->index, answer.body, now);
+        break;
+    case wire::Outcome::NotStarted:
+    case wire::Outcome::Unseen:
+        onNotStarted(*job, task->index, answer.reason, now);
+        break;
+    default:
+        if (!job->answer)
+            fail(*job, StopReason::TaskFailed, fmt::format("task {}: {}", raw(task->index), answer.reason), now);
+    }
+}
+
+void EntryCore::onSucceeded(Job& job, TaskIndex task, const std::string& body, TimePoint now)
+{
+    if (job.answer || job.states[raw(task)] != TaskState::Started)
+        return;
+    job.states[raw(task)] = TaskState::Succeeded;
+    job.answers[raw(task)] = body;
+    ++job.succeeded;
+    if (job.succeeded < job.states.size())
+        return;
+    JobAnswer whole;
+    whole.status = JobStatus::Complete;
+    whole.answers = std::move(job.answers);
+    finish(job, std::move(whole), now);
+}
+
+void EntryCore::learnSpeed(AgentIndex index, Microseconds run, Milliseconds declared)
+{
+    auto& agent = m_agents.at(index);
+    const double seconds = std::chrono::duration<double>(run).count();
+    agent.meanRunSeconds += smoothing * (seconds - agent.meanRunSeconds);
+    if (declared.count() == 0)
+        return;
+    const double ratio = seconds / std::chrono::duration<double>(declared).count();
+    m_agents.setSlowness(index, agent.slowness + smoothing * (ratio - agent.slowness));
+}
+
+void EntryCore::onState(AgentIndex index, const wire::StateT& state, TimePoint now)
+{
+    for (const auto& answer : state.answers)
+        onAnswer(index, *answer, now);
+}
+
+void EntryCore::giveUpStarts(AgentIndex index, const std::string& reason, TimePoint now)
+{
+    const auto lost = m_agents.at(index).outstanding;
+    for (const auto& task : lost) {
+        settle(index, task);
+        auto* job = findJob(task.job);
+        if (job != nullptr && !job->answer)
+            fail(*job, StopReason::OutcomeUnknown, fmt::format("task {}: {}", raw(task.index), reason), now);
+    }
+}
+
+void EntryCore::askForGrants(TimePoint now)
+{
+    if (m_queuedTasks == 0 || m_agents.totalGrants() > 0 || m_queue.front() == std::nullopt)
+        return;
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        auto& agent = m_agents.at(AgentIndex(i));
+        // An agent with starts of this entry outstanding hears of the backlog by the starts themselves.
+        const bool isAsked = agent.isLinked && !agent.isWithdrawn && agent.outstanding.empty();
+        if (!isAsked || now < agent.nextNeed)
+            continue;
+        wire::NeedT message;
+        message.backlog = std::make_unique<wire::Backlog>(backlog(now));
+        m_effects.send(agent.link, std::move(message));
+        agent.lastSent = now;
+        agent.nextNeed = now + agent.needPause;
+        agent.needPause = std::min(agent.needPause * 2, longestNeedPause);
+        ++m_counters.needs;
+    }
+}
+
+void EntryCore::tickAgents(TimePoint now)
+{
+    const auto quiet = beatInterval();
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        const auto index = AgentIndex(i);
+        auto& agent = m_agents.at(index);
+        if (!agent.isLinked) {
+            if (!agent.outstanding.empty() && now - agent.lostAt > m_limits.agentLost)
+                giveUpStarts(index, "the agent is out of reach", now);
+            continue;
+        }
+        const auto silence = now - agent.lastHeard;
+        const bool isSilent = !agent.outstanding.empty() ? silence > m_limits.linkSilence : silence > 3 * quiet;
+        if (isSilent) {
+            m_effects.record(LogLevel::Warning, "link-silent", { { "agent", agent.name } });
+            m_effects.add(CloseLink { agent.link, "silent" });
+            linkClosed(agent.link, now);
+            continue;
+        }
+        if (now - agent.lastSent >= quiet) {
+            wire::BeatT beat;
+            beat.beat_ms = static_cast<uint32_t>(quiet.count());
+            m_effects.send(agent.link, std::move(beat));
+            agent.lastSent = now;
+            ++m_counters.beats;
+        }
+    }
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/EntryControl.cpp
@@ -0,0 +1,232 @@
+/** @file EntryControl.cpp The control actor of an entry. */
+#include <sequoia/EntryControl.h>
+
+#include <fmt/format.h>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr Milliseconds tickPeriod { 10 };
+    constexpr int ticksPerCollect = 100;
+
+    /** State and handlers of the actor; they run on its thread only. */
+    class ControlState {
+    public:
+        ControlState(caf::event_based_actor* self, EntryControlParts parts)
+            : m_self(self)
+            , m_parts(std::move(parts))
+        {
+        }
+
+        void handle(EntryInput& input)
+        {
+            std::visit([this](auto& message) { on(message); }, input);
+            perform();
+        }
+
+    private:
+        void on(SubmitInput& input)
+        {
+            const auto job = input.spec.key;
+            watch(input.slot,
+                m_parts.core.submit(std::move(input.spec), input.slot.waiter, now(), CommandMode::Execute), job);
+        }
+        void on(PollInput& input)
+        {
+            watch(input.slot, m_parts.core.poll(input.job, input.slot.waiter, now()), input.job);
+        }
+        void on(RecoverInput& input)
+        {
+            m_waiters.emplace(input.slot.waiter, input.slot.promise);
+            m_parts.core.recover(input.job, input.isEnded, input.slot.waiter, now());
+        }
+        void on(CancelInput& input)
+        {
+            input.done->set_value(m_parts.core.cancel(input.job, now(), CommandMode::Execute));
+        }
+        void on(AcknowledgeInput& input)
+        {
+            input.done->set_value(m_parts.core.acknowledge(input.job, CommandMode::Execute));
+        }
+        void on(DropWaiterInput& input)
+        {
+            m_parts.core.dropWaiter(input.job, input.waiter);
+            m_waiters.erase(input.waiter);
+        }
+        void on(OpenSessionInput& input) { input.done->set_value(m_parts.core.openSession(now())); }
+        void on(LinkFrameInput& input)
+        {
+            const auto& body = input.frame->body;
+            if (body.type != wire::Body::Hello) {
+                m_parts.core.receive(input.link, body, now());
+                return;
+            }
+            const auto reply = m_parts.checkHello(*body.AsHello());
+            if (const auto* refusal = std::get_if<std::string>(&reply)) {
+                m_parts.log.event(
+                    LogLevel::Warning, "agent-refused", { { "agent", body.AsHello()->agent }, { "reason", *refusal } });
+                m_parts.links.close(input.link);
+                return;
+            }
+            auto welcome = std::get<wire::WelcomeT>(reply);
+            welcome.beat_ms = static_cast<uint32_t>(m_parts.core.beatInterval().count());
+            Frame frame;
+            frame.body.Set(std::move(welcome));
+            m_parts.links.send(input.link, std::move(frame));
+            m_parts.core.agentLinked(input.link, *body.AsHello(), now());
+        }
+        void on(LinkClosedInput& input) { m_parts.core.linkClosed(input.link, now()); }
+        void on(InspectInput& input) { input.visit(m_parts.core, now()); }
+        void on(TickInput&)
+        {
+            m_parts.core.tick(now());
+            if (++m_ticks % ticksPerCollect == 0)
+                m_parts.links.collect();
+            m_self->delayed_send(m_self, tickPeriod, EntryInput(TickInput {}));
+        }
+
+        void watch(ReplySlot& slot, CommandResult result, const JobKey&)
+        {
+            if (result)
+                slot.promise->set_value({ result, nullptr });
+            else
+                m_waiters.emplace(slot.waiter, slot.promise);
+        }
+
+        TimePoint now() const { return m_parts.now(); }
+
+        void perform()
+        {
+            for (auto& effect : m_parts.core.takeEffects())
+                std::visit([this](auto& action) { apply(action); }, effect);
+        }
+
+        void apply(SendMessage& action)
+        {
+            Frame frame;
+            frame.body = std::move(action.body);
+            m_parts.links.send(action.link, std::move(frame));
+        }
+        void apply(CloseLink& action)
+        {
+            m_parts.log.event(LogLevel::Info, "link-closing",
+                { { "link", fmt::to_string(raw(action.link)) }, { "reason", action.reason } });
+            m_parts.links.close(action.link);
+        }
+        void apply(DeliverAnswer& action)
+        {
+            m_parts.answered(action.job, *action.answer);
+            for (const auto waiter : action.waiters) {
+                const auto it = m_waiters.find(waiter);
+                if (it == m_waiters.end())
+                    continue;
+                it->second->set_value({ std::nullopt, action.answer });
+                m_waiters.erase(it);
+            }
+        }
+        void apply(CallBackend&) { }
+        void apply(RecordEvent& action) { m_parts.log.event(action.level, action.kind, std::move(action.fields)); }
+
+        caf::event_based_actor* m_self;
+        EntryControlParts m_parts;
+        std::unordered_map<WaiterId, ReplyPromise> m_waiters;
+        int m_ticks = 0;
+    };
+
+} // namespace
+
+QuietActorConfig::QuietActorConfig()
+{
+    set("scheduler.max-threads", 1);
+    set("scheduler.policy", caf::atom("sharing"));
+}
+
+EntryControl::EntryControl(caf::actor_system& system, EntryControlParts parts)
+    : m_system(system)
+{
+    m_actor = system.spawn<caf::detached>([parts = std::move(parts)](caf::event_based_actor* self) -> caf::behavior {
+        const auto state = std::make_shared<ControlState>(self, parts);
+        self->send(self, EntryInput(TickInput {}));
+        return { [state](EntryInput& input) { state->handle(input); } };
+    });
+}
+
+EntryControl::~EntryControl() { stop(); }
+
+void EntryControl::stop()
+{
+    caf::scoped_actor self(m_system);
+    self->send_exit(m_actor, caf::exit_reason::user_shutdown);
+    self->wait_for(m_actor);
+}
+
+void EntryControl::tell(EntryInput input) const { caf::anon_send(m_actor, std::move(input)); }
+
+ReplySlot EntryControl::makeSlot(std::future<JobReply>& future)
+{
+    ReplySlot slot { WaiterId(m_nextWaiter++), std::make_shared<std::promise<JobReply>>() };
+    future = slot.promise->get_future();
+    return slot;
+}
+
+std::future<JobReply> EntryControl::submit(JobSpec spec, WaiterId& waiter)
+{
+    std::future<JobReply> future;
+    auto slot = makeSlot(future);
+    waiter = slot.waiter;
+    tell(SubmitInput { std::move(spec), std::move(slot) });
+    return future;
+}
+
+std::future<JobReply> EntryControl::poll(const JobKey& job, WaiterId& waiter)
+{
+    std::future<JobReply> future;
+    auto slot = makeSlot(future);
+    waiter = slot.waiter;
+    tell(PollInput { job, std::move(slot) });
+    return future;
+}
+
+std::future<JobReply> EntryControl::recover(const JobKey& job, bool isEnded, WaiterId& waiter)
+{
+    std::future<JobReply> future;
+    auto slot = makeSlot(future);
+    waiter = slot.waiter;
+    tell(RecoverInput { job, isEnded, std::move(slot) });
+    return future;
+}
+
+CommandResult EntryControl::cancel(const JobKey& job)
+{
+    const auto done = std::make_shared<std::promise<CommandResult>>();
+    tell(CancelInput { job, done });
+    return done->get_future().get();
+}
+
+CommandResult EntryControl::acknowledge(const JobKey& job)
+{
+    const auto done = std::make_shared<std::promise<CommandResult>>();
+    tell(AcknowledgeInput { job, done });
+    return done->get_future().get();
+}
+
+SessionNumber EntryControl::openSession()
+{
+    const auto done = std::make_shared<std::promise<SessionNumber>>();
+    tell(OpenSessionInput { done });
+    return done->get_future().get();
+}
+
+void EntryControl::inspect(const std::function<void(EntryCore&, TimePoint)>& visit)
+{
+    std::promise<void> done;
+    auto ended = done.get_future();
+    tell(InspectInput { [&](EntryCore& core, TimePoint now) {
+        visit(core, now);
+        done.set_value();
+    } });
+    ended.get();
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/EntryCore.cpp
@@ -0,0 +1,462 @@
+/** @file EntryCore.cpp Jobs of an entry: submission, queueing, starts and answers. */
+#include <sequoia/EntryCore.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr Milliseconds undeclaredRun { 200 }; // Assumed for tasks without a declared run time.
+    constexpr Milliseconds firstRetryPause { 5 };
+    constexpr uint32_t maxPauseDoublings = 7;
+
+    Milliseconds declaredOrDefault(const TaskSpec& task)
+    {
+        return task.declared.count() > 0 ? task.declared : undeclaredRun;
+    }
+
+    /** Doubles with each refusal; jitter from the job's key keeps jobs apart. */
+    Milliseconds retryPause(uint32_t refusals, const JobKey& key)
+    {
+        const auto pause = firstRetryPause * (1U << std::min(refusals, maxPauseDoublings));
+        const auto jitter = std::hash<JobKey>()(key) % static_cast<uint64_t>(pause.count());
+        return pause / 2 + Milliseconds(jitter) / 2;
+    }
+
+} // namespace
+
+EntryCore::EntryCore(Incarnation self, EntryLimits limits, EntryHooks hooks)
+    : m_self(self)
+    , m_limits(limits)
+    , m_hooks(std::move(hooks))
+{
+}
+
+std::vector<Effect> EntryCore::takeEffects()
+{
+    auto effects = m_effects.take();
+    for (const auto& effect : effects) {
+        if (std::holds_alternative<SendMessage>(effect))
+            ++m_counters.messagesSent;
+    }
+    return effects;
+}
+
+SessionNumber EntryCore::openSession(TimePoint now)
+{
+    const auto number = SessionNumber(m_nextSession++);
+    m_sessions[number].lastUsed = now;
+    return number;
+}
+
+EntryError EntryCore::missingJobError(const JobKey& key) const
+{
+    if (key.home != m_self || raw(key.session) >= m_nextSession)
+        return EntryError::UnknownSession;
+    const auto session = m_sessions.find(key.session);
+    if (session == m_sessions.end() || raw(key.sequence) < session->second.floor)
+        return EntryError::Expired;
+    return EntryError::UnknownJob;
+}
+
+EntryCore::Job* EntryCore::findJob(const JobKey& key)
+{
+    const auto it = m_jobs.find(key);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+CommandResult EntryCore::submit(JobSpec spec, WaiterId waiter, TimePoint now, CommandMode mode)
+{
+    const JobKey key = spec.key;
+    if (auto* known = findJob(key)) {
+        if (known->spec.digest != spec.digest)
+            return EntryError::ContentDiffers;
+        return mode == CommandMode::Check ? std::nullopt : poll(key, waiter, now);
+    }
+    if (const auto error = missingJobError(key); error != EntryError::UnknownJob)
+        return error;
+    if (m_openJobs >= m_limits.maxOpenJobs)
+        return EntryError::TooManyJobs;
+    if (mode == CommandMode::Check)
+        return std::nullopt;
+
+    auto& session = m_sessions[key.session];
+    session.lastUsed = now;
+    ++session.records;
+    auto& job = m_jobs[key];
+    job.spec = std::move(spec);
+    job.waiters.push_back(waiter);
+    job.deadline = now + std::min(job.spec.deadline, m_limits.maxDeadline);
+    ++m_openJobs;
+    m_deadlines.emplace(job.deadline, key);
+    m_effects.record(LogLevel::Debug, "job-submitted",
+        { { "job", toString(key) }, { "team", job.spec.team }, { "tasks", fmt::to_string(job.spec.tasks.size()) } });
+
+    const size_t n = job.spec.tasks.size();
+    job.states.assign(n, TaskState::Waiting);
+    job.attempts.resize(n);
+    job.answers.resize(n);
+    Microseconds work {};
+    for (size_t i = n; i > 0; --i) {
+        job.waiting.push_back(static_cast<uint32_t>(i - 1));
+        work += declaredOrDefault(job.spec.tasks[i - 1]);
+    }
+    // Little work and early arrival both come first; every job is overtaken for a bounded time only.
+    job.virtualDue = now + work;
+    std::string detail;
+    if (const auto reason = refusalReason(job.spec, detail)) {
+        fail(job, *reason, detail, now);
+        return std::nullopt;
+    }
+    enqueue(job);
+    pump(now);
+    return std::nullopt;
+}
+
+std::optional<StopReason> EntryCore::refusalReason(const JobSpec& spec, std::string& detail) const
+{
+    if (m_isStopping) {
+        detail = "the entry is stopping";
+        return StopReason::Stopping;
+    }
+    Milliseconds longest {};
+    for (const auto& task : spec.tasks) {
+        longest = std::max(longest, task.declared);
+        if (const auto refusal = m_hooks.checkVisit(spec, task)) {
+            detail = refusal->detail;
+            return StopReason::Moved;
+        }
+    }
+    const auto deadline = std::min(spec.deadline, m_limits.maxDeadline);
+    if (longest > deadline) {
+        detail = fmt::format("a task declares {} ms, the deadline is {} ms", longest.count(), deadline.count());
+        return StopReason::Impossible;
+    }
+    if (m_queuedTasks + spec.tasks.size() > m_limits.maxQueuedTasks) {
+        detail = "the queue is full";
+        return StopReason::Overloaded;
+    }
+    if (const auto wait = expectedWait(); wait + longest > deadline) {
+        detail = fmt::format("the expected wait of {} ms passes the deadline", wait.count());
+        return StopReason::Overloaded;
+    }
+    return std::nullopt;
+}
+
+Milliseconds EntryCore::expectedWait() const
+{
+    const auto slots = m_agents.totalGrants() + m_agents.totalOutstanding();
+    if (slots == 0)
+        return Milliseconds(0);
+    return toMilliseconds(m_queuedWork / slots);
+}
+
+CommandResult EntryCore::poll(const JobKey& key, WaiterId waiter, TimePoint)
+{
+    auto* job = findJob(key);
+    if (job == nullptr)
+        return missingJobError(key);
+    if (job->isAcknowledged)
+        return EntryError::Acknowledged;
+    if (job->isRevealed)
+        m_effects.add(DeliverAnswer { key, job->answer, { waiter } });
+    else
+        job->waiters.push_back(waiter);
+    return std::nullopt;
+}
+
+CommandResult EntryCore::cancel(const JobKey& key, TimePoint now, CommandMode mode)
+{
+    auto* job = findJob(key);
+    if (job == nullptr)
+        return missingJobError(key);
+    if (mode == CommandMode::Execute && !job->answer)
+        fail(*job, StopReason::Cancelled, "cancelled by the caller", now);
+    return std::nullopt;
+}
+
+CommandResult EntryCore::acknowledge(const JobKey& key, CommandMode mode)
+{
+    auto* job = findJob(key);
+    if (job == nullptr)
+        return missingJobError(key);
+    if (!job->isRevealed)
+        return EntryError::UnknownJob;
+    if (mode == CommandMode::Check)
+        return std::nullopt;
+    // The key stays until the retention ends, so that a late resubmission is not taken for a new job.
+    job->isAcknowledged = true;
+    job->answer = std::make_shared<const JobAnswer>();
+    return std::nullopt;
+}
+
+void EntryCore::dropWaiter(const JobKey& key, WaiterId waiter)
+{
+    if (auto* job = findJob(key))
+        std::erase(job->waiters, waiter);
+    const auto it = m_recoveries.find(key);
+    if (it != m_recoveries.end())
+        std::erase(it->second.waiters, waiter);
+}
+
+void EntryCore::enqueue(Job& job)
+{
+    if (job.isQueued || job.waiting.empty())
+        return;
+    job.isQueued = true;
+    m_queue.push(job.spec.team, job.spec.key, job.virtualDue);
+    m_arrivals.emplace(job.virtualDue, job.spec.key);
+    m_queuedTasks += job.waiting.size();
+    for (const auto index : job.waiting)
+        m_queuedWork += declaredOrDefault(job.spec.tasks[index]);
+}
+
+void EntryCore::dequeue(Job& job)
+{
+    if (job.retryAt != TimePoint()) {
+        m_retries.erase({ job.retryAt, job.spec.key });
+        job.retryAt = TimePoint();
+    }
+    if (!job.isQueued)
+        return;
+    job.isQueued = false;
+    m_queue.erase(job.spec.team, job.spec.key, job.virtualDue);
+    m_arrivals.erase({ job.virtualDue, job.spec.key });
+    m_queuedTasks -= job.waiting.size();
+    for (const auto index : job.waiting)
+        m_queuedWork -= declaredOrDefault(job.spec.tasks[index]);
+}
+
+void EntryCore::fail(Job& job, StopReason reason, std::string detail, TimePoint now)
+{
+    JobAnswer answer;
+    answer.reason = reason;
+    answer.isNotRun = job.startsLeft == 0;
+    answer.detail = std::move(detail);
+    finish(job, std::move(answer), now);
+}
+
+void EntryCore::finish(Job& job, JobAnswer answer, TimePoint now)
+{
+    dequeue(job);
+    const JobKey key = job.spec.key;
+    m_deadlines.erase({ job.deadline, key });
+    --m_openJobs;
+    const bool isComplete = answer.status == JobStatus::Complete;
+    ++(isComplete ? m_counters.jobsComplete : m_counters.jobsFailed);
+    if (answer.isNotRun)
+        ++m_counters.jobsNotRun;
+    m_effects.record(isComplete ? LogLevel::Debug : LogLevel::Info, "job-answered",
+        { { "job", toString(key) }, { "status", isComplete ? "complete" : "failed" },
+            { "reason", std::string(toString(answer.reason)) }, { "not_run", answer.isNotRun ? "true" : "false" },
+            { "detail", answer.detail } });
+    job.answer = std::make_shared<const JobAnswer>(std::move(answer));
+    // Only the digest is needed from here on.
+    job.spec.tasks.clear();
+    job.spec.tasks.shrink_to_fit();
+    job.waiting = {};
+    job.answers = {};
+    job.expires = now + m_limits.retention;
+    m_expiries.emplace(job.expires, key);
+    if (!isComplete)
+        abandon(job, now);
+    if (job.abandoning.empty())
+        reveal(job);
+}
+
+void EntryCore::abandon(Job& job, TimePoint now)
+{
+    for (const auto index : job.places) {
+        const auto& agent = m_agents.at(index);
+        if (!agent.isLinked || !job.abandoning.insert(index).second)
+            continue;
+        wire::AbandonT message;
+        message.job = std::make_unique<wire::JobKey>(toWire(job.spec.key));
+        m_effects.send(agent.link, std::move(message));
+        ++m_counters.abandons;
+    }
+    if (job.abandoning.empty())
+        return;
+    job.revealAt = now + m_limits.linkSilence;
+    m_reveals.emplace(job.revealAt, job.spec.key);
+}
+
+void EntryCore::confirmAbandoned(Job& job, AgentIndex agent)
+{
+    if (job.abandoning.erase(agent) > 0 && job.abandoning.empty())
+        reveal(job);
+}
+
+void EntryCore::reveal(Job& job)
+{
+    m_reveals.erase({ job.revealAt, job.spec.key });
+    job.abandoning.clear();
+    job.places = {};
+    job.isRevealed = true;
+    m_effects.add(DeliverAnswer { job.spec.key, job.answer, std::exchange(job.waiters, {}) });
+}
+
+wire::Backlog EntryCore::backlog(TimePoint now) const
+{
+    if (m_arrivals.empty())
+        return {};
+    // Virtual due times may lie ahead of the arrival by the job's work; waiting counts from there.
+    const auto wait = std::max(toMicroseconds(now - m_arrivals.begin()->first), Microseconds(1));
+    return { static_cast<uint32_t>(wait.count()), static_cast<uint32_t>(m_queuedTasks) };
+}
+
+void EntryCore::pump(TimePoint now)
+{
+    for (;;) {
+        const auto key = m_queue.front();
+        if (!key)
+            return;
+        auto& job = *findJob(*key);
+        const auto task = TaskIndex(job.waiting.back());
+        const auto& spec = job.spec.tasks[raw(task)];
+        const PlacementTask wanted { { *key, task }, spec.declared, spec.repeatable, m_queuedTasks };
+        const auto agent = m_hooks.place(m_agents, wanted);
+        if (!agent)
+            break;
+        start(job, task, *agent, now);
+    }
+    askForGrants(now);
+}
+
+void EntryCore::start(Job& job, TaskIndex task, AgentIndex index, TimePoint now)
+{
+    const auto& spec = job.spec.tasks[raw(task)];
+    const TaskKey key { job.spec.key, task };
+    m_queuedTasks -= 1;
+    m_queuedWork -= declaredOrDefault(spec);
+    job.waiting.pop_back();
+    if (job.waiting.empty()) {
+        job.isQueued = false;
+        m_queue.erase(job.spec.team, job.spec.key, job.virtualDue);
+        m_arrivals.erase({ job.virtualDue, job.spec.key });
+    }
+    m_queue.started(job.spec.team);
+    job.states[raw(task)] = TaskState::Started;
+    job.attempts[raw(task)] = Attempt(raw(job.attempts[raw(task)]) + 1);
+    job.places.push_back(index);
+    ++job.startsLeft;
+    ++job.outstanding;
+
+    auto& agent = m_agents.at(index);
+    wire::StartT message;
+    message.task = std::make_unique<wire::TaskKey>(toWire(key, job.attempts[raw(task)]));
+    message.agent_incarnation = raw(agent.incarnation);
+    message.task_count = static_cast<uint16_t>(job.states.size());
+    message.remaining_ms = static_cast<uint32_t>(toMilliseconds(job.deadline - now).count());
+    message.declared_ms = static_cast<uint32_t>(spec.declared.count());
+    message.repeatable = spec.repeatable;
+    message.trial = agent.holdsTrial && agent.grants == 1;
+    message.revision = raw(m_hooks.revision());
+    message.payload = spec.payload;
+    message.backlog = std::make_unique<wire::Backlog>(backlog(now));
+    m_effects.send(agent.link, std::move(message));
+    if (agent.grants > 0)
+        m_agents.setGrants(index, agent.grants - 1);
+    m_agents.addOutstanding(index, key);
+    agent.lastSent = now;
+    if (agent.outstanding.size() == 1)
+        agent.lastHeard = now; // Silence counts from the first start that expects an answer.
+    ++m_counters.starts;
+    m_effects.record(LogLevel::Debug, "task-start", { { "task", toString(key) }, { "agent", agent.name } });
+}
+
+void EntryCore::onNotStarted(Job& job, TaskIndex task, const std::string& reason, TimePoint now)
+{
+    --job.startsLeft;
+    ++m_counters.refusedStarts;
+    if (job.answer)
+        return;
+    job.states[raw(task)] = TaskState::Waiting;
+    dequeue(job);
+    job.waiting.push_back(raw(task));
+    ++job.refusals;
+    const uint32_t allowed = m_limits.retryAttempts + static_cast<uint32_t>(job.states.size());
+    if (job.refusals > allowed) {
+        fail(job, StopReason::RetriesExhausted, fmt::format("{} starts refused, last: {}", job.refusals, reason), now);
+        return;
+    }
+    job.retryAt = now + retryPause(std::min(job.refusals - 1, maxPauseDoublings), job.spec.key);
+    m_retries.emplace(job.retryAt, job.spec.key);
+}
+
+void EntryCore::dayPlanChanged(TimePoint now)
+{
+    std::vector<JobKey> open;
+    for (const auto& entry : m_deadlines)
+        open.push_back(entry.second);
+    for (const auto& key : open) {
+        auto& job = *findJob(key);
+        if (job.startsLeft > 0)
+            continue;
+        for (const auto& task : job.spec.tasks) {
+            if (const auto refusal = m_hooks.checkVisit(job.spec, task)) {
+                fail(job, StopReason::Moved, refusal->detail, now);
+                break;
+            }
+        }
+    }
+}
+
+void EntryCore::tick(TimePoint now)
+{
+    tickJobs(now);
+    tickAgents(now);
+    expireRecords(now);
+    pump(now);
+}
+
+void EntryCore::tickJobs(TimePoint now)
+{
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        auto& job = *findJob(m_deadlines.begin()->second);
+        fail(job, StopReason::DeadlinePassed, "no answer before the deadline", now);
+    }
+    while (!m_reveals.empty() && m_reveals.begin()->first <= now)
+        reveal(*findJob(m_reveals.begin()->second));
+    while (!m_retries.empty() && m_retries.begin()->first <= now) {
+        auto& job = *findJob(m_retries.begin()->second);
+        m_retries.erase(m_retries.begin());
+        job.retryAt = TimePoint();
+        enqueue(job);
+    }
+}
+
+void EntryCore::expireRecords(TimePoint now)
+{
+    while (!m_expiries.empty() && m_expiries.begin()->first <= now) {
+        const JobKey key = m_expiries.begin()->second;
+        m_expiries.erase(m_expiries.begin());
+        auto& job = *findJob(key);
+        if (job.outstanding > 0 || !job.isRevealed) {
+            job.expires = now + m_limits.retention;
+            m_expiries.emplace(job.expires, key);
+            continue;
+        }
+        auto& session = m_sessions[key.session];
+        session.floor = std::max(session.floor, raw(key.sequence) + 1);
+        --session.records;
+        m_jobs.erase(key);
+    }
+    std::erase_if(m_recoveries, [&](const auto& entry) { return entry.second.expires <= now; });
+    expireSessions(now);
+}
+
+void EntryCore::expireSessions(TimePoint now)
+{
+    constexpr auto checkEvery = 10s;
+    if (now - m_sessionsChecked < checkEvery)
+        return;
+    m_sessionsChecked = now;
+    std::erase_if(m_sessions, [&](const auto& entry) {
+        return entry.second.records == 0 && now - entry.second.lastUsed > m_limits.sessionIdle;
+    });
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/EntryMain.cpp
@@ -0,0 +1,222 @@
+/** @file EntryMain.cpp sequoia-entry: takes callers' jobs and dispatches their tasks to agents. */
+#include "EntryApi.h"
+
+#include <sequoia/CommandLine.h>
+
+#include <fmt/format.h>
+#include <iostream>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr uint16_t protocolVersion = 1;
+    constexpr Milliseconds storeTimeout { 3000 };
+    constexpr Milliseconds stopPoll { 20 };
+    constexpr Milliseconds readinessGrace { 300 }; // The balancer sees /readyz fail before jobs are refused.
+
+    EntryLimits limitsOf(const EntrySettings& settings)
+    {
+        EntryLimits limits;
+        limits.maxOpenJobs = static_cast<size_t>(settings.max_open_jobs);
+        limits.maxQueuedTasks = static_cast<size_t>(settings.max_queued_tasks);
+        limits.maxDeadline = Milliseconds(settings.max_deadline_ms);
+        limits.retention = Milliseconds(settings.retention_ms);
+        limits.linkSilence = Milliseconds(settings.link_silence_ms);
+        limits.beat = Milliseconds(settings.beat_ms);
+        limits.agentLost = Milliseconds(settings.agent_lost_ms);
+        limits.retryAttempts = static_cast<uint32_t>(settings.retry_attempts);
+        return limits;
+    }
+
+    /** One entry with all its parts, in the order in which they depend on each other. */
+    class EntryProcess {
+    public:
+        EntryProcess(caf::actor_system& system, const EntrySettings& settings)
+            : m_settings(settings)
+            , m_log(settings.name, parseLogLevel(settings.log_level), static_cast<size_t>(settings.timeline_events))
+            , m_self(drawIncarnation())
+            , m_holder([this](const auto& active) { configChanged(active); })
+            , m_core(m_self, limitsOf(settings), hooks())
+            , m_links(linkHooks(), {}, m_log.clock())
+            , m_control(system,
+                  { m_core, m_links, m_log, [this](const auto& hello) { return checkHello(hello); }, Clock::now,
+                      [](const JobKey&, const JobAnswer&) {} })
+            , m_http({ static_cast<size_t>(settings.http_threads), static_cast<size_t>(settings.max_body_bytes),
+                  Milliseconds(settings.http_read_timeout_ms) })
+        {
+            if (!settings.store_address.empty())
+                m_store.emplace(settings.store_address, storeTimeout);
+        }
+
+        ~EntryProcess()
+        {
+            m_control.stop();
+            m_links.shutdown();
+        }
+        EntryProcess(const EntryProcess&) = delete;
+        EntryProcess& operator=(const EntryProcess&) = delete;
+
+        void start()
+        {
+            const auto linkPort = m_links.listen(m_settings.link_address);
+            const auto linkHost = splitAddress(m_settings.link_address)->first;
+            m_registration.name = m_settings.name;
+            m_registration.incarnation = m_self;
+            m_registration.link = m_settings.advertise_link.empty() ? fmt::format("{}:{}", linkHost, linkPort)
+                                                                    : m_settings.advertise_link;
+            // Handlers need the address that the server will have, so a free port is found first.
+            const auto bound = reservePort(m_settings.http_address);
+            m_registration.http = m_settings.advertise_http.empty() ? bound : m_settings.advertise_http;
+            m_config.emplace(EntryConfigParts { m_registration, m_settings.cluster, m_settings.token, m_settings.peers,
+                std::chrono::seconds(m_settings.lease_ttl_s), m_holder, m_store ? &*m_store : nullptr, m_log });
+            m_api.emplace(EntryApiParts { m_settings, m_registration, m_control, *m_config, m_holder,
+                              m_store ? &*m_store : nullptr, m_log },
+                m_http);
+            m_http.start(bound);
+            m_hasConfig = true;
+            m_config->start();
+            m_log.event(LogLevel::Info, "listening",
+                { { "http", bound }, { "link", fmt::format("{}:{}", linkHost, linkPort) },
+                    { "advertised", m_registration.http }, { "incarnation", fmt::format("{:016x}", raw(m_self)) } });
+        }
+
+        /** Readiness goes first, open jobs end, then connections close. */
+        void stop()
+        {
+            m_log.event(LogLevel::Info, "stopping", {});
+            m_api->beginStop();
+            m_http.beginStop();
+            std::this_thread::sleep_for(readinessGrace);
+            m_control.inspect([](EntryCore& core, TimePoint) { core.stop(); });
+            const auto until = Clock::now() + Milliseconds(m_settings.stop_timeout_ms);
+            bool isIdle = false;
+            while (!isIdle && Clock::now() < until) {
+                std::this_thread::sleep_for(stopPoll);
+                m_control.inspect([&](EntryCore& core, TimePoint) { isIdle = core.isIdle(); });
+            }
+            m_config->stop();
+            m_http.stop();
+            m_log.event(LogLevel::Info, "stopped", { { "idle", isIdle ? "true" : "false" } });
+        }
+
+    private:
+        static std::string reservePort(const std::string& address)
+        {
+            const auto parts = splitAddress(address);
+            if (!parts)
+                throw HttpError::BadAddress;
+            if (parts->second != 0)
+                return address;
+            HttpService probe({});
+            auto bound = probe.start(address);
+            probe.stop();
+            return bound;
+        }
+
+        EntryHooks hooks()
+        {
+            EntryHooks out;
+            out.place = *placementPolicy(m_settings.policy, static_cast<uint64_t>(m_settings.seed));
+            out.revision = [this] { return m_holder.revision(); };
+            out.checkVisit = [this](const JobSpec& job, const TaskSpec& task) -> std::optional<VisitRefusal> {
+                if (job.day.empty() || task.visit.empty())
+                    return std::nullopt;
+                const auto active = m_holder.current();
+                const auto refusal = active ? active->plan.refusal(task.visit, *parseDay(job.day)) : std::nullopt;
+                return refusal ? std::optional(VisitRefusal { *refusal }) : std::nullopt;
+            };
+            return out;
+        }
+
+        LinkHooks linkHooks()
+        {
+            return { [](LinkId) {},
+                [this](LinkId link, FramePtr frame) {
+                    m_control.tell(LinkFrameInput { link, std::move(frame) });
+                },
+                [this](LinkId link, const std::string&) { m_control.tell(LinkClosedInput { link }); } };
+        }
+
+        std::variant<wire::WelcomeT, std::string> checkHello(const wire::HelloT& hello)
+        {
+            if (hello.version != protocolVersion)
+                return fmt::format("protocol version {}, expected {}", hello.version, protocolVersion);
+            if (hello.cluster != m_settings.cluster)
+                return "another cluster: " + hello.cluster;
+            if (hello.token != m_settings.token)
+                return std::string("wrong token");
+            if (hello.agent.empty() || hello.incarnation == 0)
+                return std::string("no name or incarnation");
+            wire::WelcomeT welcome;
+            welcome.entry = m_settings.name;
+            welcome.incarnation = raw(m_self);
+            return welcome;
+        }
+
+        void configChanged(const std::shared_ptr<const ActiveConfiguration>& active)
+        {
+            if (!m_hasConfig)
+                return;
+            const auto entries = std::max<size_t>(m_config->entries().size(), 1);
+            m_control.tell(InspectInput { [active, entries](EntryCore& core, TimePoint now) {
+                for (const auto& team : active->configuration.teams) {
+                    const auto share = static_cast<uint32_t>((team.quota + entries - 1) / entries);
+                    core.setTeamPolicy(team.name, { team.weight, share });
+                }
+                core.dayPlanChanged(now);
+            } });
+        }
+
+        const EntrySettings& m_settings;
+        Log m_log;
+        Incarnation m_self;
+        ConfigHolder m_holder;
+        std::atomic<bool> m_hasConfig { false };
+        EntryCore m_core;
+        LinkHub m_links;
+        EntryControl m_control;
+        std::optional<Store> m_store;
+        EntryRegistration m_registration;
+        std::optional<EntryConfig> m_config;
+        HttpService m_http;
+        std::optional<EntryApi> m_api;
+    };
+
+    int run(int argc, char** argv)
+    {
+        const auto parsed = parseDaemonOptions(argc, argv,
+            "sequoia-entry: takes callers' jobs over HTTP and dispatches their tasks to agents.",
+            [] { return describeSettings(entrySettingRows(), "sequoia-entry"); });
+        if (const auto* code = std::get_if<ExitCode>(&parsed))
+            return toInt(*code);
+        const auto settings = loadOrReport(entrySettingRows(), std::get<DaemonOptions>(parsed));
+        if (!settings)
+            return toInt(ExitCode::BadSettings);
+        if (std::get<DaemonOptions>(parsed).isCheckOnly) {
+            std::cout << "settings are good\n";
+            return toInt(ExitCode::Ok);
+        }
+        blockStopSignals();
+        QuietActorConfig config;
+        caf::actor_system system(config);
+        try {
+            EntryProcess process(system, *settings);
+            process.start();
+            waitForStopSignal();
+            process.stop();
+        } catch (LinkError) {
+            fmt::print(stderr, "link_address: cannot listen on {}\n", settings->link_address);
+            return toInt(ExitCode::Failure);
+        } catch (HttpError) {
+            fmt::print(stderr, "http_address: cannot listen on {}\n", settings->http_address);
+            return toInt(ExitCode::Failure);
+        }
+        return toInt(ExitCode::Ok);
+    }
+
+} // namespace
+
+} // namespace sequoia
+
+int main(int argc, char** argv) { return sequoia::run(argc, argv); }
--- /dev/null
+++ b/src/EntryRecovery.cpp
@@ -0,0 +1,90 @@
+/** @file EntryRecovery.cpp Recovery of jobs whose home has ended, from what the agents remember. */
+#include <sequoia/EntryCore.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+void EntryCore::recover(const JobKey& key, bool isEnded, WaiterId waiter, TimePoint now)
+{
+    const auto [it, isNew] = m_recoveries.try_emplace(key);
+    auto& recovery = it->second;
+    recovery.expires = now + m_limits.retention;
+    recovery.waiters.push_back(waiter);
+    const bool mustAsk = isNew || (isEnded && !recovery.isEnded && !recovery.answer);
+    recovery.isEnded = recovery.isEnded || isEnded;
+    if (mustAsk) {
+        m_effects.record(LogLevel::Info, "recovery-started",
+            { { "job", toString(key) }, { "home_ended", isEnded ? "true" : "false" } });
+        for (size_t i = 0; i < m_agents.size(); ++i) {
+            const auto index = AgentIndex(i);
+            const auto& agent = m_agents.at(index);
+            // An agent that has been away for the retention remembers nothing of the job.
+            const bool mayRemember = agent.isLinked || now - agent.lostAt < m_limits.retention;
+            if (mayRemember)
+                recovery.pending.insert(index);
+            if (agent.isLinked)
+                sendRecover(key, recovery, index);
+        }
+    }
+    concludeRecovery(key, recovery);
+}
+
+void EntryCore::sendRecover(const JobKey& key, const Recovery& recovery, AgentIndex index)
+{
+    wire::RecoverT message;
+    message.job = std::make_unique<wire::JobKey>(toWire(key));
+    message.fence = recovery.isEnded;
+    m_effects.send(m_agents.at(index).link, std::move(message));
+    ++m_counters.queries;
+}
+
+void EntryCore::onRecovered(AgentIndex index, const wire::RecoveredT& message, TimePoint)
+{
+    const auto key = fromWire(message.job);
+    const auto it = key ? m_recoveries.find(*key) : m_recoveries.end();
+    if (it == m_recoveries.end())
+        return;
+    auto& recovery = it->second;
+    recovery.taskCount = std::max<size_t>(recovery.taskCount, message.task_count);
+    for (const auto& answer : message.answers) {
+        const auto task = fromWire(answer->task);
+        const bool isFinal = answer->outcome == wire::Outcome::Succeeded || answer->outcome == wire::Outcome::Failed;
+        if (task && isFinal)
+            recovery.found.insert_or_assign(task->index, *answer);
+    }
+    // Only a reply that comes after the fence settles what the agent may still start.
+    if (message.fenced || !recovery.isEnded)
+        recovery.pending.erase(index);
+    concludeRecovery(it->first, recovery);
+}
+
+void EntryCore::concludeRecovery(const JobKey& key, Recovery& recovery)
+{
+    if (!recovery.answer) {
+        JobAnswer answer;
+        const auto failed = std::find_if(recovery.found.begin(), recovery.found.end(),
+            [](const auto& entry) { return entry.second.outcome == wire::Outcome::Failed; });
+        const bool isWhole = recovery.taskCount > 0 && recovery.found.size() == recovery.taskCount;
+        if (failed != recovery.found.end()) {
+            answer.reason = StopReason::TaskFailed;
+            answer.detail = fmt::format("task {}: {}", raw(failed->first), failed->second.reason);
+        } else if (isWhole) {
+            answer.status = JobStatus::Complete;
+            for (const auto& entry : recovery.found)
+                answer.answers.push_back(entry.second.body);
+        } else if (recovery.isEnded && recovery.pending.empty()) {
+            answer.reason = StopReason::OutcomeUnknown;
+            answer.detail = "the home of the job has ended";
+        } else {
+            return;
+        }
+        recovery.answer = std::make_shared<const JobAnswer>(std::move(answer));
+        m_effects.record(LogLevel::Info, "recovery-done",
+            { { "job", toString(key) }, { "reason", std::string(toString(recovery.answer->reason)) } });
+    }
+    m_effects.add(DeliverAnswer { key, recovery.answer, std::exchange(recovery.waiters, {}) });
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/HttpService.cpp
@@ -0,0 +1,144 @@
+/** @file HttpService.cpp Connection threads made on demand, and a graceful stop. */
+#include <sequoia/HttpService.h>
+
+#include <charconv>
+#include <condition_variable>
+#include <fmt/format.h>
+#include <list>
+#include <mutex>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr Milliseconds idleThreadLife { 10000 };
+    constexpr size_t keepAliveRequests = 1U << 30U;
+
+    /** Serves connections on threads that are made when needed and end when idle. */
+    class ElasticPool : public httplib::TaskQueue {
+    public:
+        explicit ElasticPool(size_t most)
+            : m_most(most)
+        {
+        }
+
+        void enqueue(std::function<void()> task) override
+        {
+            std::unique_lock lock(m_mutex);
+            m_tasks.push_back(std::move(task));
+            if (m_idle < m_tasks.size() && m_threads < m_most) {
+                ++m_threads;
+                std::thread([this] { run(); }).detach();
+            }
+            m_changed.notify_one();
+        }
+
+        void shutdown() override
+        {
+            std::unique_lock lock(m_mutex);
+            m_isStopped = true;
+            m_changed.notify_all();
+            m_ended.wait(lock, [&] { return m_threads == 0; });
+        }
+
+    private:
+        void run()
+        {
+            std::unique_lock lock(m_mutex);
+            for (;;) {
+                ++m_idle;
+                m_changed.wait_for(lock, idleThreadLife, [&] { return !m_tasks.empty() || m_isStopped; });
+                --m_idle;
+                if (m_tasks.empty())
+                    break;
+                auto task = std::move(m_tasks.front());
+                m_tasks.pop_front();
+                lock.unlock();
+                task();
+                task = nullptr;
+                lock.lock();
+            }
+            --m_threads;
+            m_ended.notify_all();
+        }
+
+        size_t m_most;
+        std::mutex m_mutex;
+        std::condition_variable m_changed;
+        std::condition_variable m_ended;
+        std::list<std::function<void()>> m_tasks;
+        size_t m_idle = 0;
+        size_t m_threads = 0;
+        bool m_isStopped = false;
+    };
+
+} // namespace
+
+std::optional<std::pair<std::string, int>> splitAddress(const std::string& address)
+{
+    const auto at = address.rfind(':');
+    int port = 0;
+    if (at == std::string::npos)
+        return std::nullopt;
+    const auto* last = address.data() + address.size();
+    const auto [end, ec] = std::from_chars(address.data() + at + 1, last, port);
+    if (ec != std::errc() || end != last || port < 0 || port > UINT16_MAX)
+        return std::nullopt;
+    return std::pair(address.substr(0, at), port);
+}
+
+httplib::Client makeHttpClient(const std::string& address, Milliseconds timeout)
+{
+    httplib::Client client("http://" + address);
+    client.set_tcp_nodelay(true);
+    client.set_connection_timeout(timeout);
+    client.set_read_timeout(timeout);
+    client.set_write_timeout(timeout);
+    return client;
+}
+
+HttpService::HttpService(HttpLimits limits)
+{
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(limits.readTimeout);
+    m_server.new_task_queue = [limits] { return new ElasticPool(limits.connections); };
+    m_server.set_tcp_nodelay(true);
+    m_server.set_keep_alive_max_count(keepAliveRequests);
+    m_server.set_keep_alive_timeout(seconds.count());
+    m_server.set_read_timeout(limits.readTimeout);
+    m_server.set_write_timeout(limits.readTimeout);
+    m_server.set_payload_max_length(limits.maxBodyBytes);
+    m_server.set_post_routing_handler([this](const httplib::Request&, httplib::Response& response) {
+        if (m_isStopping)
+            response.set_header("Connection", "close");
+    });
+}
+
+HttpService::~HttpService() { stop(); }
+
+std::string HttpService::start(const std::string& address)
+{
+    const auto parts = splitAddress(address);
+    if (!parts)
+        throw HttpError::BadAddress;
+    auto [host, port] = *parts;
+    if (port == 0)
+        port = m_server.bind_to_any_port(host);
+    else if (!m_server.bind_to_port(host, port))
+        port = -1;
+    if (port < 0)
+        throw HttpError::AddressInUse;
+    m_thread = std::thread([this] { m_server.listen_after_bind(); });
+    while (!m_server.is_running())
+        std::this_thread::yield();
+    return fmt::format("{}:{}", host, port);
+}
+
+void HttpService::stop()
+{
+    beginStop();
+    m_server.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/Log.cpp
@@ -0,0 +1,106 @@
+/** @file Log.cpp Event output and hybrid logical time. */
+#include <sequoia/Log.h>
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr std::array<std::string_view, 4> levelNames { "debug", "info", "warning", "error" };
+
+    /** Quotes a value that holds blanks, quotes or line breaks. */
+    std::string quoted(const std::string& value)
+    {
+        if (!value.empty() && value.find_first_of(" \"=\n\r\t") == std::string::npos)
+            return value;
+        std::string out = "\"";
+        for (const char c : value) {
+            if (c == '"' || c == '\\')
+                out += '\\';
+            if (c == '\n') {
+                out += "\\n";
+                continue;
+            }
+            out += c;
+        }
+        return out + '"';
+    }
+
+    std::string toLine(const TimeLineEvent& event)
+    {
+        auto line = fmt::format("time={} level={} process={} event={}", event.stamp,
+            levelNames.at(static_cast<size_t>(event.level)), quoted(event.process), event.kind);
+        for (const auto& field : event.fields)
+            line += fmt::format(" {}={}", field.key, quoted(field.value));
+        return line + '\n';
+    }
+
+    bool matches(const TimeLineEvent& event, std::string_view filter)
+    {
+        if (filter.empty())
+            return true;
+        return std::any_of(event.fields.begin(), event.fields.end(),
+            [&](const LogField& field) { return field.value.find(filter) != std::string::npos; });
+    }
+
+} // namespace
+
+LogLevel parseLogLevel(std::string_view text)
+{
+    const auto it = std::find(levelNames.begin(), levelNames.end(), text);
+    if (it == levelNames.end())
+        return LogLevel::Info;
+    return static_cast<LogLevel>(it - levelNames.begin());
+}
+
+uint64_t HybridClock::next()
+{
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    const auto n = static_cast<uint64_t>(toMicroseconds(wall).count());
+    uint64_t last = m_last.load();
+    uint64_t stamp = 0;
+    do {
+        stamp = std::max(n, last + 1);
+    } while (!m_last.compare_exchange_weak(last, stamp));
+    return stamp;
+}
+
+void HybridClock::merge(uint64_t stamp)
+{
+    uint64_t last = m_last.load();
+    while (last < stamp && !m_last.compare_exchange_weak(last, stamp)) { }
+}
+
+Log::Log(std::string process, LogLevel level, size_t ringSize)
+    : m_process(std::move(process))
+    , m_level(level)
+    , m_ringSize(ringSize)
+{
+}
+
+void Log::event(LogLevel level, std::string_view kind, std::vector<LogField> fields)
+{
+    TimeLineEvent event { m_clock.next(), level, m_process, std::string(kind), std::move(fields) };
+    if (level >= m_level.load())
+        fmt::print(stderr, "{}", toLine(event));
+    const std::lock_guard lock(m_mutex);
+    m_ring.push_back(std::move(event));
+    if (m_ring.size() > m_ringSize)
+        m_ring.pop_front();
+}
+
+std::vector<TimeLineEvent> Log::events(uint64_t since, std::string_view filter) const
+{
+    const std::lock_guard lock(m_mutex);
+    std::vector<TimeLineEvent> found;
+    for (const auto& event : m_ring) {
+        if (event.stamp > since && matches(event, filter))
+            found.push_back(event);
+    }
+    return found;
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/Metrics.cpp
@@ -0,0 +1,80 @@
+/** @file Metrics.cpp Quantiles and text form of histograms. */
+#include <sequoia/Metrics.h>
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr int bins = 800;
+    constexpr double smallest = 1e-4;
+    constexpr double largest = 1e4;
+    constexpr std::array<double, 12> bucketBounds { 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
+        10.0 };
+
+} // namespace
+
+TimeHistogram::TimeHistogram()
+    : m_histogram(boost::histogram::make_histogram(Axis(bins, smallest, largest)))
+{
+}
+
+void TimeHistogram::add(double value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_histogram(std::clamp(value, smallest, largest * 0.999));
+    m_sum += value;
+    ++m_count;
+}
+
+double TimeHistogram::quantile(double q) const
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_count == 0)
+        return 0;
+    const double wanted = q * static_cast<double>(m_count);
+    double seen = 0;
+    for (int i = 0; i < bins; ++i) {
+        const auto n = static_cast<double>(m_histogram.at(i));
+        seen += n;
+        if (n > 0 && seen >= wanted)
+            return m_histogram.axis().bin(i).upper();
+    }
+    return largest;
+}
+
+uint64_t TimeHistogram::count() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_count;
+}
+
+double TimeHistogram::sum() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_sum;
+}
+
+std::string TimeHistogram::prometheus(const std::string& name, const std::string& help) const
+{
+    const std::lock_guard lock(m_mutex);
+    auto out = fmt::format("# HELP {} {}\n# TYPE {} histogram\n", name, help, name);
+    double seen = 0;
+    int i = 0;
+    for (const double bound : bucketBounds) {
+        for (; i < bins && m_histogram.axis().bin(i).upper() <= bound; ++i)
+            seen += static_cast<double>(m_histogram.at(i));
+        out += fmt::format("{}_bucket{{le=\"{}\"}} {}\n", name, bound, seen);
+    }
+    return out + fmt::format("{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_sum {2}\n{0}_count {1}\n", name, m_count, m_sum);
+}
+
+std::string prometheusValue(const std::string& name, const std::string& type, const std::string& help, double value)
+{
+    return fmt::format("# HELP {0} {2}\n# TYPE {0} {1}\n{0} {3}\n", name, type, help, value);
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/Placement.cpp
@@ -0,0 +1,209 @@
+/** @file Placement.cpp The agent table's index and the placement policies. */
+#include <sequoia/Placement.h>
+
+#include <algorithm>
+#include <memory>
+
+namespace sequoia {
+
+AgentIndex AgentTable::intern(const std::string& name)
+{
+    const auto [it, isNew] = m_byName.try_emplace(name, AgentIndex(m_agents.size()));
+    if (isNew) {
+        m_agents.emplace_back();
+        m_agents.back().name = name;
+    }
+    return it->second;
+}
+
+std::optional<AgentIndex> AgentTable::byLink(LinkId link) const
+{
+    const auto it = m_byLink.find(link);
+    if (it == m_byLink.end())
+        return std::nullopt;
+    return it->second;
+}
+
+void AgentTable::bindLink(AgentIndex index, LinkId link)
+{
+    m_byLink[link] = index;
+    at(index).link = link;
+    at(index).isLinked = true;
+}
+
+void AgentTable::unbindLink(LinkId link)
+{
+    if (const auto index = byLink(link)) {
+        at(*index).isLinked = false;
+        setGrants(*index, 0);
+    }
+    m_byLink.erase(link);
+}
+
+void AgentTable::setGrants(AgentIndex index, uint32_t grants)
+{
+    auto& agent = at(index);
+    m_totalGrants += grants - agent.grants;
+    if (agent.grants == 0 && grants > 0)
+        m_granted.emplace(agent.slowness, index);
+    if (agent.grants > 0 && grants == 0)
+        m_granted.erase({ agent.slowness, index });
+    agent.grants = grants;
+    if (grants == 0)
+        agent.holdsTrial = false;
+}
+
+void AgentTable::setSlowness(AgentIndex index, double slowness)
+{
+    auto& agent = at(index);
+    if (agent.grants > 0) {
+        m_granted.erase({ agent.slowness, index });
+        m_granted.emplace(slowness, index);
+    }
+    agent.slowness = slowness;
+}
+
+void AgentTable::addOutstanding(AgentIndex index, const TaskKey& task)
+{
+    if (at(index).outstanding.insert(task).second)
+        ++m_totalOutstanding;
+}
+
+bool AgentTable::removeOutstanding(AgentIndex index, const TaskKey& task)
+{
+    if (at(index).outstanding.erase(task) == 0)
+        return false;
+    --m_totalOutstanding;
+    return true;
+}
+
+namespace {
+
+    /** A trial grant takes only tasks that the caller allows to run again. */
+    bool mayUse(const AgentRecord& agent, const PlacementTask& task)
+    {
+        return !agent.holdsTrial || task.isRepeatable || agent.grants > 1;
+    }
+
+    std::optional<AgentIndex> fastestUsable(const AgentTable& agents, const PlacementTask& task)
+    {
+        for (const auto& [slowness, index] : agents.granted()) {
+            if (mayUse(agents.at(index), task))
+                return index;
+        }
+        return std::nullopt;
+    }
+
+    bool canBeAsked(const AgentRecord& agent) { return agent.isLinked && !agent.isWithdrawn; }
+
+    std::optional<AgentIndex> randomLinked(const AgentTable& agents, std::mt19937_64& random)
+    {
+        if (agents.size() == 0)
+            return std::nullopt;
+        const size_t first = random() % agents.size();
+        for (size_t i = 0; i < agents.size(); ++i) {
+            const auto index = AgentIndex((first + i) % agents.size());
+            if (canBeAsked(agents.at(index)))
+                return index;
+        }
+        return std::nullopt;
+    }
+
+    /** Expected time until one of the agents faster than `slowness` frees a slot, in seconds. */
+    double secondsUntilFasterFrees(const AgentTable& agents, double slowness, size_t tasksBehind)
+    {
+        double freesPerSecond = 0;
+        for (size_t i = 0; i < agents.size(); ++i) {
+            const auto& agent = agents.at(AgentIndex(i));
+            if (agent.isLinked && agent.slowness < slowness)
+                freesPerSecond += static_cast<double>(agent.outstanding.size()) / std::max(agent.meanRunSeconds, 1e-3);
+        }
+        if (freesPerSecond <= 0)
+            return 1e9;
+        return static_cast<double>(tasksBehind) / freesPerSecond;
+    }
+
+    double fastestSlowness(const AgentTable& agents)
+    {
+        double fastest = 1e9;
+        for (size_t i = 0; i < agents.size(); ++i) {
+            const auto& agent = agents.at(AgentIndex(i));
+            if (agent.isLinked && !agent.isWithdrawn && !agent.outstanding.empty())
+                fastest = std::min(fastest, agent.slowness);
+        }
+        return fastest;
+    }
+
+} // namespace
+
+PlacementPolicy fastestGrant() { return fastestUsable; }
+
+PlacementPolicy earliestFinish()
+{
+    return [](const AgentTable& agents, const PlacementTask& task) -> std::optional<AgentIndex> {
+        constexpr double noticeable = 1.2; // Below this ratio of speeds, waiting is not worth the risk.
+        const auto best = fastestUsable(agents, task);
+        if (!best || task.declared.count() == 0)
+            return best;
+        const double here = agents.at(*best).slowness;
+        const double there = fastestSlowness(agents);
+        if (here < there * noticeable)
+            return best;
+        const double seconds = std::chrono::duration<double>(task.declared).count();
+        const double wait = secondsUntilFasterFrees(agents, here, task.tasksBehind);
+        if (wait + there * seconds < here * seconds)
+            return std::nullopt;
+        return best;
+    };
+}
+
+PlacementPolicy randomWithRefusal(uint64_t seed)
+{
+    auto random = std::make_shared<std::mt19937_64>(seed);
+    return [random](const AgentTable& agents, const PlacementTask&) { return randomLinked(agents, *random); };
+}
+
+PlacementPolicy leastOutstanding()
+{
+    return [](const AgentTable& agents, const PlacementTask&) {
+        std::optional<AgentIndex> best;
+        for (size_t i = 0; i < agents.size(); ++i) {
+            const auto& agent = agents.at(AgentIndex(i));
+            if (!canBeAsked(agent))
+                continue;
+            if (!best || agent.outstanding.size() < agents.at(*best).outstanding.size())
+                best = AgentIndex(i);
+        }
+        return best;
+    };
+}
+
+PlacementPolicy twoChoices(uint64_t seed)
+{
+    auto random = std::make_shared<std::mt19937_64>(seed);
+    return [random](const AgentTable& agents, const PlacementTask&) {
+        const auto first = randomLinked(agents, *random);
+        const auto second = randomLinked(agents, *random);
+        if (!first || !second)
+            return first;
+        const bool isFirstBusier = agents.at(*first).outstanding.size() > agents.at(*second).outstanding.size();
+        return isFirstBusier ? second : first;
+    };
+}
+
+std::optional<PlacementPolicy> placementPolicy(const std::string& name, uint64_t seed)
+{
+    if (name == "grants")
+        return earliestFinish();
+    if (name == "fastest-grant")
+        return fastestGrant();
+    if (name == "random")
+        return randomWithRefusal(seed);
+    if (name == "least-outstanding")
+        return leastOutstanding();
+    if (name == "two-choices")
+        return twoChoices(seed);
+    return std::nullopt;
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/SettingsTables.cpp
@@ -0,0 +1,166 @@
+/** @file SettingsTables.cpp Every setting with its default, bounds and help. */
+#include <sequoia/Settings.h>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr int64_t hour = 3600000; // ms
+    constexpr int64_t mebibyte = 1 << 20;
+
+    template <typename T>
+    SettingRow<T> number(
+        std::string_view key, int64_t T::*field, int64_t value, int64_t low, int64_t high, std::string_view help)
+    {
+        return { key, field, value, low, high, {}, {}, help };
+    }
+
+    template <typename T>
+    SettingRow<T> text(std::string_view key, std::string T::*field, std::string_view value, std::string_view choices,
+        std::string_view help)
+    {
+        return { key, field, 0, 0, 0, value, choices, help };
+    }
+
+    template <typename T>
+    SettingRow<T> list(std::string_view key, std::vector<std::string> T::*field, std::string_view help)
+    {
+        return { key, field, 0, 0, 0, {}, {}, help };
+    }
+
+    constexpr std::string_view levels = "debug|info|warning|error";
+
+} // namespace
+
+const std::vector<SettingRow<EntrySettings>>& entrySettingRows()
+{
+    using S = EntrySettings;
+    static const std::vector<SettingRow<S>> rows {
+        text<S>("name", &S::name, "entry", "", "Name of the process in logs and the time line."),
+        text<S>("cluster", &S::cluster, "sequoia", "", "Peers of another cluster are refused."),
+        text<S>("token", &S::token, "", "", "Shared secret of the cluster's processes; empty for none."),
+        text<S>("failure_domain", &S::failure_domain, "", "", "Failure domain of this VM."),
+        text<S>("http_address", &S::http_address, "127.0.0.1:0", "", "Address for callers; port 0 picks a free one."),
+        text<S>("link_address", &S::link_address, "127.0.0.1:0", "", "Address for agents; port 0 picks a free one."),
+        text<S>("advertise_http", &S::advertise_http, "", "",
+            "Address that others reach http_address at; empty for the same."),
+        text<S>("advertise_link", &S::advertise_link, "", "",
+            "Address that agents reach link_address at; empty for the same."),
+        text<S>("store_address", &S::store_address, "", "", "Platform store; empty to run without one."),
+        list<S>("peers", &S::peers, "HTTP addresses of other entries, beside those that the store names."),
+        number<S>("http_threads", &S::http_threads, 512, 4, 4096, "Most connections of callers served at once."),
+        number<S>("http_read_timeout_ms", &S::http_read_timeout_ms, 5000, 100, 600000,
+            "Longest pause of a caller within or between requests, ms."),
+        number<S>("max_body_bytes", &S::max_body_bytes, 4 * mebibyte, 1024, 64 * mebibyte, "Largest request body."),
+        number<S>("max_tasks", &S::max_tasks, 770, 1, 10000, "Most tasks of a job."),
+        number<S>("max_open_jobs", &S::max_open_jobs, 20000, 1, 1000000, "Most jobs without an answer."),
+        number<S>("max_queued_tasks", &S::max_queued_tasks, 200000, 1, 10000000, "Most waiting tasks."),
+        number<S>("max_deadline_ms", &S::max_deadline_ms, 600000, 1, hour, "Longest deadline of a job, ms."),
+        number<S>("retention_ms", &S::retention_ms, 120000, 1000, 24 * hour,
+            "How long an answer is kept for resubmissions, ms."),
+        number<S>("link_silence_ms", &S::link_silence_ms, 1500, 100, 60000,
+            "A link with starts outstanding that is silent this long is replaced, ms."),
+        number<S>("beat_ms", &S::beat_ms, 3000, 100, hour,
+            "Longest quiet time on a link, ms; grows with the number of agents."),
+        number<S>("agent_lost_ms", &S::agent_lost_ms, 4000, 100, hour,
+            "Starts at an agent that is out of reach this long count as unknown, ms."),
+        number<S>("lease_ttl_s", &S::lease_ttl_s, 10, 2, 3600, "Lease of the registration in the store, s."),
+        number<S>("stop_timeout_ms", &S::stop_timeout_ms, 30000, 0, hour, "Longest graceful stop, ms."),
+        number<S>("retry_attempts", &S::retry_attempts, 8, 0, 1000,
+            "Refused starts that a job may have beyond one per task."),
+        text<S>("profile", &S::profile, "response", "response|messages",
+            "What weighs most: response time or wasted messages."),
+        text<S>("policy", &S::policy, "grants", "grants|fastest-grant|random|least-outstanding|two-choices",
+            "How an agent is chosen; all but the first are for comparison."),
+        number<S>("timeline_events", &S::timeline_events, 20000, 0, 1000000, "Events kept for the time line."),
+        text<S>("log_level", &S::log_level, "info", levels, "Least severe event that is printed."),
+        number<S>("seed", &S::seed, 1, 0, INT64_MAX, "Seed of the comparison policies."),
+    };
+    return rows;
+}
+
+const std::vector<SettingRow<AgentSettings>>& agentSettingRows()
+{
+    using S = AgentSettings;
+    static const std::vector<SettingRow<S>> rows {
+        text<S>("name", &S::name, "agent", "", "Name of the agent; one per backend server, kept over restarts."),
+        text<S>("cluster", &S::cluster, "sequoia", "", "Entries of another cluster refuse this agent."),
+        text<S>("token", &S::token, "", "", "Shared secret of the cluster's processes; empty for none."),
+        text<S>("failure_domain", &S::failure_domain, "", "", "Failure domain of this VM."),
+        text<S>("http_address", &S::http_address, "127.0.0.1:0", "", "Address for the backend server and operators."),
+        text<S>("advertise_http", &S::advertise_http, "", "",
+            "Address that others reach http_address at; empty for the same."),
+        list<S>("entries", &S::entries, "HTTP addresses of entries or of the balancer before them."),
+        number<S>("http_threads", &S::http_threads, 16, 2, 1024, "Most connections served at once."),
+        number<S>("http_read_timeout_ms", &S::http_read_timeout_ms, 5000, 100, 600000,
+            "Longest pause of a peer within or between requests, ms."),
+        number<S>("max_connections", &S::max_connections, 64, 1, 64, "Most connections to the backend server."),
+        number<S>("max_slots", &S::max_slots, 64, 1, 64, "Most slots that a backend server may announce."),
+        number<S>("max_body_bytes", &S::max_body_bytes, mebibyte, 1024, 64 * mebibyte,
+            "Largest answer of the backend server."),
+        number<S>(
+            "retention_ms", &S::retention_ms, 120000, 1000, 24 * hour, "How long results and tombstones are kept, ms."),
+        number<S>("link_silence_ms", &S::link_silence_ms, 1500, 100, 60000,
+            "With tasks running, an entry hears from this agent three times as often, ms."),
+        number<S>("beat_ms", &S::beat_ms, 3000, 100, hour, "Longest quiet time on a link, ms."),
+        number<S>("announce_ttl_ms", &S::announce_ttl_ms, 3000, 100, hour,
+            "An announcement that is not renewed lapses after this time, ms."),
+        number<S>("stop_timeout_ms", &S::stop_timeout_ms, 30000, 0, hour, "Longest graceful stop, ms."),
+        number<S>("quarantine_failures", &S::quarantine_failures, 3, 1, 1000,
+            "Failures in a row, of as many jobs, that stop new work."),
+        number<S>("quarantine_pause_ms", &S::quarantine_pause_ms, 1000, 10, hour,
+            "Pause before the first trial, ms; doubles with each failed one."),
+        number<S>("quarantine_pause_max_ms", &S::quarantine_pause_max_ms, 60000, 10, hour,
+            "Longest pause between trials, ms."),
+        number<S>("stall_factor", &S::stall_factor, 8, 1, 1000,
+            "A task that runs this many times its declared time is stalled."),
+        number<S>("stall_minimum_ms", &S::stall_minimum_ms, 8000, 10, hour, "No task counts as stalled before, ms."),
+        number<S>("revision_grace_ms", &S::revision_grace_ms, 11000, 0, hour,
+            "How long starts under an older configuration are taken, ms."),
+        number<S>("timeline_events", &S::timeline_events, 5000, 0, 1000000, "Events kept for the time line."),
+        text<S>("log_level", &S::log_level, "info", levels, "Least severe event that is printed."),
+        number<S>("seed", &S::seed, 1, 0, INT64_MAX, "Seed of the jitter."),
+    };
+    return rows;
+}
+
+const std::vector<SettingRow<LoadSettings>>& loadSettingRows()
+{
+    using S = LoadSettings;
+    static const std::vector<SettingRow<S>> rows {
+        list<S>("entries", &S::entries, "HTTP addresses of entries; callers spread over them as a balancer would."),
+        list<S>("backends", &S::backends, "HTTP addresses of backend server stand-ins, for their counts of starts."),
+        list<S>("teams", &S::teams, "Teams of the jobs; those of the sheet if empty."),
+        text<S>("sheet", &S::sheet, "", "", "Sheet whose visits the tasks name; none if empty."),
+        text<S>("day", &S::day, "", "", "Day of the sheet whose visits are sent; its first day if empty."),
+        text<S>("arrival", &S::arrival, "steady", "steady|burst", "Poisson arrivals, or the same with one burst."),
+        number<S>("seed", &S::seed, 1, 0, INT64_MAX, "Seed of all random choices."),
+        number<S>("seconds", &S::seconds, 10, 1, 3600, "Length of the load, s."),
+        number<S>("callers", &S::callers, 64, 1, 2000, "Connections that wait for answers at once."),
+        number<S>("jobs_per_minute", &S::jobs_per_minute, 600, 1, 6000000, "Arrival rate."),
+        number<S>("burst_factor", &S::burst_factor, 3, 1, 100, "Rate within the burst over the rate outside."),
+        number<S>("burst_at_ms", &S::burst_at_ms, 4000, 0, hour, "Start of the burst, ms."),
+        number<S>("burst_ms", &S::burst_ms, 1000, 0, hour, "Length of the burst, ms."),
+        number<S>("tasks_min", &S::tasks_min, 1, 1, 770, "Fewest tasks of a job."),
+        number<S>("tasks_max", &S::tasks_max, 10, 1, 770, "Most tasks of a job; small jobs are more frequent."),
+        number<S>("run_ms_min", &S::run_ms_min, 50, 0, 60000, "Shortest run time on the fastest backend server, ms."),
+        number<S>("run_ms_max", &S::run_ms_max, 1000, 0, 60000,
+            "Longest ordinary run time; log-uniform between the two, ms."),
+        number<S>("long_per_mille", &S::long_per_mille, 5, 0, 1000, "Share of long tasks, in thousandths."),
+        number<S>("long_ms", &S::long_ms, 3000, 0, 60000, "Run time of a long task, ms."),
+        number<S>("declared_error_percent", &S::declared_error_percent, 50, 0, 1000,
+            "Declared run times are off by up to this, %."),
+        number<S>("deadline_ms", &S::deadline_ms, 30000, 1, hour, "Deadline of a job, ms."),
+        number<S>(
+            "patience_ms", &S::patience_ms, 8000, 0, hour, "How long past the deadline a caller goes on asking, ms."),
+        number<S>("resubmitted_per_mille", &S::resubmitted_per_mille, 20, 0, 1000,
+            "Share of jobs resubmitted to another entry, in thousandths."),
+        number<S>(
+            "cancelled_per_mille", &S::cancelled_per_mille, 0, 0, 1000, "Share of jobs cancelled, in thousandths."),
+        number<S>("repeatable_per_mille", &S::repeatable_per_mille, 500, 0, 1000,
+            "Share of repeatable tasks, in thousandths."),
+    };
+    return rows;
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/StandinBackend.cpp
@@ -0,0 +1,205 @@
+/** @file StandinBackend.cpp A small stand-in for a backend server: runs tasks by sleeping and counts their starts. */
+#include "HttpCommon.h"
+
+#include <sequoia/CommandLine.h>
+#include <sequoia/Ids.h>
+
+#include <boost/program_options.hpp>
+#include <condition_variable>
+#include <fmt/format.h>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace sequoia {
+
+namespace {
+
+    using Json = nlohmann::json;
+
+    constexpr Milliseconds renewPeriod { 1000 };
+    constexpr Milliseconds agentTimeout { 1000 };
+    constexpr int statusFailed = 500;
+
+    /** What the backend server does with tasks. */
+    enum class Mode : uint8_t {
+        Good,
+        Fail, ///< Answers every task with a failure at once.
+        Stall ///< Accepts tasks and answers none until the mode changes.
+    };
+
+    struct BackendOptions {
+        std::string listen;
+        std::string agent;
+        unsigned slots = 0;
+        unsigned connections = 0;
+        double slowness = 1.0;
+    };
+
+    /** The backend server with its announcement to the agent. */
+    class BackendServer {
+    public:
+        BackendServer(Log& log, BackendOptions options)
+            : m_options(std::move(options))
+            , m_http({})
+        {
+            auto& server = m_http.server();
+            addCommonHandlers(server, log, "");
+            server.Post("/run", [this](const auto& request, auto& response) { runTask(request, response); });
+            server.Post("/standin/mode", [this](const auto& request, auto& response) { setMode(request, response); });
+            server.Get("/standin/starts",
+                [this](const auto& request, auto& response) { response.set_content(starts(request), jsonType); });
+            m_address = m_http.start(m_options.listen);
+            m_renewer = std::thread([this] { renew(); });
+            log.event(LogLevel::Info, "listening", { { "http", m_address } });
+        }
+
+        ~BackendServer()
+        {
+            {
+                const std::lock_guard lock(m_mutex);
+                m_isStopped = true;
+            }
+            m_changed.notify_all();
+            m_renewer.join();
+            tellAgent("/v1/backend/leave");
+            m_http.stop();
+        }
+        BackendServer(const BackendServer&) = delete;
+        BackendServer& operator=(const BackendServer&) = delete;
+
+    private:
+        void runTask(const httplib::Request& request, httplib::Response& response)
+        {
+            const auto task = request.get_header_value("X-Sequoia-Task");
+            const auto json = Json::parse(request.body, nullptr, false);
+            const auto run = json.is_object() ? json.value("runMs", 0) : 0;
+            std::unique_lock lock(m_mutex);
+            m_starts.push_back(task);
+            m_lastStart = Clock::now();
+            m_changed.wait(lock, [&] { return m_running < m_options.slots || m_isStopped; });
+            ++m_running;
+            const auto until
+                = Clock::now() + toMicroseconds(std::chrono::duration<double, std::milli>(run * m_options.slowness));
+            const bool hasFailed = m_mode == Mode::Fail;
+            if (!hasFailed)
+                m_changed.wait_until(lock, until, [&] { return m_isStopped; });
+            m_changed.wait(lock, [&] { return m_mode != Mode::Stall || m_isStopped; });
+            --m_running;
+            m_changed.notify_all();
+            if (hasFailed) {
+                response.status = statusFailed;
+                response.set_content("this backend server fails everything", "text/plain");
+                return;
+            }
+            response.set_content(json.is_object() ? json.value("token", "") : "", "text/plain");
+        }
+
+        void setMode(const httplib::Request& request, httplib::Response& response)
+        {
+            const auto mode = Json::parse(request.body, nullptr, false).value("mode", "");
+            {
+                const std::lock_guard lock(m_mutex);
+                if (mode == "fail")
+                    m_mode = Mode::Fail;
+                else if (mode == "stall")
+                    m_mode = Mode::Stall;
+                else
+                    m_mode = Mode::Good;
+                m_isAnnounced = mode != "leave";
+            }
+            m_changed.notify_all();
+            if (mode == "leave")
+                tellAgent("/v1/backend/leave");
+            response.set_content("{}", jsonType);
+        }
+
+        /** Task ids of the starts from position `from` on, in order. */
+        std::string starts(const httplib::Request& request)
+        {
+            const auto from = std::strtoull(request.get_param_value("from").c_str(), nullptr, 10);
+            const std::lock_guard lock(m_mutex);
+            auto list = Json::array();
+            for (size_t i = from; i < m_starts.size(); ++i)
+                list.push_back(m_starts[i]);
+            const auto quiet = toMilliseconds(Clock::now() - m_lastStart);
+            return Json {
+                { "life", m_life }, { "starts", std::move(list) }, { "sinceLastStartMs", quiet.count() }
+            }.dump();
+        }
+
+        void tellAgent(const char* path) const
+        {
+            auto client = makeHttpClient(m_options.agent, agentTimeout);
+            const Json body { { "address", m_address }, { "slots", m_options.slots },
+                { "connections", m_options.connections } };
+            client.Post(path, body.dump(), jsonType);
+        }
+
+        void renew()
+        {
+            std::unique_lock lock(m_mutex);
+            while (!m_isStopped) {
+                if (m_isAnnounced) {
+                    lock.unlock();
+                    tellAgent("/v1/backend/announce");
+                    lock.lock();
+                }
+                m_renewal.wait_for(lock, renewPeriod, [&] { return m_isStopped; });
+            }
+        }
+
+        BackendOptions m_options;
+        HttpService m_http;
+        std::string m_address;
+        std::mutex m_mutex;
+        std::condition_variable m_changed;
+        std::condition_variable m_renewal;
+        std::vector<std::string> m_starts; ///< Task ids in the order of their starts.
+        std::string m_life = fmt::format("{:016x}", raw(drawIncarnation())); ///< Tells restarts apart.
+        TimePoint m_lastStart {};
+        unsigned m_running = 0;
+        Mode m_mode = Mode::Good;
+        bool m_isAnnounced = true;
+        bool m_isStopped = false;
+        std::thread m_renewer;
+    };
+
+    int run(int argc, char** argv)
+    {
+        namespace options = boost::program_options;
+        BackendOptions parsed;
+        options::options_description all("sequoia-standin-backend: a backend server for tests\n\nOptions");
+        // clang-format off
+    all.add_options()
+        ("help,h", "show this text")
+        ("listen", options::value(&parsed.listen)->default_value("127.0.0.1:0"), "address; port 0 picks a free one")
+        ("agent", options::value(&parsed.agent)->required(), "HTTP address of the agent beside it")
+        ("slots", options::value(&parsed.slots)->default_value(8), "tasks at once")
+        ("connections", options::value(&parsed.connections)->default_value(64), "connections that it takes")
+        ("slowness", options::value(&parsed.slowness)->default_value(1.0), "run time of a task over its runMs");
+        // clang-format on
+        options::variables_map values;
+        try {
+            options::store(options::parse_command_line(argc, argv, all), values);
+            if (values.contains("help")) {
+                std::cout << all;
+                return toInt(ExitCode::Ok);
+            }
+            options::notify(values);
+        } catch (const options::error& error) {
+            fmt::print(stderr, "{}: {}; see --help\n", argv[0], error.what());
+            return toInt(ExitCode::Usage);
+        }
+        blockStopSignals();
+        constexpr size_t ringSize = 1000;
+        Log log("backend", LogLevel::Info, ringSize);
+        BackendServer server(log, parsed);
+        waitForStopSignal();
+        return toInt(ExitCode::Ok);
+    }
+
+} // namespace
+
+} // namespace sequoia
+
+int main(int argc, char** argv) { return sequoia::run(argc, argv); }
--- /dev/null
+++ b/src/Store.cpp
@@ -0,0 +1,263 @@
+/** @file Store.cpp Calls to the etcd v3 JSON gateway. */
+#include <sequoia/Store.h>
+
+#include <array>
+#include <boost/leaf/error.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace sequoia {
+
+namespace leaf = boost::leaf;
+using Json = nlohmann::json;
+
+namespace {
+
+    constexpr std::string_view alphabet = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    constexpr unsigned base64Bits = 6;
+    constexpr unsigned byteBits = 8;
+
+    httplib::Client makeClient(const std::string& address, Milliseconds timeout)
+    {
+        httplib::Client client("http://" + address);
+        client.set_tcp_nodelay(true);
+        client.set_connection_timeout(timeout);
+        client.set_read_timeout(timeout);
+        client.set_write_timeout(timeout);
+        return client;
+    }
+
+    /** The gateway writes 64-bit numbers as strings. */
+    int64_t readNumber(const Json& object, const char* name)
+    {
+        const auto it = object.find(name);
+        if (it == object.end())
+            return 0;
+        if (it->is_string())
+            return std::stoll(it->get<std::string>());
+        return it->get<int64_t>();
+    }
+
+    StoredValue readValue(const Json& kv)
+    {
+        StoredValue out;
+        out.key = fromBase64(kv.value("key", "")).value_or("");
+        out.value = fromBase64(kv.value("value", "")).value_or("");
+        out.revision = StoreRevision(readNumber(kv, "mod_revision"));
+        return out;
+    }
+
+    /** Runs code that reads a reply; every fault of the reply becomes BadReply. */
+    template <typename F> auto reading(F&& f) -> leaf::result<decltype(f())>
+    {
+        try {
+            return f();
+        } catch (const std::exception&) {
+            return leaf::new_error(StoreError::BadReply);
+        }
+    }
+
+} // namespace
+
+std::string toBase64(const std::string& bytes)
+{
+    std::string out;
+    uint32_t buf = 0;
+    unsigned bits = 0;
+    for (const char c : bytes) {
+        buf = (buf << byteBits) | static_cast<unsigned char>(c);
+        bits += byteBits;
+        while (bits >= base64Bits) {
+            bits -= base64Bits;
+            out += alphabet[(buf >> bits) & 63U];
+        }
+    }
+    if (bits > 0)
+        out += alphabet[(buf << (base64Bits - bits)) & 63U];
+    while (out.size() % 4 != 0)
+        out += '=';
+    return out;
+}
+
+std::optional<std::string> fromBase64(const std::string& text)
+{
+    std::string out;
+    uint32_t buf = 0;
+    unsigned bits = 0;
+    for (const char c : text) {
+        if (c == '=')
+            break;
+        const auto at = alphabet.find(c);
+        if (at == std::string_view::npos)
+            return std::nullopt;
+        buf = (buf << base64Bits) | static_cast<uint32_t>(at);
+        bits += base64Bits;
+        if (bits >= byteBits) {
+            bits -= byteBits;
+            out += static_cast<char>((buf >> bits) & 255U);
+        }
+    }
+    return out;
+}
+
+std::string prefixEnd(std::string prefix)
+{
+    while (!prefix.empty() && static_cast<unsigned char>(prefix.back()) == 255U)
+        prefix.pop_back();
+    if (!prefix.empty())
+        ++prefix.back();
+    return prefix;
+}
+
+Store::Store(std::string address, Milliseconds timeout)
+    : m_address(std::move(address))
+    , m_timeout(timeout)
+{
+}
+
+leaf::result<std::string> Store::post(const std::string& path, const std::string& body) const
+{
+    auto client = makeClient(m_address, m_timeout);
+    const auto result = client.Post(path, body, "application/json");
+    if (!result) {
+        const bool isUnsent = result.error() == httplib::Error::Connection;
+        return leaf::new_error(isUnsent ? StoreError::Unreachable : StoreError::NoReply);
+    }
+    constexpr int statusOk = 200;
+    if (result->status != statusOk)
+        return leaf::new_error(StoreError::BadReply);
+    return result->body;
+}
+
+leaf::result<std::optional<StoredValue>> Store::get(const std::string& key) const
+{
+    ++m_calls.reads;
+    BOOST_LEAF_AUTO(body, post("/v3/kv/range", Json { { "key", toBase64(key) } }.dump()));
+    return reading([&]() -> std::optional<StoredValue> {
+        const auto reply = Json::parse(body);
+        const auto kvs = reply.find("kvs");
+        if (kvs == reply.end() || kvs->empty())
+            return std::nullopt;
+        return readValue(kvs->at(0));
+    });
+}
+
+leaf::result<std::vector<StoredValue>> Store::list(const std::string& prefix) const
+{
+    ++m_calls.reads;
+    const Json request { { "key", toBase64(prefix) }, { "range_end", toBase64(prefixEnd(prefix)) } };
+    BOOST_LEAF_AUTO(body, post("/v3/kv/range", request.dump()));
+    return reading([&] {
+        std::vector<StoredValue> out;
+        const auto reply = Json::parse(body);
+        if (const auto kvs = reply.find("kvs"); kvs != reply.end()) {
+            for (const auto& kv : *kvs)
+                out.push_back(readValue(kv));
+        }
+        return out;
+    });
+}
+
+leaf::result<bool> Store::compareAndSwap(
+    const std::string& key, StoreRevision expected, const std::vector<StoreWrite>& writes) const
+{
+    ++m_calls.writes;
+    Json operations = Json::array();
+    for (const auto& write : writes) {
+        if (!write.value) {
+            operations.push_back({ { "request_delete_range", { { "key", toBase64(write.key) } } } });
+            continue;
+        }
+        Json put { { "key", toBase64(write.key) }, { "value", toBase64(*write.value) } };
+        if (write.lease != LeaseId())
+            put["lease"] = std::to_string(static_cast<int64_t>(write.lease));
+        operations.push_back({ { "request_put", std::move(put) } });
+    }
+    const Json compare { { "key", toBase64(key) }, { "target", "MOD" }, { "result", "EQUAL" },
+        { "mod_revision", std::to_string(static_cast<int64_t>(expected)) } };
+    const Json request { { "compare", Json::array({ compare }) }, { "success", std::move(operations) } };
+    BOOST_LEAF_AUTO(body, post("/v3/kv/txn", request.dump()));
+    return reading([&] { return Json::parse(body).value("succeeded", false); });
+}
+
+leaf::result<LeaseId> Store::grantLease(std::chrono::seconds ttl) const
+{
+    ++m_calls.writes;
+    BOOST_LEAF_AUTO(body, post("/v3/lease/grant", Json { { "TTL", std::to_string(ttl.count()) } }.dump()));
+    return reading([&] { return LeaseId(readNumber(Json::parse(body), "ID")); });
+}
+
+leaf::result<bool> Store::renewLease(LeaseId lease) const
+{
+    ++m_calls.writes;
+    const Json request { { "ID", std::to_string(static_cast<int64_t>(lease)) } };
+    BOOST_LEAF_AUTO(body, post("/v3/lease/keepalive", request.dump()));
+    return reading([&] { return readNumber(Json::parse(body).at("result"), "TTL") > 0; });
+}
+
+leaf::result<void> Store::revokeLease(LeaseId lease) const
+{
+    ++m_calls.writes;
+    const Json request { { "ID", std::to_string(static_cast<int64_t>(lease)) } };
+    BOOST_LEAF_CHECK(post("/v3/lease/revoke", request.dump()));
+    return {};
+}
+
+void Store::stopWatches() const
+{
+    const std::lock_guard lock(m_watchMutex);
+    for (const auto& [number, abort] : m_watchAborts)
+        abort();
+}
+
+leaf::result<void> Store::watch(const std::string& prefix, const std::function<void(const StoreChange&)>& changed,
+    const std::function<bool()>& isStopped) const
+{
+    ++m_calls.watches;
+    constexpr Milliseconds longestSilence { 30000 };
+    auto client = makeClient(m_address, m_timeout);
+    client.set_read_timeout(longestSilence);
+    const Json create { { "key", toBase64(prefix) }, { "range_end", toBase64(prefixEnd(prefix)) } };
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v3/watch";
+    request.body = Json { { "create_request", create } }.dump();
+    request.set_header("Content-Type", "application/json");
+    std::string buf;
+    const auto readLine = [&](const std::string& line) {
+        const auto reply = Json::parse(line, nullptr, false);
+        if (reply.is_discarded() || !reply.contains("result"))
+            return;
+        for (const auto& event : reply["result"].value("events", Json::array())) {
+            const auto value = readValue(event.value("kv", Json::object()));
+            const bool isDeleted = event.value("type", "PUT") == "DELETE";
+            changed({ value.key, isDeleted ? std::nullopt : std::optional(value.value) });
+        }
+    };
+    request.content_receiver = [&](const char* data, size_t n, uint64_t, uint64_t) {
+        buf.append(data, n);
+        for (size_t at = buf.find('\n'); at != std::string::npos; at = buf.find('\n')) {
+            readLine(buf.substr(0, at));
+            buf.erase(0, at + 1);
+        }
+        return !isStopped();
+    };
+    httplib::Response response;
+    httplib::Error error = httplib::Error::Success;
+    uint64_t watchNumber = 0;
+    {
+        const std::lock_guard lock(m_watchMutex);
+        watchNumber = m_nextWatch++;
+        m_watchAborts[watchNumber] = [&client] { client.stop(); };
+    }
+    client.send(request, response, error);
+    {
+        const std::lock_guard lock(m_watchMutex);
+        m_watchAborts.erase(watchNumber);
+    }
+    if (error == httplib::Error::Connection)
+        return leaf::new_error(StoreError::Unreachable);
+    return {};
+}
+
+} // namespace sequoia
