--- /dev/null
+++ b/src/CtlSheet.cpp
@@ -0,0 +1,247 @@
+/** @file CtlSheet.cpp sequoiactl sheet and holiday. */
+#include "Ctl.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <fmt/format.h>
+#include <iostream>
+#include <map>
+
+namespace sequoia {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+    /** Input that breaks a rule; its lines are printed and nothing is changed. */
+    struct RefusedInput {
+        std::vector<std::string> lines;
+    };
+
+    std::string describe(const PlanFault& fault, const std::string& file)
+    {
+        const auto place = fault.line > 0 ? fmt::format("{}:{}: ", file, fault.line) : "";
+        return fmt::format("{}visit {} on {}: {}", place, fault.visit, toString(fault.date), fault.message);
+    }
+
+    leaf::result<void> refuseFaults(const std::vector<PlanFault>& faults, const std::string& file)
+    {
+        if (faults.empty())
+            return {};
+        RefusedInput refused;
+        for (const auto& fault : faults)
+            refused.lines.push_back(describe(fault, file));
+        return leaf::new_error(std::move(refused));
+    }
+
+    /** The sheet and configuration that a command starts from. */
+    struct CurrentPlan {
+        Configuration configuration;
+        std::vector<SheetRow> rows;
+    };
+
+    leaf::result<CurrentPlan> readCurrent(const ConfigEditor& editor)
+    {
+        CurrentPlan out;
+        BOOST_LEAF_ASSIGN(out.configuration, editor.read());
+        BOOST_LEAF_ASSIGN(out.rows, editor.readParts(out.configuration.plan.parts));
+        return out;
+    }
+
+    leaf::result<std::vector<SheetRow>> readSheet(const CtlOptions& options, const std::string& path)
+    {
+        const auto text = readFile(path);
+        if (!text)
+            return leaf::new_error(RefusedInput { { path + ": cannot be read" } });
+        BOOST_LEAF_AUTO(rows, parseSheet(*text, path, options.format));
+        BOOST_LEAF_CHECK(refuseFaults(checkSheet(rows), path));
+        return rows;
+    }
+
+    void printDifferences(const std::vector<SheetRow>& before, const std::vector<SheetRow>& after)
+    {
+        const auto text = [](const SheetRow& row) {
+            const auto rule = row.rule == HolidayRule::Keep ? std::string("keep")
+                : row.rule == HolidayRule::Cancel           ? std::string("cancel")
+                                                            : "move:" + toString(row.target);
+            return fmt::format("{} {} {} {} {} {} {} {}", toString(row.date), row.crew, row.route, row.visit, row.team,
+                row.kind, row.isRepeatable ? "yes" : "no", rule);
+        };
+        std::set<std::string> was;
+        std::set<std::string> is;
+        for (const auto& row : before)
+            was.insert(text(row));
+        for (const auto& row : after)
+            is.insert(text(row));
+        for (const auto& line : was) {
+            if (!is.contains(line))
+                std::cout << "- " << line << '\n';
+        }
+        for (const auto& line : is) {
+            if (!was.contains(line))
+                std::cout << "+ " << line << '\n';
+        }
+    }
+
+    ExitCode withErrors(const std::function<leaf::result<ExitCode>()>& call)
+    {
+        return reportErrors([&] {
+            return leaf::try_handle_some(
+                call,
+                [](const SheetError& error) -> leaf::result<ExitCode> {
+                    for (const auto& problem : error.problems)
+                        fmt::print(stderr, "{}\n", toString(problem, error.file));
+                    return ExitCode::Refused;
+                },
+                [](const RefusedInput& refused) -> leaf::result<ExitCode> {
+                    for (const auto& line : refused.lines)
+                        fmt::print(stderr, "{}\n", line);
+                    return ExitCode::Refused;
+                });
+        });
+    }
+
+    ExitCode checkCommand(const CtlOptions& options)
+    {
+        return withErrors([&]() -> leaf::result<ExitCode> {
+            BOOST_LEAF_AUTO(rows, readSheet(options, options.words[2]));
+            std::map<Day, size_t> days;
+            for (const auto& row : rows)
+                ++days[row.date];
+            for (const auto& [day, n] : days)
+                std::cout << toString(day) << "  " << n << " visits\n";
+            std::cout << rows.size() << " rows are good\n";
+            return ExitCode::Ok;
+        });
+    }
+
+    ExitCode diffCommand(const CtlOptions& options)
+    {
+        return withErrors([&]() -> leaf::result<ExitCode> {
+            const Store store(options.store, Milliseconds(3000));
+            const ConfigEditor editor(store, options.cluster);
+            BOOST_LEAF_AUTO(rows, readSheet(options, options.words[2]));
+            BOOST_LEAF_AUTO(current, readCurrent(editor));
+            printDifferences(current.rows, rows);
+            return ExitCode::Ok;
+        });
+    }
+
+    /** Checks a sheet against the plan in force; the same for a dry run and for the real one. */
+    leaf::result<void> checkApply(
+        const CtlOptions& options, const CurrentPlan& current, const std::vector<SheetRow>& rows)
+    {
+        const auto& file = options.words[2];
+        BOOST_LEAF_CHECK(refuseFaults(checkHolidays(rows, current.configuration.plan.holidays), file));
+        if (!options.mayRemove)
+            BOOST_LEAF_CHECK(refuseFaults(checkReplacement(current.rows, rows, todayOf(options)), file));
+        return {};
+    }
+
+    ExitCode applyCommand(const CtlOptions& options)
+    {
+        return withErrors([&]() -> leaf::result<ExitCode> {
+            const Store store(options.store, Milliseconds(3000));
+            const ConfigEditor editor(store, options.cluster);
+            BOOST_LEAF_AUTO(rows, readSheet(options, options.words[2]));
+            BOOST_LEAF_AUTO(current, readCurrent(editor));
+            BOOST_LEAF_CHECK(checkApply(options, current, rows));
+            if (options.isDryRun) {
+                printDifferences(current.rows, rows);
+                std::cout << "dry run: " << rows.size() << " rows would be applied\n";
+                return ExitCode::Ok;
+            }
+            BOOST_LEAF_AUTO(parts, editor.writeParts(rows));
+            const auto note = fmt::format("sheet of {} rows", rows.size());
+            const auto change = [&](Configuration configuration) -> leaf::result<Configuration> {
+                // The checks were made against the plan that was read above; another one needs them again.
+                if (configuration.revision != current.configuration.revision)
+                    return leaf::new_error(
+                        ConfigError { ConfigErrorKind::Conflict, { "the plan has just been changed, apply again" } });
+                configuration.plan.parts = parts;
+                return configuration;
+            };
+            BOOST_LEAF_AUTO(made, editor.edit(options.author, note, change));
+            std::cout << "revision " << raw(made.revision) << ": " << note << '\n';
+            return ExitCode::Ok;
+        });
+    }
+
+    ExitCode showCommand(const CtlOptions& options)
+    {
+        return withErrors([&]() -> leaf::result<ExitCode> {
+            const auto day = parseDay(options.day);
+            if (!day)
+                return leaf::new_error(RefusedInput { { "--day: expected a date such as 2026-12-08" } });
+            const Store store(options.store, Milliseconds(3000));
+            const ConfigEditor editor(store, options.cluster);
+            BOOST_LEAF_AUTO(current, readCurrent(editor));
+            const auto visits = visitsOn(current.rows, current.configuration.plan.holidays, *day);
+            for (const auto& visit : visits) {
+                const auto& row = *visit.row;
+                const auto moved
+                    = visit.movedFrom == Day() ? "" : fmt::format("  moved from {}", toString(visit.movedFrom));
+                std::cout << fmt::format(
+                    "{:<16} {:<12} {:<16} {:<12}{}\n", row.crew, row.route, row.visit, row.team, moved);
+            }
+            std::cout << visits.size() << " visits on " << options.day << '\n';
+            return ExitCode::Ok;
+        });
+    }
+
+    ExitCode holidayCommand(const CtlOptions& options, bool isConfirmed)
+    {
+        return withErrors([&]() -> leaf::result<ExitCode> {
+            const auto& text = options.words[2];
+            const auto day = parseDay(text);
+            if (!day)
+                return leaf::new_error(
+                    RefusedInput { { fmt::format("\"{}\": expected a date such as 2026-12-08", text) } });
+            if (*day <= todayOf(options))
+                return leaf::new_error(
+                    RefusedInput { { fmt::format("{} has started; its plan is not changed any more", text) } });
+            const Store store(options.store, Milliseconds(3000));
+            const ConfigEditor editor(store, options.cluster);
+            size_t moved = 0;
+            const auto change = [&](Configuration configuration) -> leaf::result<Configuration> {
+                BOOST_LEAF_AUTO(rows, editor.readParts(configuration.plan.parts));
+                auto& holidays = configuration.plan.holidays;
+                if (isConfirmed)
+                    holidays.insert(*day);
+                else
+                    holidays.erase(*day);
+                BOOST_LEAF_CHECK(refuseFaults(checkHolidays(rows, holidays), "sheet"));
+                for (const auto& row : rows)
+                    moved += row.date == *day && row.rule != HolidayRule::Keep ? 1 : 0;
+                return configuration;
+            };
+            const auto* verb = isConfirmed ? "confirmed" : "withdrawn";
+            if (options.isDryRun) {
+                BOOST_LEAF_AUTO(before, editor.read());
+                BOOST_LEAF_CHECK(change(before));
+                std::cout << "dry run: holiday " << text << " would be " << verb << ", " << moved << " visits change\n";
+                return ExitCode::Ok;
+            }
+            BOOST_LEAF_AUTO(made, editor.edit(options.author, fmt::format("holiday {} {}", text, verb), change));
+            std::cout << "revision " << raw(made.revision) << ": holiday " << text << ' ' << verb << ", " << moved
+                      << " visits change\n";
+            return ExitCode::Ok;
+        });
+    }
+
+} // namespace
+
+std::vector<CtlCommand> sheetCommands()
+{
+    return {
+        { { "sheet", "check" }, "FILE", 1, "check a sheet by itself", checkCommand },
+        { { "sheet", "diff" }, "FILE", 1, "show what a sheet would change", diffCommand },
+        { { "sheet", "apply" }, "FILE", 1, "put a sheet in force", applyCommand },
+        { { "sheet", "show" }, "--day DATE", 0, "list the visits worked on a day", showCommand },
+        { { "holiday", "confirm" }, "DATE", 1, "make a coming day a holiday",
+            [](const CtlOptions& options) { return holidayCommand(options, true); } },
+        { { "holiday", "withdraw" }, "DATE", 1, "make a coming day a working day again",
+            [](const CtlOptions& options) { return holidayCommand(options, false); } },
+    };
+}
+
+} // namespace sequoia
