--- a/include/sequoia/AgentControl.h
+++ b/include/sequoia/AgentControl.h
@@ -40,6 +40,10 @@
 struct DrainInput {
     bool isDraining = true;
 };
+/** An entry asks for a new link, because the one to it has gone silent. */
+struct RelinkInput {
+    Incarnation entry {};
+};
 struct AgentInspectInput {
     std::function<void(AgentCore&, TimePoint)> visit;
 };
@@ -47,7 +51,7 @@
 
 /** Everything that the control thread is told. */
 using AgentInput = std::variant<DiscoveredInput, AgentLinkOpenedInput, AgentLinkFrameInput, AgentLinkClosedInput,
-    BackendFinishedInput, AnnouncedInput, LeftInput, DrainInput, AgentInspectInput, AgentTickInput>;
+    BackendFinishedInput, AnnouncedInput, LeftInput, DrainInput, RelinkInput, AgentInspectInput, AgentTickInput>;
 
 /** Dependencies of the control thread. */
 struct AgentControlParts {
--- a/include/sequoia/AgentCore.h
+++ b/include/sequoia/AgentCore.h
@@ -54,6 +54,8 @@
     /** True once when a trial is due. */
     bool beginTrial(TimePoint now);
     Health health() const { return m_health; }
+    /** Jobs with a failure since the last success. */
+    size_t failures() const { return m_failedJobs.size(); }
     const std::string& reason() const { return m_reason; }
     TimePoint nextTrial() const { return m_nextTrial; }
 
@@ -96,6 +98,8 @@
     bool isDraining() const { return m_isDraining; }
     const HealthGate& health() const { return m_health; }
     size_t links() const { return m_links.size(); }
+    /** The link to an entry, if there is one. */
+    std::optional<LinkId> linkOf(Incarnation entry) const;
     size_t records() const { return m_jobs.size(); }
 
 private:
@@ -132,6 +136,7 @@
     };
 
     bool isOpen() const { return m_slots > 0 && !m_isDraining && m_health.health() == Health::Good; }
+    uint32_t usableSlots() const;
     uint32_t freeSlots() const;
     std::optional<std::string> refusal(LinkId link, const wire::StartT& start, const TaskKey& task, TimePoint now);
     void onStart(LinkId link, const wire::StartT& start, TimePoint now);
@@ -154,7 +159,6 @@
     void tickLinks(TimePoint now);
     void tickStalls(TimePoint now);
     void tickTrial(TimePoint now);
-    std::optional<LinkId> linkOf(Incarnation entry) const;
 
     Incarnation m_self;
     AgentLimits m_limits;
--- a/include/sequoia/Effects.h
+++ b/include/sequoia/Effects.h
@@ -39,6 +39,11 @@
     Milliseconds deadline {};
 };
 
+/** Ask an agent over a new connection to replace its link to this entry. */
+struct AskForRelink {
+    std::string agentAddress; ///< HTTP address of the agent.
+};
+
 /** Log an event. */
 struct RecordEvent {
     LogLevel level {};
@@ -46,7 +51,7 @@
     std::vector<LogField> fields;
 };
 
-using Effect = std::variant<SendMessage, CloseLink, DeliverAnswer, CallBackend, RecordEvent>;
+using Effect = std::variant<SendMessage, CloseLink, DeliverAnswer, CallBackend, AskForRelink, RecordEvent>;
 
 /** Effects of one command, in order. */
 class EffectList {
--- a/include/sequoia/EntryControl.h
+++ b/include/sequoia/EntryControl.h
@@ -78,6 +78,7 @@
     Log& log;
     HelloHook checkHello;
     ClockHook now;
+    std::function<void(const std::string& address)> askForRelink; ///< POST to an agent, on another thread.
     std::function<void(const JobKey&, const JobAnswer&)> answered; ///< Told of each delivered answer.
 };
 
--- a/include/sequoia/EntryCore.h
+++ b/include/sequoia/EntryCore.h
@@ -180,6 +180,7 @@
     void dequeue(Job& job);
     std::optional<StopReason> refusalReason(const JobSpec& spec, std::string& detail) const;
     Milliseconds expectedWait() const;
+    void noteCapacity(TimePoint now);
     void pump(TimePoint now);
     void start(Job& job, TaskIndex task, AgentIndex agent, TimePoint now);
     wire::Backlog backlog(TimePoint now) const;
@@ -200,6 +201,7 @@
     void concludeRecovery(const JobKey& key, Recovery& recovery);
     void giveUpStarts(AgentIndex agent, const std::string& reason, TimePoint now);
     void askForGrants(TimePoint now);
+    void chaseLostStarts(AgentIndex agent, TimePoint now);
     void tickAgents(TimePoint now);
     void tickJobs(TimePoint now);
     void expireRecords(TimePoint now);
@@ -222,6 +224,8 @@
     AgentTable m_agents;
     size_t m_openJobs = 0;
     size_t m_queuedTasks = 0;
+    double m_capacity = 0; ///< Slots within reach lately; falls slowly, so that a cut link is no overload.
+    TimePoint m_capacityNoted {};
     Microseconds m_queuedWork {}; ///< Declared run time of the queued tasks.
     EntryCounters m_counters;
     EffectList m_effects;
--- a/include/sequoia/Placement.h
+++ b/include/sequoia/Placement.h
@@ -36,6 +36,7 @@
     TimePoint lastSent {};
     TimePoint owedSince {}; ///< First answer since the last message to it; zero if there is none.
     TimePoint lostAt {}; ///< When the link ended, if it is not linked.
+    TimePoint nextRelinkRequest {};
     TimePoint nextNeed {}; ///< Before that no further Need is sent.
     Microseconds needPause {}; ///< Pause after the next unanswered Need.
 };
--- a/src/AgentControl.cpp
+++ b/src/AgentControl.cpp
@@ -97,6 +97,15 @@
             else
                 m_parts.core.resume(now());
         }
+        void on(RelinkInput& input)
+        {
+            if (const auto link = m_parts.core.linkOf(input.entry))
+                m_parts.links.close(*link);
+            for (auto& [address, dial] : m_dials) {
+                if (!dial.link)
+                    dial.since = TimePoint();
+            }
+        }
         void on(AgentInspectInput& input) { input.visit(m_parts.core, now()); }
 
         void on(AgentTickInput&)
@@ -145,6 +154,7 @@
             m_parts.links.close(action.link);
         }
         void apply(DeliverAnswer&) { }
+        void apply(AskForRelink&) { }
         void apply(CallBackend& action) { m_parts.call(std::move(action)); }
         void apply(RecordEvent& action) { m_parts.log.event(action.level, action.kind, std::move(action.fields)); }
 
--- a/src/AgentGrants.cpp
+++ b/src/AgentGrants.cpp
@@ -14,10 +14,18 @@
 
 } // namespace
 
+uint32_t AgentCore::usableSlots() const
+{
+    // Each failure halves the slots until a success, so that a server that fails everything spoils few jobs.
+    const auto halvings = std::min<size_t>(m_health.failures(), 31);
+    return std::max(m_slots >> halvings, std::min(m_slots, 1U));
+}
+
 uint32_t AgentCore::freeSlots() const
 {
     const uint32_t used = m_running + m_granted;
-    return m_slots > used ? m_slots - used : 0;
+    const uint32_t usable = usableSlots();
+    return usable > used ? usable - used : 0;
 }
 
 void AgentCore::entryLinked(LinkId id, const wire::WelcomeT& welcome, TimePoint now)
--- a/src/AgentMain.cpp
+++ b/src/AgentMain.cpp
@@ -155,6 +155,13 @@
                 "/v1/drain", [this](const auto& request, auto& response) { setDraining(true, request, response); });
             server.Post(
                 "/v1/resume", [this](const auto& request, auto& response) { setDraining(false, request, response); });
+            server.Post("/v1/relink", [this](const auto& request, auto& response) {
+                if (!hasToken(request, response, m_settings.token))
+                    return;
+                const auto entry = std::strtoull(request.body.c_str(), nullptr, 16);
+                m_control->tell(RelinkInput { Incarnation(entry) });
+                response.set_content("{}", jsonType);
+            });
             server.Get("/readyz", [this](const auto&, auto& response) {
                 response.status = m_isUp ? 200 : 503;
                 response.set_content(m_isUp ? "ready\n" : "not ready\n", "text/plain");
--- a/src/EntryAgents.cpp
+++ b/src/EntryAgents.cpp
@@ -259,6 +259,21 @@
     }
 }
 
+void EntryCore::chaseLostStarts(AgentIndex index, TimePoint now)
+{
+    constexpr Milliseconds requestPause { 1000 };
+    auto& agent = m_agents.at(index);
+    if (now - agent.lostAt > m_limits.agentLost) {
+        giveUpStarts(index, "the agent is out of reach", now);
+        return;
+    }
+    if (now < agent.nextRelinkRequest)
+        return;
+    // An agent whose link has gone silent may not know it yet; a new connection gets through.
+    agent.nextRelinkRequest = now + requestPause;
+    m_effects.add(AskForRelink { agent.httpAddress });
+}
+
 void EntryCore::tickAgents(TimePoint now)
 {
     const auto quiet = beatInterval();
@@ -266,8 +281,8 @@
         const auto index = AgentIndex(i);
         auto& agent = m_agents.at(index);
         if (!agent.isLinked) {
-            if (!agent.outstanding.empty() && now - agent.lostAt > m_limits.agentLost)
-                giveUpStarts(index, "the agent is out of reach", now);
+            if (!agent.outstanding.empty())
+                chaseLostStarts(index, now);
             continue;
         }
         const auto silence = now - agent.lastHeard;
--- a/src/EntryControl.cpp
+++ b/src/EntryControl.cpp
@@ -126,6 +126,7 @@
             }
         }
         void apply(CallBackend&) { }
+        void apply(AskForRelink& action) { m_parts.askForRelink(action.agentAddress); }
         void apply(RecordEvent& action) { m_parts.log.event(action.level, action.kind, std::move(action.fields)); }
 
         caf::event_based_actor* m_self;
--- a/src/EntryCore.cpp
+++ b/src/EntryCore.cpp
@@ -145,10 +145,18 @@
 
 Milliseconds EntryCore::expectedWait() const
 {
-    const auto slots = m_agents.totalGrants() + m_agents.totalOutstanding();
-    if (slots == 0)
+    if (m_capacity < 1)
         return Milliseconds(0);
-    return toMilliseconds(m_queuedWork / slots);
+    return toMilliseconds(std::chrono::duration<double, std::micro>(m_queuedWork) / m_capacity);
+}
+
+void EntryCore::noteCapacity(TimePoint now)
+{
+    constexpr double fallPerSecond = 0.05;
+    const double slots = m_agents.totalGrants() + m_agents.totalOutstanding();
+    const double seconds = std::chrono::duration<double>(now - m_capacityNoted).count();
+    m_capacityNoted = now;
+    m_capacity = std::max(slots, m_capacity * std::max(0.0, 1 - fallPerSecond * seconds));
 }
 
 CommandResult EntryCore::poll(const JobKey& key, WaiterId waiter, TimePoint)
@@ -407,6 +415,7 @@
 {
     tickJobs(now);
     tickAgents(now);
+    noteCapacity(now);
     expireRecords(now);
     pump(now);
 }
--- a/src/EntryMain.cpp
+++ b/src/EntryMain.cpp
@@ -8,10 +8,24 @@
 
 namespace sequoia {
 
+/** A call to an agent that has to replace its link. */
+struct RelinkRequest {
+    std::string address;
+    std::string token;
+    std::string body;
+};
+
+} // namespace sequoia
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(sequoia::RelinkRequest)
+
+namespace sequoia {
+
 namespace {
 
     constexpr uint16_t protocolVersion = 1;
     constexpr Milliseconds storeTimeout { 3000 };
+    constexpr Milliseconds relinkTimeout { 500 };
     constexpr Milliseconds stopPoll { 20 };
     constexpr Milliseconds readinessGrace { 300 }; // The balancer sees /readyz fail before jobs are refused.
 
@@ -39,9 +53,10 @@
             , m_holder([this](const auto& active) { configChanged(active); })
             , m_core(m_self, limitsOf(settings), hooks())
             , m_links(linkHooks(), {}, m_log.clock())
+            , m_caller(system.spawn<caf::detached>(relinkCaller))
             , m_control(system,
                   { m_core, m_links, m_log, [this](const auto& hello) { return checkHello(hello); }, Clock::now,
-                      [](const JobKey&, const JobAnswer&) {} })
+                      [this](const auto& address) { askForRelink(address); }, [](const JobKey&, const JobAnswer&) {} })
             , m_http({ static_cast<size_t>(settings.http_threads), static_cast<size_t>(settings.max_body_bytes),
                   Milliseconds(settings.http_read_timeout_ms) })
         {
@@ -51,6 +66,7 @@
 
         ~EntryProcess()
         {
+            caf::anon_send_exit(m_caller, caf::exit_reason::user_shutdown);
             m_control.stop();
             m_links.shutdown();
         }
@@ -114,6 +130,21 @@
             return bound;
         }
 
+        /** Actor that posts to agents, one after the other. */
+        static caf::behavior relinkCaller(caf::event_based_actor*)
+        {
+            return { [](const RelinkRequest& request) {
+                auto client = makeHttpClient(request.address, relinkTimeout);
+                client.Post("/v1/relink", { { "X-Sequoia-Token", request.token } }, request.body, "text/plain");
+            } };
+        }
+
+        void askForRelink(const std::string& address)
+        {
+            m_log.event(LogLevel::Info, "relink-asked", { { "agent", address } });
+            caf::anon_send(m_caller, RelinkRequest { address, m_settings.token, fmt::format("{:016x}", raw(m_self)) });
+        }
+
         EntryHooks hooks()
         {
             EntryHooks out;
@@ -175,6 +206,7 @@
         std::atomic<bool> m_hasConfig { false };
         EntryCore m_core;
         LinkHub m_links;
+        caf::actor m_caller; ///< Calls agents over HTTP, off the control thread.
         EntryControl m_control;
         std::optional<Store> m_store;
         EntryRegistration m_registration;
