--- a/include/sequoia/AgentCore.h
+++ b/include/sequoia/AgentCore.h
@@ -101,6 +101,8 @@
     /** The link to an entry, if there is one. */
     std::optional<LinkId> linkOf(Incarnation entry) const;
     size_t records() const { return m_jobs.size(); }
+    /** Newest configuration seen on a start. */
+    Revision newestRevision() const { return Revision(m_newestRevision); }
 
 private:
     struct EntryLink {
@@ -130,7 +132,8 @@
         std::map<TaskIndex, TaskRecord> tasks;
         uint16_t taskCount = 0;
         uint32_t running = 0;
-        bool isAbandoned = false;
+        bool isAbandoned = false; ///< Its home has failed it.
+        bool isTold = false; ///< A recoverer knows what this agent knew.
         std::set<LinkId> recoverers; ///< Asked while tasks were running.
         TimePoint expires {};
     };
@@ -145,7 +148,7 @@
     void onAbandon(LinkId link, const wire::AbandonT& message, TimePoint now);
     void onReturn(LinkId link, const wire::ReturnT& message, TimePoint now);
     void noteBacklog(EntryLink& link, const std::unique_ptr<wire::Backlog>& backlog);
-    void sendRecovered(LinkId link, const JobKey& key, const JobRecord* job);
+    void sendRecovered(LinkId link, const JobKey& key, JobRecord& job);
     wire::AnswerT answerOf(const TaskKey& task, const TaskRecord& record) const;
     void sendAnswer(const TaskKey& task, const TaskRecord& record, TimePoint now);
     LinkId receiverOfSlot(LinkId home) const;
--- a/include/sequoia/EntryCore.h
+++ b/include/sequoia/EntryCore.h
@@ -143,6 +143,7 @@
         size_t succeeded = 0;
         std::vector<AgentIndex> places; ///< Agents that were sent starts.
         std::set<AgentIndex> abandoning; ///< Agents that have not confirmed the failure.
+        bool isForfeited = false; ///< A recoverer may have answered it; this entry recovers it like any other.
         bool isRevealed = false; ///< The answer may be told.
         TimePoint revealAt {}; ///< When it is told without confirmation.
         size_t outstanding = 0; ///< Starts whose end has not been heard of.
@@ -173,7 +174,7 @@
 
     void finish(Job& job, JobAnswer answer, TimePoint now);
     void abandon(Job& job, TimePoint now);
-    void confirmAbandoned(Job& job, AgentIndex agent);
+    void onAbandoned(Job& job, AgentIndex agent, bool isRefused, TimePoint now);
     void reveal(Job& job);
     void fail(Job& job, StopReason reason, std::string detail, TimePoint now);
     void enqueue(Job& job);
@@ -189,6 +190,7 @@
     void expireSessions(TimePoint now);
 
     void onAnswer(AgentIndex agent, const wire::AnswerT& answer, TimePoint now);
+    void queryOutstanding(AgentIndex agent);
     void settle(AgentIndex agent, const TaskKey& task);
     Attempt attemptOf(const TaskKey& task) const;
     void onSucceeded(Job& job, TaskIndex task, const std::string& body, TimePoint now);
--- a/src/AgentControl.cpp
+++ b/src/AgentControl.cpp
@@ -55,7 +55,9 @@
         void on(AgentLinkOpenedInput& input)
         {
             Frame frame;
-            frame.body.Set(wire::HelloT(m_parts.hello));
+            auto hello = m_parts.hello;
+            hello.newest_revision = raw(m_parts.core.newestRevision());
+            frame.body.Set(std::move(hello));
             m_parts.links.send(input.link, std::move(frame));
         }
 
--- a/src/AgentCore.cpp
+++ b/src/AgentCore.cpp
@@ -68,8 +68,6 @@
         return "not sent by its home";
     if (m_jobs.at(task.job).isAbandoned)
         return "its job has failed";
-    if (start.agent_incarnation != raw(m_self))
-        return "meant for an earlier life of this agent";
     if (m_fenced.contains(task.job.home))
         return "its home counts as ended";
     if (start.revision > m_newestRevision) {
@@ -93,7 +91,8 @@
 void AgentCore::onStart(LinkId id, const wire::StartT& start, TimePoint now)
 {
     const auto task = fromWire(start.task);
-    if (!task)
+    // A start for an earlier life gets no answer: this life can't know whether that one ran it.
+    if (!task || start.agent_incarnation != raw(m_self))
         return;
     auto& link = m_links.at(id);
     noteBacklog(link, start.backlog);
@@ -168,7 +167,7 @@
     sendAnswer(task, record, now);
     if (job->second.running == 0) {
         for (const auto link : std::exchange(job->second.recoverers, {}))
-            sendRecovered(link, task.job, &job->second);
+            sendRecovered(link, task.job, job->second);
     }
     distribute(now);
 }
@@ -213,6 +212,8 @@
 
 void AgentCore::onQuery(LinkId id, const wire::QueryT& query, TimePoint now)
 {
+    if (query.agent_incarnation != raw(m_self))
+        return;
     wire::StateT state;
     for (const auto& wireKey : query.tasks) {
         const TaskKey task { *fromWire(std::make_unique<wire::JobKey>(wireKey.job())), TaskIndex(wireKey.index()) };
@@ -240,31 +241,30 @@
         return;
     if (message.fence)
         m_fenced[key->home] = now + m_limits.retention;
-    const auto it = m_jobs.find(*key);
-    if (it != m_jobs.end() && it->second.running > 0) {
-        it->second.recoverers.insert(id);
-        return;
-    }
-    sendRecovered(id, *key, it == m_jobs.end() ? nullptr : &it->second);
+    auto& job = m_jobs[*key];
+    touch(*key, job, now);
+    if (job.running > 0)
+        job.recoverers.insert(id);
+    else
+        sendRecovered(id, *key, job);
 }
 
-void AgentCore::sendRecovered(LinkId id, const JobKey& key, const JobRecord* job)
+void AgentCore::sendRecovered(LinkId id, const JobKey& key, JobRecord& job)
 {
+    job.isTold = true;
     if (!m_links.contains(id))
         return;
     wire::RecoveredT reply;
     reply.job = std::make_unique<wire::JobKey>(toWire(key));
     reply.fenced = m_fenced.contains(key.home);
-    if (job != nullptr) {
-        reply.task_count = job->taskCount;
-        for (const auto& [index, record] : job->tasks) {
-            auto answer = std::make_unique<wire::AnswerT>(answerOf({ key, index }, record));
-            if (job->isAbandoned) {
-                answer->outcome = wire::Outcome::Failed;
-                answer->reason = "failed by its home";
-            }
-            reply.answers.push_back(std::move(answer));
+    reply.task_count = job.taskCount;
+    for (const auto& [index, record] : job.tasks) {
+        auto answer = std::make_unique<wire::AnswerT>(answerOf({ key, index }, record));
+        if (job.isAbandoned) {
+            answer->outcome = wire::Outcome::Failed;
+            answer->reason = "failed by its home";
         }
+        reply.answers.push_back(std::move(answer));
     }
     m_effects.send(id, std::move(reply));
 }
@@ -276,8 +276,9 @@
         return;
     auto& job = m_jobs[*key];
     touch(*key, job, now);
-    job.isAbandoned = true;
+    job.isAbandoned = !job.isTold;
     wire::AbandonedT reply;
+    reply.refused = job.isTold;
     reply.job = std::make_unique<wire::JobKey>(toWire(*key));
     m_effects.send(id, std::move(reply));
     m_links.at(id).lastSent = now;
--- a/src/EntryAgents.cpp
+++ b/src/EntryAgents.cpp
@@ -37,10 +37,6 @@
     if (agent.incarnation != Incarnation(hello.incarnation)) {
         giveUpStarts(index, "the agent has restarted", now);
         agent.incarnation = Incarnation(hello.incarnation);
-        for (auto& [key, recovery] : m_recoveries) {
-            recovery.pending.erase(index);
-            concludeRecovery(key, recovery);
-        }
     }
     agent.failureDomain = hello.failure_domain;
     agent.httpAddress = hello.http_address;
@@ -52,24 +48,28 @@
     m_effects.record(LogLevel::Info, "agent-linked",
         { { "agent", agent.name }, { "incarnation", fmt::format("{:016x}", hello.incarnation) } });
 
-    wire::QueryT query;
-    for (const auto& task : agent.outstanding) {
-        query.tasks.push_back(toWire(task, attemptOf(task)));
-        if (query.tasks.size() == queryBatch) {
-            m_effects.send(link, std::exchange(query, {}));
-            ++m_counters.queries;
-        }
-    }
-    if (!query.tasks.empty()) {
-        m_effects.send(link, std::move(query));
-        ++m_counters.queries;
-    }
+    queryOutstanding(index);
     for (const auto& [key, recovery] : m_recoveries) {
         if (recovery.pending.contains(index))
             sendRecover(key, recovery, index);
     }
 }
 
+void EntryCore::queryOutstanding(AgentIndex index)
+{
+    const auto& agent = m_agents.at(index);
+    wire::QueryT query;
+    for (auto it = agent.outstanding.begin(); it != agent.outstanding.end();) {
+        query.tasks.push_back(toWire(*it, attemptOf(*it)));
+        ++it;
+        if (query.tasks.size() < queryBatch && it != agent.outstanding.end())
+            continue;
+        query.agent_incarnation = raw(agent.incarnation);
+        m_effects.send(agent.link, std::exchange(query, {}));
+        ++m_counters.queries;
+    }
+}
+
 void EntryCore::linkClosed(LinkId link, TimePoint now)
 {
     const auto index = m_agents.byLink(link);
@@ -119,7 +119,7 @@
     case wire::Body::Abandoned:
         if (const auto key = fromWire(body.AsAbandoned()->job)) {
             if (auto* job = findJob(*key))
-                confirmAbandoned(*job, index);
+                onAbandoned(*job, index, body.AsAbandoned()->refused, now);
         }
         break;
     case wire::Body::Beat:
--- a/src/EntryApi.cpp
+++ b/src/EntryApi.cpp
@@ -50,6 +50,17 @@
     response.set_content(errorJson(error), jsonType);
 }
 
+bool EntryApi::canServe(Response& response) const
+{
+    if (m_isStopping)
+        fail(response, { statusUnavailable, "stopping", "the entry is stopping; open a session at another one", true, "" });
+    else if (!m_parts.config.isReady())
+        fail(response, { statusUnavailable, "not-ready", "the entry has no configuration yet", true, "" });
+    else
+        return true;
+    return false;
+}
+
 std::string EntryApi::newSession()
 {
     return toString(SessionId { m_parts.self.http, m_parts.self.incarnation, m_parts.control.openSession() });
@@ -58,10 +69,8 @@
 void EntryApi::addCallers(httplib::Server& server)
 {
     server.Post("/v1/sessions", [this](const Request&, Response& response) {
-        if (m_isStopping) {
-            fail(response, { statusUnavailable, "stopping", "the entry is stopping", true, "" });
+        if (!canServe(response))
             return;
-        }
         response.status = 201;
         response.set_content(Json { { "session", newSession() } }.dump(), jsonType);
     });
@@ -126,6 +135,8 @@
                 relay(*job, request, response);
                 return {};
             }
+            if (!m_parts.config.isReady() && !canServe(response))
+                return {};
             spec.key = job->key();
             WaiterId waiter {};
             const auto wait = std::min(waitOf(request), spec.deadline + relayMargin);
--- a/src/EntryApi.h
+++ b/src/EntryApi.h
@@ -53,6 +53,8 @@
     void command(CommandResult result, Response& response);
     Milliseconds waitOf(const Request& request) const;
     bool isPeer(const Request& request, Response& response) const;
+    /** Whether new work is taken; writes the refusal if not. */
+    bool canServe(Response& response) const;
     std::string newSession();
     std::string metrics();
     std::string status();
--- a/src/EntryConfig.cpp
+++ b/src/EntryConfig.cpp
@@ -199,6 +199,12 @@
     }
 }
 
+void EntryConfig::requireRevision(Revision revision)
+{
+    uint64_t known = m_required.load();
+    while (known < raw(revision) && !m_required.compare_exchange_weak(known, raw(revision))) { }
+}
+
 void EntryConfig::offerFromPeer(const std::string& json) { take(json, "peer"); }
 
 void EntryConfig::take(const std::string& json, const std::string& source)
--- a/src/EntryConfig.h
+++ b/src/EntryConfig.h
@@ -47,7 +47,9 @@
     void stop();
 
     /** Whether a first configuration was found. */
-    bool isReady() const { return m_isReady; }
+    bool isReady() const { return m_isReady && m_parts.holder.revision() >= Revision(m_required.load()); }
+    /** An agent has seen this revision in force; below it this entry is not ready. */
+    void requireRevision(Revision revision);
     /** Known live entries, this one included. */
     std::vector<EntryRegistration> entries() const;
     /** Takes a configuration that a peer sent. */
@@ -77,6 +79,7 @@
     EntryConfigParts m_parts;
     StoreKeys m_keys;
     std::atomic<bool> m_isReady { false };
+    std::atomic<uint64_t> m_required { 0 };
     std::atomic<bool> m_isStoreUp { false };
     std::atomic<bool> m_isStopped { false };
     mutable std::mutex m_mutex;
--- a/src/EntryCore.cpp
+++ b/src/EntryCore.cpp
@@ -159,14 +159,16 @@
     m_capacity = std::max(slots, m_capacity * std::max(0.0, 1 - fallPerSecond * seconds));
 }
 
-CommandResult EntryCore::poll(const JobKey& key, WaiterId waiter, TimePoint)
+CommandResult EntryCore::poll(const JobKey& key, WaiterId waiter, TimePoint now)
 {
     auto* job = findJob(key);
     if (job == nullptr)
         return missingJobError(key);
     if (job->isAcknowledged)
         return EntryError::Acknowledged;
-    if (job->isRevealed)
+    if (job->isForfeited)
+        recover(key, false, waiter, now);
+    else if (job->isRevealed)
         m_effects.add(DeliverAnswer { key, job->answer, { waiter } });
     else
         job->waiters.push_back(waiter);
@@ -289,10 +291,21 @@
     m_reveals.emplace(job.revealAt, job.spec.key);
 }
 
-void EntryCore::confirmAbandoned(Job& job, AgentIndex agent)
+void EntryCore::onAbandoned(Job& job, AgentIndex agent, bool isRefused, TimePoint now)
 {
-    if (job.abandoning.erase(agent) > 0 && job.abandoning.empty())
-        reveal(job);
+    if (job.isRevealed || job.isForfeited || job.abandoning.erase(agent) == 0)
+        return;
+    if (!isRefused) {
+        if (job.abandoning.empty())
+            reveal(job);
+        return;
+    }
+    // Another entry took this one for ended and may have told the job's answer already.
+    job.isForfeited = true;
+    m_reveals.erase({ job.revealAt, job.spec.key });
+    m_effects.record(LogLevel::Warning, "job-forfeited", { { "job", toString(job.spec.key) } });
+    for (const auto waiter : std::exchange(job.waiters, {}))
+        recover(job.spec.key, false, waiter, now);
 }
 
 void EntryCore::reveal(Job& job)
@@ -442,7 +455,7 @@
         const JobKey key = m_expiries.begin()->second;
         m_expiries.erase(m_expiries.begin());
         auto& job = *findJob(key);
-        if (job.outstanding > 0 || !job.isRevealed) {
+        if (job.outstanding > 0 || !(job.isRevealed || job.isForfeited)) {
             job.expires = now + m_limits.retention;
             m_expiries.emplace(job.expires, key);
             continue;
--- a/src/EntryMain.cpp
+++ b/src/EntryMain.cpp
@@ -179,6 +179,8 @@
                 return std::string("wrong token");
             if (hello.agent.empty() || hello.incarnation == 0)
                 return std::string("no name or incarnation");
+            if (m_hasConfig)
+                m_config->requireRevision(Revision(hello.newest_revision));
             wire::WelcomeT welcome;
             welcome.entry = m_settings.name;
             welcome.incarnation = raw(m_self);
