Conformance test of the pure cores, and the failure that it found

tests/CoreTraceTest.cpp drives the cores through 2,270 random traces of what the model allows. It found two answers for one job: a failure told after its bound although the agent's confirmation was lost with a replaced link, then the job recovered as complete. Cause: Abandon was not sent again on the new link. Change: it is, and the bound is the one after which an agent counts as lost.

--- a/include/sequoia/EntryCore.h
+++ b/include/sequoia/EntryCore.h
@@ -174,6 +174,7 @@
 
     void finish(Job& job, JobAnswer answer, TimePoint now);
     void abandon(Job& job, TimePoint now);
+    void sendAbandon(const JobKey& job, AgentIndex agent);
     void onAbandoned(Job& job, AgentIndex agent, bool isRefused, TimePoint now);
     void reveal(Job& job);
     void fail(Job& job, StopReason reason, std::string detail, TimePoint now);
--- a/src/EntryAgents.cpp
+++ b/src/EntryAgents.cpp
@@ -49,6 +49,10 @@
         { { "agent", agent.name }, { "incarnation", fmt::format("{:016x}", hello.incarnation) } });
 
     queryOutstanding(index);
+    for (const auto& [time, key] : m_reveals) {
+        if (findJob(key)->abandoning.contains(index))
+            sendAbandon(key, index);
+    }
     for (const auto& [key, recovery] : m_recoveries) {
         if (recovery.pending.contains(index))
             sendRecover(key, recovery, index);
--- a/src/EntryCore.cpp
+++ b/src/EntryCore.cpp
@@ -278,19 +278,27 @@
 {
     for (const auto index : job.places) {
         const auto& agent = m_agents.at(index);
-        if (!agent.isLinked || !job.abandoning.insert(index).second)
-            continue;
-        wire::AbandonT message;
-        message.job = std::make_unique<wire::JobKey>(toWire(job.spec.key));
-        m_effects.send(agent.link, std::move(message));
-        ++m_counters.abandons;
+        const bool isLost = !agent.isLinked && now - agent.lostAt > m_limits.agentLost;
+        if (!isLost && job.abandoning.insert(index).second)
+            sendAbandon(job.spec.key, index);
     }
     if (job.abandoning.empty())
         return;
-    job.revealAt = now + m_limits.linkSilence;
+    job.revealAt = now + m_limits.agentLost;
     m_reveals.emplace(job.revealAt, job.spec.key);
 }
 
+void EntryCore::sendAbandon(const JobKey& key, AgentIndex index)
+{
+    const auto& agent = m_agents.at(index);
+    if (!agent.isLinked)
+        return; // Sent when it is linked again.
+    wire::AbandonT message;
+    message.job = std::make_unique<wire::JobKey>(toWire(key));
+    m_effects.send(agent.link, std::move(message));
+    ++m_counters.abandons;
+}
+
 void EntryCore::onAbandoned(Job& job, AgentIndex agent, bool isRefused, TimePoint now)
 {
     if (job.isRevealed || job.isForfeited || job.abandoning.erase(agent) == 0)
--- /dev/null
+++ b/tests/CoreTraceTest.cpp
@@ -0,0 +1,391 @@
+/**
+ * @file CoreTraceTest.cpp Drives the pure cores through random traces that model/dispatch.pml allows: frames lost,
+ * doubled, reordered and delayed, links replaced, agents restarted, the home killed and its jobs recovered elsewhere.
+ */
+#include <sequoia/AgentCore.h>
+#include <sequoia/EntryCore.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <deque>
+#include <memory>
+#include <random>
+
+using namespace sequoia;
+
+namespace {
+
+constexpr size_t agentCount = 3;
+constexpr size_t entryCount = 2;
+constexpr size_t jobCount = 6;
+
+/** Which faults a trace has, in per mille of the steps. */
+struct TraceRow {
+    char name[32];
+    unsigned traces;
+    unsigned loseLink;
+    unsigned duplicate;
+    unsigned reorder;
+    unsigned restartAgent;
+    unsigned killHome;
+    unsigned cancel;
+    unsigned drain;
+    unsigned failTask;
+};
+
+/** A frame on its way. */
+struct Flight {
+    size_t entry = 0;
+    size_t agent = 0;
+    uint32_t epoch = 0; ///< Link that it belongs to.
+    bool isToAgent = false;
+    wire::BodyUnion body;
+};
+
+/** One trace with its ghost counts. */
+class Trace {
+public:
+    Trace(const TraceRow& row, unsigned seed)
+        : m_row(row)
+        , m_random(seed)
+    {
+        for (size_t i = 0; i < entryCount; ++i)
+            startEntry(i);
+        for (size_t i = 0; i < agentCount; ++i)
+            startAgent(i);
+        for (size_t e = 0; e < entryCount; ++e) {
+            for (size_t a = 0; a < agentCount; ++a)
+                link(e, a);
+        }
+    }
+
+    void run()
+    {
+        const auto session = m_entries[0].core->openSession(m_now);
+        for (size_t i = 0; i < jobCount; ++i)
+            submit(session, i);
+        for (int step = 0; step < 1500; ++step)
+            doStep();
+        if (m_isHomeDead)
+            recoverAll();
+        settle();
+        check();
+    }
+
+private:
+    struct EntryState {
+        std::unique_ptr<EntryCore> core;
+        Incarnation incarnation {};
+    };
+    struct AgentState {
+        std::unique_ptr<AgentCore> core;
+        Incarnation incarnation {};
+        std::vector<TaskKey> running;
+    };
+    struct JobGhost {
+        JobSpec spec;
+        JobAnswerPtr answer; ///< First one told.
+        bool isCheckedLoose = false; ///< An agent that had part of it has lost its memory.
+    };
+
+    bool chance(unsigned perMille) { return m_random() % 1000 < perMille; }
+
+    void startEntry(size_t e)
+    {
+        EntryLimits limits;
+        limits.retryAttempts = 50;
+        EntryHooks hooks;
+        hooks.place = fastestGrant();
+        hooks.revision = [] { return Revision(1); };
+        hooks.checkVisit = [](const JobSpec&, const TaskSpec&) { return std::optional<VisitRefusal>(); };
+        m_entries[e].incarnation = Incarnation(++m_nextIncarnation);
+        m_entries[e].core = std::make_unique<EntryCore>(m_entries[e].incarnation, limits, hooks);
+    }
+
+    void startAgent(size_t a)
+    {
+        AgentLimits limits;
+        limits.quarantineFailures = 1000;
+        m_agents[a].incarnation = Incarnation(++m_nextIncarnation);
+        m_agents[a].core = std::make_unique<AgentCore>(m_agents[a].incarnation, limits);
+        m_agents[a].running.clear();
+        m_agents[a].core->announced(2, m_now);
+    }
+
+    LinkId linkId(size_t e, size_t a) const { return LinkId(1 + m_epochs[e][a] * 100 + e * 10 + a); }
+
+    void link(size_t e, size_t a)
+    {
+        if (e == 0 && m_isHomeDead)
+            return;
+        const auto old = linkId(e, a);
+        m_entries[e].core->linkClosed(old, m_now);
+        m_agents[a].core->linkClosed(old, m_now);
+        ++m_epochs[e][a];
+        wire::HelloT hello;
+        hello.agent = "agent" + std::to_string(a);
+        hello.incarnation = raw(m_agents[a].incarnation);
+        wire::WelcomeT welcome;
+        welcome.incarnation = raw(m_entries[e].incarnation);
+        m_entries[e].core->agentLinked(linkId(e, a), hello, m_now);
+        m_agents[a].core->entryLinked(linkId(e, a), welcome, m_now);
+        collect();
+    }
+
+    void submit(SessionNumber session, size_t i)
+    {
+        JobSpec spec;
+        spec.key = { m_entries[0].incarnation, session, JobSequence(i + 1) };
+        spec.team = "t";
+        spec.deadline = Milliseconds(20000);
+        spec.digest = i;
+        spec.tasks.resize(1 + m_random() % 3);
+        m_jobs[spec.key].spec = spec;
+        m_entries[0].core->submit(spec, WaiterId(i), m_now, CommandMode::Execute);
+        collect();
+    }
+
+    void collect()
+    {
+        for (size_t e = 0; e < entryCount; ++e) {
+            if (e == 0 && m_isHomeDead)
+                continue;
+            for (auto& effect : m_entries[e].core->takeEffects())
+                fromEntry(e, effect);
+        }
+        for (size_t a = 0; a < agentCount; ++a) {
+            for (auto& effect : m_agents[a].core->takeEffects())
+                fromAgent(a, effect);
+        }
+    }
+
+    void fromEntry(size_t e, Effect& effect)
+    {
+        if (auto* send = std::get_if<SendMessage>(&effect)) {
+            for (size_t a = 0; a < agentCount; ++a) {
+                if (send->link == linkId(e, a))
+                    m_flights.push_back({ e, a, m_epochs[e][a], true, std::move(send->body) });
+            }
+        } else if (auto* answer = std::get_if<DeliverAnswer>(&effect)) {
+            answered(answer->job, answer->answer);
+        }
+    }
+
+    void fromAgent(size_t a, Effect& effect)
+    {
+        if (auto* send = std::get_if<SendMessage>(&effect)) {
+            for (size_t e = 0; e < entryCount; ++e) {
+                if (send->link == linkId(e, a))
+                    m_flights.push_back({ e, a, m_epochs[e][a], false, std::move(send->body) });
+            }
+        } else if (auto* call = std::get_if<CallBackend>(&effect)) {
+            ++m_starts[call->task];
+            cr_assert_eq(m_starts[call->task], 1U, "%s: task %s started twice", m_row.name, toString(call->task).c_str());
+            const auto& ghost = m_jobs[call->task.job];
+            cr_assert(!ghost.answer || !ghost.answer->isNotRun, "%s: start after \"not run\"", m_row.name);
+            m_agents[a].running.push_back(call->task);
+        }
+    }
+
+    void answered(const JobKey& key, const JobAnswerPtr& answer)
+    {
+        auto& ghost = m_jobs[key];
+        if (answer->status == JobStatus::Complete)
+            cr_assert_eq(answer->answers.size(), ghost.spec.tasks.size(), "%s: partial answer", m_row.name);
+        if (answer->isNotRun) {
+            for (const auto& [task, n] : m_starts)
+                cr_assert(task.job != key, "%s: false \"not run\"", m_row.name);
+        }
+        if (ghost.answer && !ghost.isCheckedLoose)
+            cr_assert(ghost.answer->status == answer->status, "%s: two answers for job %s", m_row.name, toString(key).c_str());
+        if (!ghost.answer)
+            ghost.answer = answer;
+    }
+
+    void doStep()
+    {
+        m_now += Milliseconds(m_random() % 20);
+        if (!m_flights.empty() && chance(700))
+            deliver();
+        else if (chance(500))
+            finishTask();
+        if (chance(m_row.loseLink))
+            link(m_random() % entryCount, m_random() % agentCount);
+        if (chance(m_row.restartAgent))
+            restartAgent(m_random() % agentCount);
+        if (!m_isHomeDead && chance(m_row.killHome))
+            killHome();
+        if (!m_isHomeDead && chance(m_row.cancel)) {
+            auto it = m_jobs.begin();
+            std::advance(it, static_cast<std::ptrdiff_t>(m_random() % m_jobs.size()));
+            m_entries[0].core->cancel(it->first, m_now, CommandMode::Execute);
+        }
+        if (chance(m_row.drain)) {
+            auto& agent = *m_agents[m_random() % agentCount].core;
+            if (agent.isDraining())
+                agent.resume(m_now);
+            else
+                agent.drain(m_now);
+        }
+        // A recovery while the home lives, as when it is only out of reach.
+        if (!m_isHomeDead && m_row.killHome > 0 && chance(2))
+            m_entries[1].core->recover(anyJob(), false, WaiterId(++m_nextWaiter), m_now);
+        collect();
+        tick();
+    }
+
+    const JobKey& anyJob()
+    {
+        auto it = m_jobs.begin();
+        std::advance(it, static_cast<std::ptrdiff_t>(m_random() % m_jobs.size()));
+        return it->first;
+    }
+
+    void deliver()
+    {
+        const size_t n = chance(m_row.reorder) ? m_random() % m_flights.size() : 0;
+        const auto flight = m_flights[n];
+        const bool isDoubled = chance(m_row.duplicate);
+        if (!isDoubled)
+            m_flights.erase(m_flights.begin() + static_cast<std::ptrdiff_t>(n));
+        // A connection that was replaced carries nothing any more.
+        if (flight.epoch != m_epochs[flight.entry][flight.agent] || (flight.entry == 0 && m_isHomeDead && !flight.isToAgent))
+            return;
+        const auto id = linkId(flight.entry, flight.agent);
+        if (flight.isToAgent)
+            m_agents[flight.agent].core->receive(id, flight.body, m_now);
+        else
+            m_entries[flight.entry].core->receive(id, flight.body, m_now);
+    }
+
+    void finishTask()
+    {
+        auto& agent = m_agents[m_random() % agentCount];
+        if (agent.running.empty())
+            return;
+        const size_t n = m_random() % agent.running.size();
+        const auto task = agent.running[n];
+        agent.running.erase(agent.running.begin() + static_cast<std::ptrdiff_t>(n));
+        BackendResult result;
+        result.outcome = chance(m_row.failTask) ? wire::Outcome::Failed : wire::Outcome::Succeeded;
+        result.body = toString(task);
+        agent.core->backendFinished(task, result, m_now);
+    }
+
+    void restartAgent(size_t a)
+    {
+        for (const auto& [task, n] : m_starts)
+            m_jobs[task.job].isCheckedLoose = true;
+        for (auto& [key, ghost] : m_jobs)
+            ghost.isCheckedLoose = true;
+        startAgent(a);
+        for (size_t e = 0; e < entryCount; ++e)
+            link(e, a);
+    }
+
+    void killHome()
+    {
+        m_isHomeDead = true;
+        for (size_t a = 0; a < agentCount; ++a)
+            m_agents[a].core->linkClosed(linkId(0, a), m_now);
+        collect();
+        recoverAll();
+    }
+
+    void recoverAll()
+    {
+        for (const auto& [key, ghost] : m_jobs)
+            m_entries[1].core->recover(key, true, WaiterId(++m_nextWaiter), m_now);
+        collect();
+    }
+
+    void tick()
+    {
+        for (size_t e = m_isHomeDead ? 1 : 0; e < entryCount; ++e)
+            m_entries[e].core->tick(m_now);
+        for (auto& agent : m_agents)
+            agent.core->tick(m_now);
+        collect();
+    }
+
+    /** Ends all faults and lets everything finish. */
+    void settle()
+    {
+        for (auto& agent : m_agents) {
+            if (agent.core->isDraining())
+                agent.core->resume(m_now);
+        }
+        for (size_t e = 0; e < entryCount; ++e) {
+            for (size_t a = 0; a < agentCount; ++a)
+                link(e, a);
+        }
+        for (int i = 0; i < 4000; ++i) {
+            m_now += Milliseconds(10);
+            while (!m_flights.empty())
+                deliverPlainly();
+            finishTask();
+            collect();
+            tick();
+        }
+    }
+
+    void deliverPlainly()
+    {
+        const auto flight = m_flights.front();
+        m_flights.pop_front();
+        const bool isGone = flight.epoch != m_epochs[flight.entry][flight.agent] || (flight.entry == 0 && m_isHomeDead);
+        if (isGone)
+            return;
+        const auto id = linkId(flight.entry, flight.agent);
+        if (flight.isToAgent)
+            m_agents[flight.agent].core->receive(id, flight.body, m_now);
+        else
+            m_entries[flight.entry].core->receive(id, flight.body, m_now);
+        collect();
+    }
+
+    void check()
+    {
+        for (const auto& [key, ghost] : m_jobs)
+            cr_assert(ghost.answer != nullptr, "%s: job %s has no answer", m_row.name, toString(key).c_str());
+    }
+
+    const TraceRow& m_row;
+    std::mt19937 m_random;
+    TimePoint m_now { std::chrono::hours(1) };
+    EntryState m_entries[entryCount];
+    AgentState m_agents[agentCount];
+    uint32_t m_epochs[entryCount][agentCount] {};
+    std::deque<Flight> m_flights;
+    std::map<JobKey, JobGhost> m_jobs;
+    std::map<TaskKey, unsigned> m_starts;
+    bool m_isHomeDead = false;
+    uint64_t m_nextIncarnation = 0;
+    uint64_t m_nextWaiter = 1000;
+};
+
+} // namespace
+
+ParameterizedTestParameters(CoreTrace, invariantsHold)
+{
+    static TraceRow rows[] = {
+        { "quiet", 20, 0, 0, 0, 0, 0, 0, 0, 0 },
+        { "failing-tasks", 50, 0, 0, 0, 0, 0, 0, 0, 100 },
+        { "replaced-links", 200, 30, 0, 0, 0, 0, 0, 0, 0 },
+        { "doubled-frames", 200, 0, 200, 0, 0, 0, 0, 0, 0 },
+        { "shuffled-frames", 200, 5, 100, 400, 0, 0, 0, 0, 0 },
+        { "restarted-agents", 200, 5, 0, 0, 5, 0, 0, 0, 0 },
+        { "killed-home", 300, 5, 50, 100, 0, 8, 0, 0, 50 },
+        { "cancelled", 200, 5, 50, 100, 0, 0, 20, 0, 0 },
+        { "cancelled-killed", 300, 5, 50, 100, 0, 5, 10, 0, 20 },
+        { "drained", 200, 5, 0, 0, 0, 0, 0, 20, 0 },
+        { "everything", 400, 10, 100, 200, 3, 3, 5, 10, 30 },
+    };
+    return cr_make_param_array(TraceRow, rows, sizeof(rows) / sizeof(TraceRow));
+}
+
+ParameterizedTest(TraceRow* row, CoreTrace, invariantsHold, .timeout = 120)
+{
+    for (unsigned seed = 1; seed <= row->traces; ++seed)
+        Trace(*row, seed).run();
+}
