--- a/include/sequoia/Effects.h
+++ b/include/sequoia/Effects.h
@@ -47,7 +47,7 @@
 /** Log an event. */
 struct RecordEvent {
     LogLevel level {};
-    std::string kind;
+    std::string_view kind;
     std::vector<LogField> fields;
 };
 
@@ -63,9 +63,9 @@
         m_effects.emplace_back(std::move(effect));
     }
     void add(Effect effect) { m_effects.push_back(std::move(effect)); }
-    void record(LogLevel level, std::string kind, std::vector<LogField> fields)
+    void record(LogLevel level, std::string_view kind, std::vector<LogField> fields)
     {
-        m_effects.emplace_back(RecordEvent { level, std::move(kind), std::move(fields) });
+        m_effects.emplace_back(RecordEvent { level, kind, std::move(fields) });
     }
     std::vector<Effect> take() { return std::exchange(m_effects, {}); }
 
--- a/include/sequoia/EntryCore.h
+++ b/include/sequoia/EntryCore.h
@@ -5,6 +5,7 @@
 #include <sequoia/Placement.h>
 #include <sequoia/TeamQueue.h>
 
+#include <deque>
 #include <map>
 
 namespace sequoia {
@@ -138,7 +139,7 @@
         TimePoint expires {}; ///< When the record of the answer goes.
         std::vector<TaskState> states;
         std::vector<Attempt> attempts; ///< By task, its latest start.
-        std::vector<uint32_t> waiting; ///< Indices of waiting tasks, next one last.
+        std::deque<uint32_t> waiting; ///< Indices of waiting tasks, the longest last.
         std::vector<std::string> answers;
         size_t succeeded = 0;
         std::vector<AgentIndex> places; ///< Agents that were sent starts.
@@ -184,6 +185,8 @@
     Milliseconds expectedWait() const;
     void noteCapacity(TimePoint now);
     void pump(TimePoint now);
+    bool startNext(Job& job, TimePoint now);
+    std::optional<AgentIndex> placeFor(const Job& job, TaskIndex task) const;
     void start(Job& job, TaskIndex task, AgentIndex agent, TimePoint now);
     wire::Backlog backlog(TimePoint now) const;
     Job* findJob(const JobKey& key);
@@ -229,6 +232,7 @@
     size_t m_queuedTasks = 0;
     double m_capacity = 0; ///< Slots within reach lately; falls slowly, so that a cut link is no overload.
     TimePoint m_capacityNoted {};
+    TimePoint m_nextNeedSweep {}; ///< Before that no agent is asked for grants.
     Microseconds m_queuedWork {}; ///< Declared run time of the queued tasks.
     EntryCounters m_counters;
     EffectList m_effects;
--- a/include/sequoia/Log.h
+++ b/include/sequoia/Log.h
@@ -1,6 +1,7 @@
 /** @file Log.h Events of a process: key=value lines on standard error and a bounded ring for the time line. */
 #pragma once
 
+#include <sequoia/Ids.h>
 #include <sequoia/Time.h>
 
 #include <atomic>
@@ -8,6 +9,7 @@
 #include <mutex>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace sequoia {
@@ -18,19 +20,31 @@
 /** Reads `debug`, `info`, `warning` or `error`; Info for any other text. */
 LogLevel parseLogLevel(std::string_view text);
 
+/** Value of a field; identifiers are written out only when somebody reads them. */
+using LogValue = std::variant<std::string, int64_t, JobKey, TaskKey>;
+
 /** One key=value pair of an event. */
 struct LogField {
-    std::string key;
-    std::string value;
+    std::string_view key; ///< A literal.
+    LogValue value;
 };
 
+/** Text of a value. */
+std::string toString(const LogValue& value);
+
 /** One event as the time line shows it. */
 struct TimeLineEvent {
+    /** One field as text. */
+    struct Field {
+        std::string key;
+        std::string value;
+    };
+
     uint64_t stamp = 0; ///< Hybrid logical time, µs since 1970; causes before effects over all processes.
     LogLevel level = LogLevel::Info;
     std::string process; ///< Name of the process.
     std::string kind; ///< Event kind, such as `task-start`.
-    std::vector<LogField> fields;
+    std::vector<Field> fields;
 };
 
 /** Hybrid logical clock: wall time that never falls behind a stamp received. Thread-safe. */
@@ -50,7 +64,7 @@
 public:
     Log(std::string process, LogLevel level, size_t ringSize);
 
-    /** Records an event and, at or above the level, prints it as one line. */
+    /** Records an event and, at or above the level, prints it as one line. `kind` is a literal. */
     void event(LogLevel level, std::string_view kind, std::vector<LogField> fields);
 
     /** Events of the ring with a stamp above `since`, whose fields contain `filter` (all if empty). */
@@ -63,12 +77,21 @@
     const std::string& process() const { return m_process; }
 
 private:
+    struct Recorded {
+        uint64_t stamp = 0;
+        LogLevel level = LogLevel::Info;
+        std::string_view kind;
+        std::vector<LogField> fields;
+    };
+
+    TimeLineEvent shown(const Recorded& event) const;
+
     std::string m_process;
     std::atomic<LogLevel> m_level;
     size_t m_ringSize;
     HybridClock m_clock;
     mutable std::mutex m_mutex;
-    std::deque<TimeLineEvent> m_ring;
+    std::deque<Recorded> m_ring;
 };
 
 } // namespace sequoia
--- a/include/sequoia/Placement.h
+++ b/include/sequoia/Placement.h
@@ -4,6 +4,7 @@
 #include <sequoia/Ids.h>
 #include <sequoia/Time.h>
 
+#include <array>
 #include <functional>
 #include <optional>
 #include <random>
@@ -32,6 +33,8 @@
     double slowness = 1.0; ///< Run time over declared run time, smoothed.
     double meanRunSeconds = 0.2; ///< Mean run time here, smoothed.
     std::unordered_set<TaskKey> outstanding; ///< Started, not answered.
+    size_t bucket = 0; ///< Of its speed, in the table's sums.
+    double freesPerSecond = 0; ///< Slots that it frees in a second, as counted in the sums.
     TimePoint lastHeard {};
     TimePoint lastSent {};
     TimePoint owedSince {}; ///< First answer since the last message to it; zero if there is none.
@@ -60,6 +63,13 @@
     /** Agents with grants, fastest first. */
     const std::set<std::pair<double, AgentIndex>>& granted() const { return m_granted; }
 
+    /** Smoothed times of one run; keeps the sums right. */
+    void setMeanRun(AgentIndex index, double seconds);
+    /** Slots a second that linked agents faster than a slowness free. */
+    double freesPerSecondOfFaster(double slowness) const;
+    /** Slowness of the fastest agents that work for this entry; empty if none does. */
+    std::optional<double> fastestWorking() const;
+
     size_t size() const { return m_agents.size(); }
     uint32_t totalGrants() const { return m_totalGrants; }
     uint32_t totalOutstanding() const { return m_totalOutstanding; }
@@ -67,6 +77,12 @@
     bool removeOutstanding(AgentIndex index, const TaskKey& task);
 
 private:
+    static constexpr size_t bucketCount = 48; ///< Of slowness, a quarter apart.
+
+    void refreshSums(AgentIndex index);
+
+    std::array<double, bucketCount> m_freesPerSecond {};
+    std::array<uint32_t, bucketCount> m_working {}; ///< Agents with starts outstanding.
     std::vector<AgentRecord> m_agents;
     std::unordered_map<std::string, AgentIndex> m_byName;
     std::unordered_map<LinkId, AgentIndex> m_byLink;
--- a/src/AgentCore.cpp
+++ b/src/AgentCore.cpp
@@ -126,7 +126,7 @@
     ++m_running;
     ++link.running;
     m_runningTasks.insert(*task);
-    m_effects.record(LogLevel::Debug, "backend-call", { { "task", toString(*task) } });
+    m_effects.record(LogLevel::Debug, "backend-call", { { "task", *task } });
     m_effects.add(CallBackend { *task, start.payload, Milliseconds(start.remaining_ms) });
 }
 
--- a/src/AgentGrants.cpp
+++ b/src/AgentGrants.cpp
@@ -38,7 +38,7 @@
     link.running = static_cast<uint32_t>(std::count_if(m_runningTasks.begin(), m_runningTasks.end(),
         [&](const TaskKey& task) { return task.job.home == link.entry; }));
     m_effects.record(
-        LogLevel::Info, "entry-linked", { { "entry", welcome.entry }, { "link", fmt::to_string(raw(id)) } });
+        LogLevel::Info, "entry-linked", { { "entry", welcome.entry }, { "link", static_cast<int64_t>(raw(id)) } });
     // Slots that other entries hold idle are shared with the newcomer.
     const auto share = m_slots / static_cast<uint32_t>(m_links.size());
     for (auto& [other, state] : m_links) {
@@ -59,7 +59,7 @@
         return;
     m_granted -= it->second.grants;
     m_links.erase(it);
-    m_effects.record(LogLevel::Info, "entry-unlinked", { { "link", fmt::to_string(raw(id)) } });
+    m_effects.record(LogLevel::Info, "entry-unlinked", { { "link", static_cast<int64_t>(raw(id)) } });
     for (auto& [key, job] : m_jobs)
         job.recoverers.erase(id);
     distribute(now);
@@ -178,7 +178,7 @@
 {
     if (slots == m_slots)
         return;
-    m_effects.record(LogLevel::Info, "backend-announced", { { "slots", fmt::to_string(slots) } });
+    m_effects.record(LogLevel::Info, "backend-announced", { { "slots", static_cast<int64_t>(slots) } });
     if (slots < m_slots)
         withdraw("fewer slots", now);
     m_slots = slots;
@@ -226,7 +226,7 @@
         }
     }
     for (const auto id : silent) {
-        m_effects.record(LogLevel::Warning, "link-silent", { { "link", fmt::to_string(raw(id)) } });
+        m_effects.record(LogLevel::Warning, "link-silent", { { "link", static_cast<int64_t>(raw(id)) } });
         m_effects.add(CloseLink { id, "silent" });
         linkClosed(id, now);
     }
--- a/src/EntryAgents.cpp
+++ b/src/EntryAgents.cpp
@@ -182,8 +182,8 @@
     if (job == nullptr || raw(task->index) >= job->states.size())
         return;
     m_effects.record(LogLevel::Debug, "task-answer",
-        { { "task", toString(*task) }, { "agent", agent.name }, { "outcome", wire::EnumNameOutcome(answer.outcome) },
-            { "run_us", fmt::to_string(answer.run_us) } });
+        { { "task", *task }, { "agent", agent.name }, { "outcome", wire::EnumNameOutcome(answer.outcome) },
+            { "run_us", static_cast<int64_t>(answer.run_us) } });
     switch (answer.outcome) {
     case wire::Outcome::Succeeded:
         if (!job->answer)
@@ -219,7 +219,7 @@
 {
     auto& agent = m_agents.at(index);
     const double seconds = std::chrono::duration<double>(run).count();
-    agent.meanRunSeconds += smoothing * (seconds - agent.meanRunSeconds);
+    m_agents.setMeanRun(index, agent.meanRunSeconds + smoothing * (seconds - agent.meanRunSeconds));
     if (declared.count() == 0)
         return;
     const double ratio = seconds / std::chrono::duration<double>(declared).count();
@@ -247,6 +247,9 @@
 {
     if (m_queuedTasks == 0 || m_agents.totalGrants() > 0 || m_queue.front() == std::nullopt)
         return;
+    if (now < m_nextNeedSweep)
+        return;
+    m_nextNeedSweep = now + firstNeedPause;
     for (size_t i = 0; i < m_agents.size(); ++i) {
         auto& agent = m_agents.at(AgentIndex(i));
         // An agent with starts of this entry outstanding hears of the backlog by the starts themselves.
--- a/src/EntryCore.cpp
+++ b/src/EntryCore.cpp
@@ -94,17 +94,19 @@
     ++m_openJobs;
     m_deadlines.emplace(job.deadline, key);
     m_effects.record(LogLevel::Debug, "job-submitted",
-        { { "job", toString(key) }, { "team", job.spec.team }, { "tasks", fmt::to_string(job.spec.tasks.size()) } });
+        { { "job", key }, { "team", job.spec.team }, { "tasks", static_cast<int64_t>(job.spec.tasks.size()) } });
 
     const size_t n = job.spec.tasks.size();
     job.states.assign(n, TaskState::Waiting);
     job.attempts.resize(n);
     job.answers.resize(n);
     Microseconds work {};
-    for (size_t i = n; i > 0; --i) {
-        job.waiting.push_back(static_cast<uint32_t>(i - 1));
-        work += declaredOrDefault(job.spec.tasks[i - 1]);
+    for (size_t i = 0; i < n; ++i) {
+        job.waiting.push_back(static_cast<uint32_t>(i));
+        work += declaredOrDefault(job.spec.tasks[i]);
     }
+    std::stable_sort(job.waiting.begin(), job.waiting.end(),
+        [&](uint32_t a, uint32_t b) { return job.spec.tasks[a].declared < job.spec.tasks[b].declared; });
     // Little work and early arrival both come first; every job is overtaken for a bounded time only.
     job.virtualDue = now + work;
     std::string detail;
@@ -257,7 +259,7 @@
     if (answer.isNotRun)
         ++m_counters.jobsNotRun;
     m_effects.record(isComplete ? LogLevel::Debug : LogLevel::Info, "job-answered",
-        { { "job", toString(key) }, { "status", isComplete ? "complete" : "failed" },
+        { { "job", key }, { "status", isComplete ? "complete" : "failed" },
             { "reason", std::string(toString(answer.reason)) }, { "not_run", answer.isNotRun ? "true" : "false" },
             { "detail", answer.detail } });
     job.answer = std::make_shared<const JobAnswer>(std::move(answer));
@@ -311,7 +313,7 @@
     // Another entry took this one for ended and may have told the job's answer already.
     job.isForfeited = true;
     m_reveals.erase({ job.revealAt, job.spec.key });
-    m_effects.record(LogLevel::Warning, "job-forfeited", { { "job", toString(job.spec.key) } });
+    m_effects.record(LogLevel::Warning, "job-forfeited", { { "job", job.spec.key } });
     for (const auto waiter : std::exchange(job.waiters, {}))
         recover(job.spec.key, false, waiter, now);
 }
@@ -340,25 +342,42 @@
         const auto key = m_queue.front();
         if (!key)
             return;
-        auto& job = *findJob(*key);
-        const auto task = TaskIndex(job.waiting.back());
-        const auto& spec = job.spec.tasks[raw(task)];
-        const PlacementTask wanted { { *key, task }, spec.declared, spec.repeatable, m_queuedTasks };
-        const auto agent = m_hooks.place(m_agents, wanted);
-        if (!agent)
+        if (!startNext(*findJob(*key), now))
             break;
-        start(job, task, *agent, now);
     }
     askForGrants(now);
 }
 
+bool EntryCore::startNext(Job& job, TimePoint now)
+{
+    // The longest task decides when the job is answered, so it goes first. If it had better wait for a faster agent,
+    // the shortest one may still do well on a slow one.
+    for (const auto n : { job.waiting.back(), job.waiting.front() }) {
+        const auto agent = placeFor(job, TaskIndex(n));
+        if (!agent)
+            continue;
+        start(job, TaskIndex(n), *agent, now);
+        return true;
+    }
+    return false;
+}
+
+std::optional<AgentIndex> EntryCore::placeFor(const Job& job, TaskIndex task) const
+{
+    const auto& spec = job.spec.tasks[raw(task)];
+    return m_hooks.place(m_agents, { { job.spec.key, task }, spec.declared, spec.repeatable, m_queuedTasks });
+}
+
 void EntryCore::start(Job& job, TaskIndex task, AgentIndex index, TimePoint now)
 {
     const auto& spec = job.spec.tasks[raw(task)];
     const TaskKey key { job.spec.key, task };
     m_queuedTasks -= 1;
     m_queuedWork -= declaredOrDefault(spec);
-    job.waiting.pop_back();
+    if (job.waiting.back() == raw(task))
+        job.waiting.pop_back();
+    else
+        job.waiting.pop_front();
     if (job.waiting.empty()) {
         job.isQueued = false;
         m_queue.erase(job.spec.team, job.spec.key, job.virtualDue);
@@ -383,7 +402,7 @@
     message.revision = raw(m_hooks.revision());
     message.payload = spec.payload;
     message.backlog = std::make_unique<wire::Backlog>(backlog(now));
-    m_effects.record(LogLevel::Debug, "task-start", { { "task", toString(key) }, { "agent", agent.name } });
+    m_effects.record(LogLevel::Debug, "task-start", { { "task", key }, { "agent", agent.name } });
     m_effects.send(agent.link, std::move(message));
     if (agent.grants > 0)
         m_agents.setGrants(index, agent.grants - 1);
--- a/src/EntryRecovery.cpp
+++ b/src/EntryRecovery.cpp
@@ -15,8 +15,8 @@
     const bool mustAsk = isNew || (isEnded && !recovery.isEnded && !recovery.answer);
     recovery.isEnded = recovery.isEnded || isEnded;
     if (mustAsk) {
-        m_effects.record(LogLevel::Info, "recovery-started",
-            { { "job", toString(key) }, { "home_ended", isEnded ? "true" : "false" } });
+        m_effects.record(
+            LogLevel::Info, "recovery-started", { { "job", key }, { "home_ended", isEnded ? "true" : "false" } });
         for (size_t i = 0; i < m_agents.size(); ++i) {
             const auto index = AgentIndex(i);
             const auto& agent = m_agents.at(index);
@@ -82,7 +82,7 @@
         }
         recovery.answer = std::make_shared<const JobAnswer>(std::move(answer));
         m_effects.record(LogLevel::Info, "recovery-done",
-            { { "job", toString(key) }, { "reason", std::string(toString(recovery.answer->reason)) } });
+            { { "job", key }, { "reason", std::string(toString(recovery.answer->reason)) } });
     }
     m_effects.add(DeliverAnswer { key, recovery.answer, std::exchange(recovery.waiters, {}) });
 }
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -43,7 +43,7 @@
         if (filter.empty())
             return true;
         return std::any_of(event.fields.begin(), event.fields.end(),
-            [&](const LogField& field) { return field.value.find(filter) != std::string::npos; });
+            [&](const TimeLineEvent::Field& field) { return field.value.find(filter) != std::string::npos; });
     }
 
 } // namespace
@@ -81,11 +81,34 @@
 {
 }
 
+std::string toString(const LogValue& value)
+{
+    return std::visit(
+        [](const auto& v) -> std::string {
+            using T = std::decay_t<decltype(v)>;
+            if constexpr (std::is_same_v<T, std::string>)
+                return v;
+            else if constexpr (std::is_same_v<T, int64_t>)
+                return fmt::to_string(v);
+            else
+                return toString(v);
+        },
+        value);
+}
+
+TimeLineEvent Log::shown(const Recorded& event) const
+{
+    TimeLineEvent out { event.stamp, event.level, m_process, std::string(event.kind), {} };
+    for (const auto& field : event.fields)
+        out.fields.push_back({ std::string(field.key), toString(field.value) });
+    return out;
+}
+
 void Log::event(LogLevel level, std::string_view kind, std::vector<LogField> fields)
 {
-    TimeLineEvent event { m_clock.next(), level, m_process, std::string(kind), std::move(fields) };
+    Recorded event { m_clock.next(), level, kind, std::move(fields) };
     if (level >= m_level.load())
-        fmt::print(stderr, "{}", toLine(event));
+        fmt::print(stderr, "{}", toLine(shown(event)));
     const std::lock_guard lock(m_mutex);
     m_ring.push_back(std::move(event));
     if (m_ring.size() > m_ringSize)
@@ -94,11 +117,17 @@
 
 std::vector<TimeLineEvent> Log::events(uint64_t since, std::string_view filter) const
 {
-    const std::lock_guard lock(m_mutex);
+    std::vector<Recorded> recent;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::copy_if(m_ring.begin(), m_ring.end(), std::back_inserter(recent),
+            [&](const Recorded& event) { return event.stamp > since; });
+    }
     std::vector<TimeLineEvent> found;
-    for (const auto& event : m_ring) {
-        if (event.stamp > since && matches(event, filter))
-            found.push_back(event);
+    for (const auto& event : recent) {
+        auto text = shown(event);
+        if (matches(text, filter))
+            found.push_back(std::move(text));
     }
     return found;
 }
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -2,7 +2,9 @@
 #include <sequoia/Placement.h>
 
 #include <algorithm>
+#include <cmath>
 #include <memory>
+#include <numeric>
 
 namespace sequoia {
 
@@ -29,6 +31,61 @@
     m_byLink[link] = index;
     at(index).link = link;
     at(index).isLinked = true;
+    refreshSums(index);
+}
+
+namespace {
+
+    constexpr double bucketRatio = 1.25;
+    constexpr double bucketOrigin = 0.01; // Slowness of the first bucket.
+    constexpr double shortestRunSeconds = 1e-3;
+
+    size_t bucketOf(double slowness, size_t count)
+    {
+        const double n = std::log(std::max(slowness, bucketOrigin) / bucketOrigin) / std::log(bucketRatio);
+        return std::min(static_cast<size_t>(n), count - 1);
+    }
+
+    double slownessOf(size_t bucket) { return bucketOrigin * std::pow(bucketRatio, static_cast<double>(bucket) + 0.5); }
+
+} // namespace
+
+void AgentTable::refreshSums(AgentIndex index)
+{
+    auto& agent = at(index);
+    if (agent.freesPerSecond > 0) {
+        m_freesPerSecond.at(agent.bucket) -= agent.freesPerSecond;
+        --m_working.at(agent.bucket);
+    }
+    const bool isWorking = agent.isLinked && !agent.outstanding.empty();
+    agent.bucket = bucketOf(agent.slowness, bucketCount);
+    agent.freesPerSecond = isWorking
+        ? static_cast<double>(agent.outstanding.size()) / std::max(agent.meanRunSeconds, shortestRunSeconds)
+        : 0;
+    if (isWorking) {
+        m_freesPerSecond.at(agent.bucket) += agent.freesPerSecond;
+        ++m_working.at(agent.bucket);
+    }
+}
+
+void AgentTable::setMeanRun(AgentIndex index, double seconds)
+{
+    at(index).meanRunSeconds = seconds;
+    refreshSums(index);
+}
+
+double AgentTable::freesPerSecondOfFaster(double slowness) const
+{
+    const auto end = m_freesPerSecond.begin() + static_cast<std::ptrdiff_t>(bucketOf(slowness, bucketCount));
+    return std::accumulate(m_freesPerSecond.begin(), end, 0.0);
+}
+
+std::optional<double> AgentTable::fastestWorking() const
+{
+    const auto it = std::find_if(m_working.begin(), m_working.end(), [](uint32_t n) { return n > 0; });
+    if (it == m_working.end())
+        return std::nullopt;
+    return slownessOf(static_cast<size_t>(it - m_working.begin()));
 }
 
 void AgentTable::unbindLink(LinkId link)
@@ -36,6 +93,7 @@
     if (const auto index = byLink(link)) {
         at(*index).isLinked = false;
         setGrants(*index, 0);
+        refreshSums(*index);
     }
     m_byLink.erase(link);
 }
@@ -61,12 +119,15 @@
         m_granted.emplace(slowness, index);
     }
     agent.slowness = slowness;
+    refreshSums(index);
 }
 
 void AgentTable::addOutstanding(AgentIndex index, const TaskKey& task)
 {
-    if (at(index).outstanding.insert(task).second)
-        ++m_totalOutstanding;
+    if (!at(index).outstanding.insert(task).second)
+        return;
+    ++m_totalOutstanding;
+    refreshSums(index);
 }
 
 bool AgentTable::removeOutstanding(AgentIndex index, const TaskKey& task)
@@ -74,6 +135,7 @@
     if (at(index).outstanding.erase(task) == 0)
         return false;
     --m_totalOutstanding;
+    refreshSums(index);
     return true;
 }
 
@@ -109,31 +171,6 @@
         return std::nullopt;
     }
 
-    /** Expected time until one of the agents faster than `slowness` frees a slot, in seconds. */
-    double secondsUntilFasterFrees(const AgentTable& agents, double slowness, size_t tasksBehind)
-    {
-        double freesPerSecond = 0;
-        for (size_t i = 0; i < agents.size(); ++i) {
-            const auto& agent = agents.at(AgentIndex(i));
-            if (agent.isLinked && agent.slowness < slowness)
-                freesPerSecond += static_cast<double>(agent.outstanding.size()) / std::max(agent.meanRunSeconds, 1e-3);
-        }
-        if (freesPerSecond <= 0)
-            return 1e9;
-        return static_cast<double>(tasksBehind) / freesPerSecond;
-    }
-
-    double fastestSlowness(const AgentTable& agents)
-    {
-        double fastest = 1e9;
-        for (size_t i = 0; i < agents.size(); ++i) {
-            const auto& agent = agents.at(AgentIndex(i));
-            if (agent.isLinked && !agent.isWithdrawn && !agent.outstanding.empty())
-                fastest = std::min(fastest, agent.slowness);
-        }
-        return fastest;
-    }
-
 } // namespace
 
 PlacementPolicy fastestGrant() { return fastestUsable; }
@@ -146,11 +183,12 @@
         if (!best || task.declared.count() == 0)
             return best;
         const double here = agents.at(*best).slowness;
-        const double there = fastestSlowness(agents);
-        if (here < there * noticeable)
+        const double there = agents.fastestWorking().value_or(here);
+        const double frees = agents.freesPerSecondOfFaster(here);
+        if (here < there * noticeable || frees <= 0)
             return best;
         const double seconds = std::chrono::duration<double>(task.declared).count();
-        const double wait = secondsUntilFasterFrees(agents, here, task.tasksBehind);
+        const double wait = static_cast<double>(task.tasksBehind) / frees;
         if (wait + there * seconds < here * seconds)
             return std::nullopt;
         return best;
--- a/tests/PolicyTest.cpp
+++ b/tests/PolicyTest.cpp
@@ -120,7 +120,7 @@
     agents.bindLink(slow, LinkId(2));
     agents.setSlowness(slow, 4.0);
     agents.setGrants(slow, 1);
-    agents.at(fast).meanRunSeconds = 0.1;
+    agents.setMeanRun(fast, 0.1);
     for (uint16_t i = 0; i < 8; ++i)
         agents.addOutstanding(fast, { jobKey(1), TaskIndex(i) });
     const auto place = earliestFinish();
