--- a/bench/CoreBench.cpp
+++ b/bench/CoreBench.cpp
@@ -1,4 +1,5 @@
-/** @file CoreBench.cpp Cost of the decision core alone, one thread, against agents, teams, queue and records, with fits. */
+/** @file CoreBench.cpp Cost of the decision core alone, one thread, against agents, teams, queue and records, with
+ * fits. */
 #include <sequoia/AgentCore.h>
 #include <sequoia/EntryCore.h>
 
@@ -25,7 +26,7 @@
     limits.maxOpenJobs = 10000000;
     limits.maxQueuedTasks = 10000000;
     EntryHooks hooks;
-    hooks.place = earliestFinish();
+    hooks.place = earliestFinish(responseFirst);
     hooks.revision = [] { return Revision(1); };
     hooks.checkVisit = [](const JobSpec&, const TaskSpec&) { return std::optional<VisitRefusal>(); };
     return { Incarnation(1), limits, std::move(hooks) };
@@ -208,7 +209,8 @@
         wire::BodyUnion body;
         body.Set(std::move(start));
         core.receive(LinkId(1), body, now);
-        core.backendFinished(task, { wire::Outcome::Succeeded, "", "an answer of thirty-two bytes...", Microseconds(1) }, now);
+        core.backendFinished(
+            task, { wire::Outcome::Succeeded, "", "an answer of thirty-two bytes...", Microseconds(1) }, now);
         core.takeEffects();
     }
     return heapBytes() - before;
--- a/include/sequoia/Link.h
+++ b/include/sequoia/Link.h
@@ -57,6 +57,10 @@
     /** Ends the listener and all connections. */
     void shutdown();
 
+    /** Bytes of frames sent and received since the start. */
+    uint64_t bytesSent() const;
+    uint64_t bytesReceived() const;
+
     /** Frees ended connections; call it now and then. */
     void collect();
 
--- a/include/sequoia/Placement.h
+++ b/include/sequoia/Placement.h
@@ -31,6 +31,7 @@
     uint32_t grants = 0; ///< Unused grants held from it.
     bool holdsTrial = false; ///< One of the grants is a trial after a quarantine.
     double slowness = 1.0; ///< Run time over declared run time, smoothed.
+    uint32_t samples = 0; ///< Answers that the estimates rest on, up to the few that a new agent needs.
     double meanRunSeconds = 0.2; ///< Mean run time here, smoothed.
     std::unordered_set<TaskKey> outstanding; ///< Started, not answered.
     size_t bucket = 0; ///< Of its speed, in the table's sums.
@@ -104,15 +105,26 @@
 
 /** The fastest agent that has granted a slot. */
 PlacementPolicy fastestGrant();
+/** When a task waits for a faster agent instead of taking a grant of a slow one. */
+struct HoldBack {
+    double leastRatio = 1; ///< Slowness here over that of the fastest working agent.
+    double largestShare = 1; ///< Expected time there, with the wait, over the time here.
+};
+
+/** Uses all but much slower agents at once. */
+constexpr HoldBack responseFirst { 2.5, 0.6 };
+/** Waits for slots that come back with answers, which costs no message. */
+constexpr HoldBack messagesFirst { 1.2, 1.0 };
+
 /** The fastest grant, unless a faster agent is expected to be free soon enough to answer earlier. */
-PlacementPolicy earliestFinish();
+PlacementPolicy earliestFinish(HoldBack hold);
 /** Baseline: any linked agent, which may refuse. */
 PlacementPolicy randomWithRefusal(uint64_t seed);
 /** Baseline: the linked agent with the fewest of this entry's starts outstanding, which may refuse. */
 PlacementPolicy leastOutstanding();
 /** Baseline: the less busy of two random agents by this entry's view, which may refuse. */
 PlacementPolicy twoChoices(uint64_t seed);
-/** A policy by its name in the settings; empty if there is none of that name. */
-std::optional<PlacementPolicy> placementPolicy(const std::string& name, uint64_t seed);
+/** A policy by its name and profile in the settings; empty if there is none of that name. */
+std::optional<PlacementPolicy> placementPolicy(const std::string& name, const std::string& profile, uint64_t seed);
 
 } // namespace sequoia
--- a/src/AgentMain.cpp
+++ b/src/AgentMain.cpp
@@ -176,6 +176,10 @@
                 out += prometheusValue("sequoia_agent_links", "gauge", "Links to entries.", json["links"]);
                 out += prometheusValue(
                     "sequoia_agent_records", "gauge", "Jobs remembered by the start-once gate.", json["records"]);
+                out += prometheusValue("sequoia_link_bytes_sent_total", "counter", "Bytes of frames sent to entries.",
+                    static_cast<double>(m_links.bytesSent()));
+                out += prometheusValue("sequoia_link_bytes_received_total", "counter",
+                    "Bytes of frames received from entries.", static_cast<double>(m_links.bytesReceived()));
                 response.set_content(out, metricsType);
             });
         }
--- a/src/EntryAgents.cpp
+++ b/src/EntryAgents.cpp
@@ -219,11 +219,15 @@
 {
     auto& agent = m_agents.at(index);
     const double seconds = std::chrono::duration<double>(run).count();
-    m_agents.setMeanRun(index, agent.meanRunSeconds + smoothing * (seconds - agent.meanRunSeconds));
+    // The first answers of an agent count more, so that a slow one is known at once.
+    constexpr uint32_t fewSamples = 7;
+    agent.samples = std::min(agent.samples + 1, fewSamples);
+    const double weight = std::max(smoothing, 1.0 / agent.samples);
+    m_agents.setMeanRun(index, agent.meanRunSeconds + weight * (seconds - agent.meanRunSeconds));
     if (declared.count() == 0)
         return;
     const double ratio = seconds / std::chrono::duration<double>(declared).count();
-    m_agents.setSlowness(index, agent.slowness + smoothing * (ratio - agent.slowness));
+    m_agents.setSlowness(index, agent.slowness + weight * (ratio - agent.slowness));
 }
 
 void EntryCore::onState(AgentIndex index, const wire::StateT& state, TimePoint now)
--- a/src/EntryApi.cpp
+++ b/src/EntryApi.cpp
@@ -53,7 +53,8 @@
 bool EntryApi::canServe(Response& response) const
 {
     if (m_isStopping)
-        fail(response, { statusUnavailable, "stopping", "the entry is stopping; open a session at another one", true, "" });
+        fail(response,
+            { statusUnavailable, "stopping", "the entry is stopping; open a session at another one", true, "" });
     else if (!m_parts.config.isReady())
         fail(response, { statusUnavailable, "not-ready", "the entry has no configuration yet", true, "" });
     else
@@ -342,6 +343,8 @@
     out += counter("jobs_complete_total", "Jobs answered complete.", n.jobsComplete);
     out += counter("jobs_failed_total", "Jobs answered failed.", n.jobsFailed);
     out += counter("jobs_not_run_total", "Failed jobs of which nothing ran.", n.jobsNotRun);
+    out += counter("link_bytes_sent_total", "Bytes of frames sent to agents.", m_parts.links.bytesSent());
+    out += counter("link_bytes_received_total", "Bytes of frames received from agents.", m_parts.links.bytesReceived());
     if (m_parts.store != nullptr) {
         const auto& calls = m_parts.store->calls();
         out += counter("store_reads_total", "Reads of the platform store.", calls.reads);
--- a/src/EntryApi.h
+++ b/src/EntryApi.h
@@ -16,6 +16,7 @@
     const EntrySettings& settings;
     EntryRegistration self;
     EntryControl& control;
+    const LinkHub& links;
     EntryConfig& config;
     const ConfigHolder& holder;
     const Store* store = nullptr;
--- a/src/EntryMain.cpp
+++ b/src/EntryMain.cpp
@@ -86,7 +86,7 @@
             m_registration.http = m_settings.advertise_http.empty() ? bound : m_settings.advertise_http;
             m_config.emplace(EntryConfigParts { m_registration, m_settings.cluster, m_settings.token, m_settings.peers,
                 std::chrono::seconds(m_settings.lease_ttl_s), m_holder, m_store ? &*m_store : nullptr, m_log });
-            m_api.emplace(EntryApiParts { m_settings, m_registration, m_control, *m_config, m_holder,
+            m_api.emplace(EntryApiParts { m_settings, m_registration, m_control, m_links, *m_config, m_holder,
                               m_store ? &*m_store : nullptr, m_log },
                 m_http);
             m_http.start(bound);
@@ -148,7 +148,7 @@
         EntryHooks hooks()
         {
             EntryHooks out;
-            out.place = *placementPolicy(m_settings.policy, static_cast<uint64_t>(m_settings.seed));
+            out.place = *placementPolicy(m_settings.policy, m_settings.profile, static_cast<uint64_t>(m_settings.seed));
             out.revision = [this] { return m_holder.revision(); };
             out.checkVisit = [this](const JobSpec& job, const TaskSpec& task) -> std::optional<VisitRefusal> {
                 if (job.day.empty() || task.visit.empty())
--- a/src/Link.cpp
+++ b/src/Link.cpp
@@ -2,6 +2,7 @@
 #include <sequoia/Link.h>
 
 #include <array>
+#include <atomic>
 #include <cstring>
 #include <mutex>
 #include <nng/nng.h>
@@ -40,6 +41,8 @@
     LinkHooks m_hooks;
     LinkLimits m_limits;
     HybridClock& m_clock;
+    std::atomic<uint64_t> m_bytesSent { 0 };
+    std::atomic<uint64_t> m_bytesReceived { 0 };
 
 private:
     std::shared_ptr<Link> makeLink();
@@ -117,6 +120,7 @@
             return;
         const auto* data = builder.GetBufferPointer();
         m_outbox.insert(m_outbox.end(), data, data + builder.GetSize());
+        m_hub.m_bytesSent += builder.GetSize();
         if (m_outbox.size() > m_hub.m_limits.maxOutboxBytes) {
             lock.unlock();
             finish("peer reads too slowly");
@@ -178,6 +182,7 @@
         }
         const auto n = static_cast<std::ptrdiff_t>(nng_aio_count(m_recvAio));
         m_inbox.insert(m_inbox.end(), m_chunk.begin(), m_chunk.begin() + n);
+        m_hub.m_bytesReceived += static_cast<uint64_t>(n);
         if (!consume()) {
             finish("malformed frame");
             return;
@@ -392,6 +397,10 @@
         found->finish("closed here");
 }
 
+uint64_t LinkHub::bytesSent() const { return m_state->m_bytesSent; }
+
+uint64_t LinkHub::bytesReceived() const { return m_state->m_bytesReceived; }
+
 void LinkHub::collect() { m_state->collect(); }
 
 } // namespace sequoia
--- a/src/Placement.cpp
+++ b/src/Placement.cpp
@@ -175,21 +175,20 @@
 
 PlacementPolicy fastestGrant() { return fastestUsable; }
 
-PlacementPolicy earliestFinish()
+PlacementPolicy earliestFinish(HoldBack hold)
 {
-    return [](const AgentTable& agents, const PlacementTask& task) -> std::optional<AgentIndex> {
-        constexpr double noticeable = 1.2; // Below this ratio of speeds, waiting is not worth the risk.
+    return [hold](const AgentTable& agents, const PlacementTask& task) -> std::optional<AgentIndex> {
         const auto best = fastestUsable(agents, task);
         if (!best || task.declared.count() == 0)
             return best;
         const double here = agents.at(*best).slowness;
         const double there = agents.fastestWorking().value_or(here);
         const double frees = agents.freesPerSecondOfFaster(here);
-        if (here < there * noticeable || frees <= 0)
+        if (here < there * hold.leastRatio || frees <= 0)
             return best;
         const double seconds = std::chrono::duration<double>(task.declared).count();
         const double wait = static_cast<double>(task.tasksBehind) / frees;
-        if (wait + there * seconds < here * seconds)
+        if (wait + there * seconds < hold.largestShare * here * seconds)
             return std::nullopt;
         return best;
     };
@@ -229,10 +228,10 @@
     };
 }
 
-std::optional<PlacementPolicy> placementPolicy(const std::string& name, uint64_t seed)
+std::optional<PlacementPolicy> placementPolicy(const std::string& name, const std::string& profile, uint64_t seed)
 {
     if (name == "grants")
-        return earliestFinish();
+        return earliestFinish(profile == "messages" ? messagesFirst : responseFirst);
     if (name == "fastest-grant")
         return fastestGrant();
     if (name == "random")
--- a/tests/Fleet.cpp
+++ b/tests/Fleet.cpp
@@ -3,45 +3,118 @@
 
 #include <sequoia/HttpService.h>
 
+#include <condition_variable>
 #include <criterion/criterion.h>
 #include <csignal>
+#include <deque>
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <fstream>
-#include <spawn.h>
+#include <future>
+#include <mutex>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace sequoia::testing {
 
 namespace {
 
-constexpr Milliseconds pause { 20 };
-constexpr Milliseconds callTimeout { 2000 };
-constexpr Milliseconds longestStart { 20000 };
+    constexpr Milliseconds pause { 20 };
+    constexpr Milliseconds callTimeout { 2000 };
+    constexpr Milliseconds longestStart { 20000 };
 
-std::string readAll(const std::string& path)
-{
-    std::stringstream text;
-    text << std::ifstream(path).rdbuf();
-    return text.str();
-}
+    std::string readAll(const std::string& path)
+    {
+        std::stringstream text;
+        text << std::ifstream(path).rdbuf();
+        return text.str();
+    }
 
-std::string temporaryFile()
-{
-    std::string path = "/tmp/sequoia-test-XXXXXX";
-    const int fd = mkstemp(path.data());
-    close(fd);
-    return path;
-}
+    std::string temporaryFile()
+    {
+        std::string path = "/tmp/sequoia-test-XXXXXX";
+        const int fd = mkstemp(path.data());
+        close(fd);
+        return path;
+    }
 
-std::string put(const std::string& address, const std::string& path, const Json& body)
-{
-    auto client = makeHttpClient(address, callTimeout);
-    const auto reply = client.Put(path, body.dump(), "application/json");
-    cr_assert(static_cast<bool>(reply), "no answer from %s%s", address.c_str(), path.c_str());
-    return reply->body;
-}
+    std::string put(const std::string& address, const std::string& path, const Json& body)
+    {
+        auto client = makeHttpClient(address, callTimeout);
+        const auto reply = client.Put(path, body.dump(), "application/json");
+        cr_assert(static_cast<bool>(reply), "no answer from %s%s", address.c_str(), path.c_str());
+        return reply->body;
+    }
+
+    /**
+     * Starts all processes from one thread that lives as long as the test, and has the kernel end them with it:
+     * whatever becomes of the test, nothing is left running.
+     */
+    class Spawner {
+    public:
+        static Spawner& instance()
+        {
+            static auto* spawner = new Spawner; // Never destroyed: its thread must not end before the process.
+            return *spawner;
+        }
+
+        pid_t start(char** argv, const std::string& outPath, const std::string& logPath)
+        {
+            std::packaged_task<pid_t()> task([&] { return fork(argv, outPath, logPath); });
+            auto pid = task.get_future();
+            {
+                const std::lock_guard lock(m_mutex);
+                m_tasks.push_back(std::move(task));
+            }
+            m_changed.notify_one();
+            return pid.get();
+        }
+
+    private:
+        Spawner()
+        {
+            std::thread([this] { run(); }).detach();
+        }
+
+        void run()
+        {
+            std::unique_lock lock(m_mutex);
+            for (;;) {
+                m_changed.wait(lock, [&] { return !m_tasks.empty(); });
+                auto task = std::move(m_tasks.front());
+                m_tasks.pop_front();
+                lock.unlock();
+                task();
+                lock.lock();
+            }
+        }
+
+        static pid_t fork(char** argv, const std::string& outPath, const std::string& logPath)
+        {
+            const int in = open("/dev/null", O_RDONLY | O_CLOEXEC);
+            const int out = open(outPath.c_str(), O_WRONLY | O_TRUNC | O_CLOEXEC);
+            const int log = open(logPath.c_str(), O_WRONLY | O_TRUNC | O_CLOEXEC);
+            const pid_t pid = ::fork();
+            if (pid == 0) {
+                // Only calls that are safe after fork in a process with threads.
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                dup2(in, STDIN_FILENO);
+                dup2(out, STDOUT_FILENO);
+                dup2(log, STDERR_FILENO);
+                execv(argv[0], argv);
+                _exit(127);
+            }
+            close(in);
+            close(out);
+            close(log);
+            return pid;
+        }
+
+        std::mutex m_mutex;
+        std::condition_variable m_changed;
+        std::deque<std::packaged_task<pid_t()>> m_tasks;
+    };
 
 } // namespace
 
@@ -55,14 +128,8 @@
     for (auto& argument : arguments)
         argv.push_back(argument.data());
     argv.push_back(nullptr);
-    posix_spawn_file_actions_t files;
-    posix_spawn_file_actions_init(&files);
-    posix_spawn_file_actions_addopen(&files, STDIN_FILENO, "/dev/null", O_RDONLY, 0);
-    posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, m_outPath.c_str(), O_WRONLY | O_TRUNC, 0600);
-    posix_spawn_file_actions_addopen(&files, STDERR_FILENO, m_logPath.c_str(), O_WRONLY | O_TRUNC, 0600);
-    const int rv = posix_spawn(&m_pid, argv[0], &files, nullptr, argv.data(), environ);
-    posix_spawn_file_actions_destroy(&files);
-    cr_assert_eq(rv, 0, "cannot start %s", argv[0]);
+    m_pid = Spawner::instance().start(argv.data(), m_outPath, m_logPath);
+    cr_assert_gt(m_pid, 0, "cannot start %s", argv[0]);
 }
 
 Process::~Process()
--- a/tests/PolicyTest.cpp
+++ b/tests/PolicyTest.cpp
@@ -123,7 +123,7 @@
     agents.setMeanRun(fast, 0.1);
     for (uint16_t i = 0; i < 8; ++i)
         agents.addOutstanding(fast, { jobKey(1), TaskIndex(i) });
-    const auto place = earliestFinish();
+    const auto place = earliestFinish(responseFirst);
     const PlacementTask longTask { { jobKey(2), TaskIndex(0) }, Milliseconds(1000), true, 1 };
     const PlacementTask shortTask { { jobKey(2), TaskIndex(0) }, Milliseconds(2), true, 1 };
     cr_expect_not(place(agents, longTask).has_value(), "1 s on the slow one takes 4 s, a fast slot is free in 12 ms");
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -9,7 +9,7 @@
 fleetStart() {
     local name=$1 program=$2
     shift 2
-    "$fleetBin/$program" "$@" >>"$fleetDir/$name.out" 2>>"$fleetDir/$name.log" &
+    setpriv --pdeathsig KILL "$fleetBin/$program" "$@" >>"$fleetDir/$name.out" 2>>"$fleetDir/$name.log" &
     fleetPid[$name]=$!
     local i line
     for ((i = 0; i < 500; i++)); do
