--- a/include/sequoia/EntryCore.h
+++ b/include/sequoia/EntryCore.h
@@ -178,6 +178,7 @@
     void sendAbandon(const JobKey& job, AgentIndex agent);
     void onAbandoned(Job& job, AgentIndex agent, bool isRefused, TimePoint now);
     void reveal(Job& job);
+    void release(Job& job);
     void fail(Job& job, StopReason reason, std::string detail, TimePoint now);
     void enqueue(Job& job);
     void dequeue(Job& job);
--- a/src/AgentGrants.cpp
+++ b/src/AgentGrants.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     /** Another entry gets a freed slot only if its oldest task has waited this much longer. */
-    constexpr Microseconds noticeableWait { 10000 };
+    constexpr Microseconds noticeableWait { 50000 };
     constexpr Milliseconds trialUnused { 2000 }; // A trial grant that is not used passes to another entry.
 
 } // namespace
@@ -75,7 +75,8 @@
 {
     LinkId best = home;
     const auto& own = m_links.at(home);
-    Microseconds bestWait = own.backlog > 0 ? own.oldestWait + noticeableWait : Microseconds(0);
+    // What is known of the other entries' work is old, so that only a long wait there moves a slot.
+    Microseconds bestWait = noticeableWait + (own.backlog > 0 ? own.oldestWait : Microseconds(0));
     for (const auto& [id, link] : m_links) {
         if (id != home && link.backlog > 0 && link.oldestWait > bestWait) {
             best = id;
--- a/src/EntryAgents.cpp
+++ b/src/EntryAgents.cpp
@@ -155,6 +155,7 @@
     if (auto* job = findJob(task.job)) {
         --job->outstanding;
         m_queue.ended(job->spec.team);
+        release(*job);
     }
 }
 
--- a/src/EntryCore.cpp
+++ b/src/EntryCore.cpp
@@ -318,12 +318,22 @@
         recover(job.spec.key, false, waiter, now);
 }
 
+void EntryCore::release(Job& job)
+{
+    if (!job.isRevealed || job.outstanding > 0)
+        return;
+    // Nothing more is heard of the tasks; only the answer and the digest stay.
+    job.states = {};
+    job.attempts = {};
+}
+
 void EntryCore::reveal(Job& job)
 {
     m_reveals.erase({ job.revealAt, job.spec.key });
     job.abandoning.clear();
     job.places = {};
     job.isRevealed = true;
+    release(job);
     m_effects.add(DeliverAnswer { job.spec.key, job.answer, std::exchange(job.waiters, {}) });
 }
 
