Connect time-outs count as not sent, and the listening queue is widened

Cause of failed jobs at 10,000 starts/s: a burst of connections to a backend server overflowed the HTTP library's listening queue of five; the connect time-out was taken for a call without answer, although nothing had been sent. Ruled out: stale kept-alive connections (they are renewed after 1 s), quarantine (no agent withdrew).

--- a/bench/CoreBench.cpp
+++ b/bench/CoreBench.cpp
@@ -216,6 +216,37 @@
     return heapBytes() - before;
 }
 
+/** Share of a core that ticks of an idle entry take, in per cent. */
+double tickShare(size_t agents)
+{
+    constexpr int ticksPerSecond = 100;
+    constexpr int seconds = 60;
+    auto core = makeCore();
+    TimePoint now { std::chrono::hours(1) };
+    for (size_t i = 0; i < agents; ++i) {
+        wire::HelloT hello;
+        hello.agent = fmt::format("agent-{}", i);
+        hello.incarnation = i + 1;
+        core.agentLinked(LinkId(i + 1), hello, now);
+    }
+    core.takeEffects();
+    const auto begin = Clock::now();
+    for (int i = 0; i < ticksPerSecond * seconds; ++i) {
+        now += Milliseconds(1000 / ticksPerSecond);
+        core.tick(now);
+        core.takeEffects();
+        if (i % ticksPerSecond == 0) {
+            // Beats of the agents, as rarely as the entry asks for them.
+            const auto due = agents * 1000 / static_cast<size_t>(core.beatInterval().count()) + 1;
+            wire::BodyUnion beat;
+            beat.Set(wire::BeatT());
+            for (size_t n = 0; n < due; ++n)
+                core.receive(LinkId((static_cast<size_t>(i) / ticksPerSecond * due + n) % agents + 1), beat, now);
+        }
+    }
+    return std::chrono::duration<double>(Clock::now() - begin).count() / seconds * 100;
+}
+
 } // namespace
 
 int main()
@@ -227,6 +258,15 @@
     printSeries("agents", { 58, 115, 230, 460, 920 }, [](size_t n) { return startCost(n, 190, 10000); });
     printSeries("teams", { 12, 24, 48, 95, 190 }, [](size_t n) { return startCost(920, n, 10000); });
     printSeries("queue", { 1250, 2500, 5000, 10000, 20000 }, [](size_t n) { return startCost(920, 190, n); });
+    fmt::print("ticks of an idle entry core, 100 a second\n");
+    std::vector<double> agentCounts { 115, 230, 460, 920 };
+    std::vector<double> shares;
+    for (const double n : agentCounts) {
+        shares.push_back(tickShare(static_cast<size_t>(n)));
+        fmt::print("  agents {:>6.0f}: {:.3f} % of a core\n", n, shares.back());
+    }
+    const auto tickFit = fitLine(agentCounts, shares);
+    fmt::print("  fit: {:.4f} % + {:.6f} % x agents, error {:.4f} %\n", tickFit.offset, tickFit.slope, tickFit.error);
     fmt::print("memory of an entry core\n");
     printMemory("linked agents", { 115, 230, 460, 920 }, [](size_t n) {
         const size_t before = heapBytes();
--- a/include/sequoia/EntryCore.h
+++ b/include/sequoia/EntryCore.h
@@ -233,6 +233,7 @@
     size_t m_queuedTasks = 0;
     double m_capacity = 0; ///< Slots within reach lately; falls slowly, so that a cut link is no overload.
     TimePoint m_capacityNoted {};
+    TimePoint m_agentsSwept {};
     TimePoint m_nextNeedSweep {}; ///< Before that no agent is asked for grants.
     Microseconds m_queuedWork {}; ///< Declared run time of the queued tasks.
     EntryCounters m_counters;
--- a/include/sequoia/HttpService.h
+++ b/include/sequoia/HttpService.h
@@ -40,12 +40,16 @@
 private:
     httplib::Server m_server;
     std::thread m_thread;
+    int m_listener = -1; ///< File descriptor of the listening socket.
     std::atomic<bool> m_isStopping { false };
 };
 
 /** Client of `host:port` with one timeout for connecting, reading and writing. */
 httplib::Client makeHttpClient(const std::string& address, Milliseconds timeout);
 
+/** Whether a call failed before anything was sent. */
+bool isConnectFailure(httplib::Error error);
+
 /** Splits `host:port`; empty if the port is not a number. */
 std::optional<std::pair<std::string, int>> splitAddress(const std::string& address);
 
--- a/src/BackendPool.cpp
+++ b/src/BackendPool.cpp
@@ -41,7 +41,7 @@
             out.run = toMicroseconds(m_lastUsed - begin);
             if (!reply) {
                 // Only a connection that was never made proves that nothing ran.
-                const bool isUnsent = reply.error() == httplib::Error::Connection;
+                const bool isUnsent = isConnectFailure(reply.error());
                 out.outcome = isUnsent ? wire::Outcome::NotStarted : wire::Outcome::Failed;
                 out.reason = isUnsent ? "backend server unreachable"
                                       : "no answer of the backend server: " + httplib::to_string(reply.error());
--- a/src/EntryAgents.cpp
+++ b/src/EntryAgents.cpp
@@ -288,6 +288,10 @@
 
 void EntryCore::tickAgents(TimePoint now)
 {
+    constexpr Milliseconds sweepPeriod { 50 };
+    if (now - m_agentsSwept < sweepPeriod)
+        return;
+    m_agentsSwept = now;
     const auto quiet = beatInterval();
     for (size_t i = 0; i < m_agents.size(); ++i) {
         const auto index = AgentIndex(i);
--- a/src/HttpService.cpp
+++ b/src/HttpService.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr Milliseconds idleThreadLife { 10000 };
+    constexpr int connectionQueue = 1024;
     constexpr size_t keepAliveRequests = 1U << 30U;
 
     /** Serves connections on threads that are made when needed and end when idle. */
@@ -87,6 +88,11 @@
     return std::pair(address.substr(0, at), port);
 }
 
+bool isConnectFailure(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
+}
+
 httplib::Client makeHttpClient(const std::string& address, Milliseconds timeout)
 {
     httplib::Client client("http://" + address);
@@ -101,6 +107,11 @@
 {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(limits.readTimeout);
     m_server.new_task_queue = [limits] { return new ElasticPool(limits.connections); };
+    m_server.set_socket_options([this](socket_t socket) {
+        m_listener = socket;
+        const int one = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    });
     m_server.set_tcp_nodelay(true);
     m_server.set_keep_alive_max_count(keepAliveRequests);
     m_server.set_keep_alive_timeout(seconds.count());
@@ -127,6 +138,8 @@
         port = -1;
     if (port < 0)
         throw HttpError::AddressInUse;
+    // The library's queue of five connections drops bursts of callers; a second call of listen widens it.
+    ::listen(m_listener, connectionQueue);
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
     while (!m_server.is_running())
         std::this_thread::yield();
--- a/src/Store.cpp
+++ b/src/Store.cpp
@@ -3,8 +3,8 @@
 
 #include <array>
 #include <boost/leaf/error.hpp>
-#include <httplib.h>
 #include <nlohmann/json.hpp>
+#include <sequoia/HttpService.h>
 
 namespace sequoia {
 
@@ -120,7 +120,7 @@
     auto client = makeClient(m_address, m_timeout);
     const auto result = client.Post(path, body, "application/json");
     if (!result) {
-        const bool isUnsent = result.error() == httplib::Error::Connection;
+        const bool isUnsent = isConnectFailure(result.error());
         return leaf::new_error(isUnsent ? StoreError::Unreachable : StoreError::NoReply);
     }
     constexpr int statusOk = 200;
@@ -255,7 +255,7 @@
         const std::lock_guard lock(m_watchMutex);
         m_watchAborts.erase(watchNumber);
     }
-    if (error == httplib::Error::Connection)
+    if (isConnectFailure(error))
         return leaf::new_error(StoreError::Unreachable);
     return {};
 }
