--- a/include/sequoia/EntryCore.h
+++ b/include/sequoia/EntryCore.h
@@ -5,7 +5,6 @@
 #include <sequoia/Placement.h>
 #include <sequoia/TeamQueue.h>
 
-#include <deque>
 #include <map>
 
 namespace sequoia {
@@ -139,7 +138,7 @@
         TimePoint expires {}; ///< When the record of the answer goes.
         std::vector<TaskState> states;
         std::vector<Attempt> attempts; ///< By task, its latest start.
-        std::deque<uint32_t> waiting; ///< Indices of waiting tasks, the longest last.
+        std::vector<uint32_t> waiting; ///< Indices of waiting tasks, the longest last.
         std::vector<std::string> answers;
         size_t succeeded = 0;
         std::vector<AgentIndex> places; ///< Agents that were sent starts.
--- a/src/EntryCore.cpp
+++ b/src/EntryCore.cpp
@@ -387,7 +387,7 @@
     if (job.waiting.back() == raw(task))
         job.waiting.pop_back();
     else
-        job.waiting.pop_front();
+        job.waiting.erase(job.waiting.begin());
     if (job.waiting.empty()) {
         job.isQueued = false;
         m_queue.erase(job.spec.team, job.spec.key, job.virtualDue);
--- a/src/Link.cpp
+++ b/src/Link.cpp
@@ -14,7 +14,7 @@
 namespace {
 
     constexpr size_t prefixBytes = sizeof(uint32_t);
-    constexpr size_t readChunkBytes = 64U << 10U;
+    constexpr size_t readChunkBytes = 8U << 10U;
 
 } // namespace
 
