--- a/src/CtlMain.cpp
+++ b/src/CtlMain.cpp
@@ -97,6 +97,7 @@
         const auto* command = findCommand(commands, parsed.words);
         if (command == nullptr) {
             std::vector<std::string> names;
+            names.reserve(commands.size());
             for (const auto& known : commands)
                 names.push_back(joined(known.words));
             const auto near = nearestWord(joined(parsed.words), names);
