--- a/src/Effects.cpp
+++ b/src/Effects.cpp
@@ -12,8 +12,8 @@
         return { Incarnation(key.home()), SessionNumber(key.session()), JobSequence(key.sequence()) };
     }
 
-    constexpr std::array<std::string_view, 9> reasonNames { "none", "task-failed", "outcome-unknown",
-        "deadline-passed", "cancelled", "overloaded", "impossible", "retries-exhausted", "moved" };
+    constexpr std::array<std::string_view, 9> reasonNames { "none", "task-failed", "outcome-unknown", "deadline-passed",
+        "cancelled", "overloaded", "impossible", "retries-exhausted", "moved" };
 
 } // namespace
 
--- a/src/LoadCaller.cpp
+++ b/src/LoadCaller.cpp
@@ -17,12 +17,12 @@
     constexpr Milliseconds connectTimeout { 1000 };
     constexpr Milliseconds longPoll { 2000 }; // One request's wait; a caller asks again after it.
     constexpr Milliseconds trustedFor { 300 }; // A session unused for longer is checked before a new job.
-constexpr Milliseconds askAgainPause { 100 };
+    constexpr Milliseconds askAgainPause { 100 };
     constexpr Milliseconds shortWait { 20 }; // Before a resubmission or a cancellation.
     constexpr int statusOk = 200;
     constexpr int statusGone = 410;
     constexpr int statusNotFound = 404;
-constexpr int statusUnavailable = 503;
+    constexpr int statusUnavailable = 503;
     constexpr double milliseconds = 1000;
 
     double uniform(std::mt19937_64& random, double low, double high)
@@ -229,7 +229,8 @@
         m_session.clear();
 }
 
-LoadCaller::Outcome LoadCaller::submit(const LoadJob& job, const std::string& id, const std::string& body, TimePoint until)
+LoadCaller::Outcome LoadCaller::submit(
+    const LoadJob& job, const std::string& id, const std::string& body, TimePoint until)
 {
     int status = 0;
     if (job.isResubmitted || job.isCancelled)
@@ -249,7 +250,8 @@
     const auto was = Json::parse(first.body, nullptr, false);
     const auto is = Json::parse(again.body, nullptr, false);
     // A recovery can't know why the home failed a job, so only the status and the answers have to agree.
-    if (was.value("status", "") != is.value("status", "") || was.value("answers", Json()) != is.value("answers", Json()))
+    if (was.value("status", "") != is.value("status", "")
+        || was.value("answers", Json()) != is.value("answers", Json()))
         ++m_tally.changed;
 }
 
@@ -261,7 +263,8 @@
         const auto reply = send("PUT", path, body, status);
         if (reply && status == statusOk)
             return { true, false, false, *reply };
-        if (reply && status == statusUnavailable && Json::parse(*reply, nullptr, false)["error"].value("code", "") == "stopping")
+        if (reply && status == statusUnavailable
+            && Json::parse(*reply, nullptr, false)["error"].value("code", "") == "stopping")
             return { false, false, true, *reply };
         if (reply && (status == statusGone || status == statusNotFound))
             return { false, true, false, *reply };
--- a/tests/FaultTest.cpp
+++ b/tests/FaultTest.cpp
@@ -1,4 +1,5 @@
-/** @file FaultTest.cpp What must always hold, with real processes under every fault. The backend servers' own counts judge. */
+/** @file FaultTest.cpp What must always hold, with real processes under every fault. The backend servers' own counts
+ * judge. */
 #include "Fleet.h"
 
 #include <criterion/criterion.h>
@@ -66,11 +67,13 @@
 void cutCallers(Fleet& fleet) { setFor(fleet, httpOf(fleet), { { "cut", true } }, { { "cut", false } }); }
 void cutToAgents(Fleet& fleet)
 {
-    setFor(fleet, linkOf(fleet), { { "silent", true }, { "direction", "to-client" } }, { { "silent", false }, { "direction", "both" } });
+    setFor(fleet, linkOf(fleet), { { "silent", true }, { "direction", "to-client" } },
+        { { "silent", false }, { "direction", "both" } });
 }
 void cutToEntry(Fleet& fleet)
 {
-    setFor(fleet, linkOf(fleet), { { "silent", true }, { "direction", "to-target" } }, { { "silent", false }, { "direction", "both" } });
+    setFor(fleet, linkOf(fleet), { { "silent", true }, { "direction", "to-target" } },
+        { { "silent", false }, { "direction", "both" } });
 }
 void delayLinks(Fleet& fleet) { setFor(fleet, linkOf(fleet), { { "delayMs", 60 } }, { { "delayMs", 0 } }); }
 void shuffleLinks(Fleet& fleet)
@@ -177,10 +180,10 @@
     Fleet fleet(options);
     cr_assert_eq(fleet.ctl({ "sheet", "apply", std::string(SEQUOIA_SOURCE) + "/examples/sheet.csv" }), 0);
     cr_assert_eq(fleet.ctl({ "config", "status", "--wait", "11s" }), 0);
-    const auto load = fleet.startLoad({ "seconds=8", "jobs_per_minute=2400", "tasks_max=6", "run_ms_max=500", "long_ms=1500",
-        "callers=96", "deadline_ms=12000", "patience_ms=10000", "resubmitted_per_mille=150",
-        fmt::format("cancelled_per_mille={}", row.cancelledPerMille), "sheet=" + std::string(SEQUOIA_SOURCE) + "/examples/sheet.csv",
-        "day=2026-12-08" });
+    const auto load = fleet.startLoad({ "seconds=8", "jobs_per_minute=2400", "tasks_max=6", "run_ms_max=500",
+        "long_ms=1500", "callers=96", "deadline_ms=12000", "patience_ms=10000", "resubmitted_per_mille=150",
+        fmt::format("cancelled_per_mille={}", row.cancelledPerMille),
+        "sheet=" + std::string(SEQUOIA_SOURCE) + "/examples/sheet.csv", "day=2026-12-08" });
     sleepFor(faultAt);
     std::thread second([&] {
         if (row.second != nullptr)
@@ -192,14 +195,16 @@
     const auto text = report.dump();
     cr_log_info("%s seed %u: %s", row.name, seed, text.c_str());
     std::printf("fault %s seed %u %s\n", row.name, seed, text.c_str());
-    for (const auto* zero : { "doubledStarts", "partialAnswers", "foreignAnswers", "changedAnswers", "falseNotRun", "jobsUnanswered" })
+    for (const auto* zero :
+        { "doubledStarts", "partialAnswers", "foreignAnswers", "changedAnswers", "falseNotRun", "jobsUnanswered" })
         cr_expect_eq(report[zero].get<int>(), 0, "%s seed %u: %s: %s", row.name, seed, zero, text.c_str());
     cr_expect_gt(report["jobsComplete"].get<int>(), 0, "%s: nothing complete", row.name);
     if (!row.losesNothing)
         return;
     for (const auto& [reason, n] : report["failuresByReason"].items()) {
         const bool isAsked = reason == "cancelled" || reason == "moved";
-        cr_expect(isAsked, "%s seed %u: %d jobs failed: %s: %s", row.name, seed, n.get<int>(), reason.c_str(), text.c_str());
+        cr_expect(
+            isAsked, "%s seed %u: %d jobs failed: %s: %s", row.name, seed, n.get<int>(), reason.c_str(), text.c_str());
     }
     cr_expect_eq(report["jobsUnknown"].get<int>(), 0, "%s seed %u: %s", row.name, seed, text.c_str());
 }
