Idle grants reach entries that came while others were on their way

Entries that linked while a recall was pending were passed over, and nothing shared again when the grants came back. Change: a Return shares again while an entry has neither grants nor work.

--- a/include/sequoia/AgentCore.h
+++ b/include/sequoia/AgentCore.h
@@ -155,6 +155,8 @@
     void distribute(TimePoint now);
     void openToAll(TimePoint now);
     void offer(LinkId link, uint32_t grants, bool trial, TimePoint now);
+    /** Asks for grants back so that an entry without any gets its share. */
+    void shareIdleGrants();
     void recallFor(LinkId needy, TimePoint now);
     void withdraw(const std::string& reason, TimePoint now);
     void touch(const JobKey& key, JobRecord& job, TimePoint now);
--- a/src/AgentGrants.cpp
+++ b/src/AgentGrants.cpp
@@ -39,17 +39,24 @@
         [&](const TaskKey& task) { return task.job.home == link.entry; }));
     m_effects.record(
         LogLevel::Info, "entry-linked", { { "entry", welcome.entry }, { "link", static_cast<int64_t>(raw(id)) } });
-    // Slots that other entries hold idle are shared with the newcomer.
-    const auto share = m_slots / static_cast<uint32_t>(m_links.size());
-    for (auto& [other, state] : m_links) {
-        if (other == id || state.grants <= share || state.recalling > 0)
+    shareIdleGrants();
+    distribute(now);
+}
+
+void AgentCore::shareIdleGrants()
+{
+    const auto isIdle = [](const auto& entry) { return entry.second.grants == 0 && entry.second.running == 0; };
+    if (m_links.empty() || std::none_of(m_links.begin(), m_links.end(), isIdle))
+        return;
+    const auto share = std::max(m_slots / static_cast<uint32_t>(m_links.size()), 1U);
+    for (auto& [id, link] : m_links) {
+        if (link.grants <= share || link.recalling > 0)
             continue;
-        state.recalling = state.grants - share;
+        link.recalling = link.grants - share;
         wire::RecallT recall;
-        recall.grants = static_cast<uint16_t>(state.recalling);
-        m_effects.send(other, recall);
+        recall.grants = static_cast<uint16_t>(link.recalling);
+        m_effects.send(id, recall);
     }
-    distribute(now);
 }
 
 void AgentCore::linkClosed(LinkId id, TimePoint now)
@@ -159,6 +166,7 @@
     m_granted -= n;
     noteBacklog(link, message.backlog);
     distribute(now);
+    shareIdleGrants(); // Entries may have come while these grants were on their way.
 }
 
 void AgentCore::withdraw(const std::string& reason, TimePoint now)
