--- a/include/sequoia/AgentControl.h
+++ b/include/sequoia/AgentControl.h
@@ -8,14 +8,9 @@
 
 namespace sequoia {
 
-/** An entry as discovery found it. */
-struct EntryAddress {
-    std::string link; ///< Address for agents.
-    Incarnation incarnation {};
-};
-
+/** Link addresses of the entries that discovery found. */
 struct DiscoveredInput {
-    std::vector<EntryAddress> entries;
+    std::vector<std::string> links;
 };
 struct AgentLinkOpenedInput {
     LinkId link {};
--- /dev/null
+++ b/include/sequoia/ControlThread.h
@@ -0,0 +1,47 @@
+/** @file ControlThread.h A CAF actor with a thread of its own that runs what it is told, and ticks. */
+#pragma once
+
+#include <sequoia/Time.h>
+
+#include <caf/all.hpp>
+
+namespace sequoia {
+
+/** Work for the control thread. */
+struct ControlWork {
+    std::function<void()> run;
+};
+
+} // namespace sequoia
+
+CAF_ALLOW_UNSAFE_MESSAGE_TYPE(sequoia::ControlWork)
+
+namespace sequoia {
+
+/** Hooks of a control thread; all run on it. */
+struct ControlHooks {
+    std::function<void()> tick; ///< Called every period.
+    std::function<void()> afterEach; ///< Called after each piece of work and each tick.
+};
+
+/** The one thread that owns a process's control state. */
+class ControlThread {
+public:
+    ControlThread(caf::actor_system& system, Milliseconds period, ControlHooks hooks);
+    ~ControlThread();
+    ControlThread(const ControlThread&) = delete;
+    ControlThread& operator=(const ControlThread&) = delete;
+
+    /** Runs work later, in the order of the calls; dropped after `stop`. */
+    void post(std::function<void()> work) const;
+    /** Runs work and waits for it. Not to be called on the control thread. */
+    void inspect(const std::function<void()>& work) const;
+    /** Ends the thread and waits for it. */
+    void stop();
+
+private:
+    caf::actor_system& m_system;
+    caf::actor m_actor;
+};
+
+} // namespace sequoia
--- /dev/null
+++ b/include/sequoia/Dispatcher.h
@@ -0,0 +1,231 @@
+/** @file Dispatcher.h The deterministic state of an entry that places jobs by room: jobs, queue, agents, runs. */
+#pragma once
+
+#include <sequoia/Effects.h>
+#include <sequoia/RoomPolicy.h>
+#include <sequoia/Work.h>
+
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace sequoia {
+
+/** Bounds of a dispatcher. */
+struct DispatcherLimits {
+    Milliseconds linkSilence { 400 }; ///< A link with runs that is silent this long is replaced.
+    Milliseconds beat { 100 }; ///< Longest quiet time on a link with runs.
+    Milliseconds idleBeat { 500 }; ///< Longest quiet time on a link without.
+    Milliseconds runLapse { 1250 }; ///< Runs at an agent that is out of reach this long are over; see RunGateLimits.
+    Milliseconds demandPeriod { 40 }; ///< Waiting work is told to an agent this often.
+    size_t maxOpenJobs = 4000;
+    size_t maxQueuedTasks = 40000;
+    size_t scanDepth = 24; ///< Jobs behind a job without room that are tried.
+    double stragglerFactor = 3; ///< A run is stopped and repeated elsewhere after this many times its expected time.
+    Milliseconds runMemory { 20000 }; ///< Run numbers of ended jobs are remembered for this time.
+    Milliseconds stragglerMargin { 60 }; ///< Added to the expected time before a run counts as stuck.
+};
+
+/** Give an answer to a caller. */
+struct AnswerCaller {
+    WaiterId waiter {};
+    WorkId job {};
+    WorkAnswer answer;
+};
+
+using DispatchEffect = std::variant<SendMessage, CloseLink, AnswerCaller, RecordEvent>;
+
+/** Counters of a dispatcher. */
+struct DispatcherCounters {
+    uint64_t jobs = 0;
+    uint64_t succeeded = 0;
+    uint64_t failed = 0;
+    uint64_t notRun = 0;
+    uint64_t givenUp = 0;
+    uint64_t callersGone = 0;
+    uint64_t orders = 0; ///< Runs ordered.
+    uint64_t refusedOrders = 0;
+    uint64_t failedRuns = 0;
+    uint64_t lostRuns = 0; ///< Runs whose end was not seen.
+    uint64_t stragglers = 0; ///< Runs stopped because they took too long.
+    uint64_t demands = 0;
+    uint64_t updates = 0; ///< Reports of room that agents sent by themselves.
+    uint64_t messagesSent = 0;
+    uint64_t messagesReceived = 0;
+};
+
+/** An agent as this entry sees it. */
+struct RoomAgent {
+    std::string name;
+    std::string service;
+    std::vector<std::string> labels;
+    Incarnation incarnation {};
+    LinkId link {};
+    bool isLinked = false;
+    wire::GateState state = wire::GateState::Closed;
+    Room total;
+    Room free; ///< What the agent said last less what was ordered since.
+    uint32_t ordersSent = 0; ///< On this link.
+    std::deque<std::pair<uint32_t, Room>> unseenOrders; ///< Orders that `free` does not allow for at the agent yet.
+    double slowness = 1.0;
+    TimePoint reported {}; ///< When `free` was last heard.
+    TimePoint lastHeard {};
+    TimePoint lastSent {};
+    TimePoint lostAt {}; ///< When the link ended.
+    TimePoint nextDemand {};
+    std::unordered_set<RunId> runs; ///< Ordered, end not heard of.
+};
+
+/** Behaviour that the dispatcher gets from its owner. */
+struct DispatcherHooks {
+    PlaceHook place;
+    AdmitHook admit;
+};
+
+/**
+ * State of one entry. Every change is a command with the time in it; the same commands give the same effects.
+ * Not thread-safe: it belongs to the control thread.
+ */
+class Dispatcher {
+public:
+    Dispatcher(DispatcherLimits limits, RoomPolicyLimits policy, DispatcherHooks hooks);
+
+    /** Takes a job, refuses it, or joins the open one of the same id. `budget` is how long the caller waits. */
+    void submit(WorkSpec spec, RoutePolicy route, Milliseconds budget, WaiterId waiter, TimePoint now);
+    /** The caller of a job has gone; without other callers the job ends. */
+    void callerGone(WorkId job, WaiterId waiter, TimePoint now);
+
+    /** Whether a job has no answer yet. */
+    bool isOpen(WorkId job) const { return m_jobs.contains(job); }
+    /** Ends a job for its caller; false if there is none. */
+    bool cancel(WorkId job, TimePoint now);
+    /** Jobs of a route of which nothing was ordered yet. */
+    size_t waitingJobs(const std::string& route) const;
+
+    /** An agent said Hello on a link. */
+    void agentLinked(LinkId link, const wire::HelloT& hello, TimePoint now);
+    void linkClosed(LinkId link, TimePoint now);
+    /** A message of an agent. */
+    void receive(LinkId link, const wire::BodyUnion& body, TimePoint now);
+
+    /** Entries that share the agents with this one, for estimates of its part. */
+    void setEntries(size_t entries) { m_entries = std::max<size_t>(entries, 1); }
+    /** Time passes: silence, lapses, stragglers, jobs that have become worthless. */
+    void tick(TimePoint now);
+
+    std::vector<DispatchEffect> takeEffects();
+    const DispatcherCounters& counters() const { return m_counters; }
+    const std::vector<RoomAgent>& agents() const { return m_agents; }
+    size_t openJobs() const { return m_jobs.size(); }
+    size_t queuedTasks() const { return m_queuedTasks; }
+    size_t linkedAgents() const;
+
+private:
+    enum class TaskState : uint8_t { Blocked, Ready, Ordered, Done };
+
+    struct Task {
+        TaskState state = TaskState::Blocked;
+        RunNumber run {}; ///< Its latest run.
+        uint32_t failures = 0;
+        uint32_t refusals = 0;
+        size_t agent = 0; ///< Where its latest run was ordered.
+        TimePoint ordered {};
+        bool isStopping = false;
+        std::vector<size_t> avoided; ///< Agents where a run failed, was lost or got stuck.
+    };
+
+    struct Step {
+        std::vector<Task> tasks;
+        std::vector<uint32_t> ready; ///< Positions of ready tasks.
+        size_t done = 0;
+    };
+
+    /** Order of jobs: those with runs, those that can meet their objective, the rest; then by latest start. */
+    struct QueueKey {
+        uint8_t band = 0;
+        uint32_t priority = 0;
+        TimePoint latestStart {};
+        WorkId job {};
+        auto operator<=>(const QueueKey&) const = default;
+    };
+
+    struct Job {
+        WorkSpec spec;
+        RoutePolicy route;
+        std::vector<WaiterId> waiters;
+        TimePoint arrival {};
+        TimePoint deadline {}; ///< Its callers leave.
+        std::vector<Step> steps;
+        std::vector<Milliseconds> chains; ///< By step: longest chain of estimates from its start to the end of the job.
+        size_t tasksLeft = 0;
+        size_t outstanding = 0; ///< Ordered runs whose end has not been heard of.
+        uint32_t orders = 0;
+        uint32_t refusals = 0;
+        uint32_t failures = 0;
+        TimePoint firstOrder {};
+        std::optional<QueueKey> queued;
+        RunNumber firstRun { 1 }; ///< Numbers start here; above those of an earlier job of the same id.
+    };
+
+    std::optional<size_t> agentOf(LinkId link) const;
+    Job* findJob(WorkId id);
+    QueuedWork queuedWork(const Job& job, TimePoint now) const;
+    LoadView loadBefore(const Job& job, const QueueKey& key) const;
+    QueueKey keyOf(const Job& job, TimePoint now) const;
+    void makeReady(Job& job, size_t step);
+    void requeue(Job& job, TimePoint now);
+    void unqueue(Job& job);
+    void pump(TimePoint now);
+    bool placeJob(Job& job, TimePoint now);
+    bool placeStep(Job& job, size_t step, TimePoint now);
+    std::vector<size_t> eligibleAgents(const Job& job, size_t step) const;
+    static int64_t mostOfStepAt(const Job& job, size_t step, size_t agent);
+    void order(Job& job, size_t step, uint32_t index, size_t agent, TimePoint now);
+    static void setRoom(RoomAgent& agent, const wire::Room* free, uint32_t ordersSeen, float slowness, TimePoint now);
+    void askForRoom(TimePoint now);
+    void onReport(size_t agent, const wire::RoomReportT& report, TimePoint now);
+    void onResult(size_t agent, const wire::RunResultT& result, TimePoint now);
+    void runEnded(Job& job, const RunId& id, size_t agent, const wire::RunResultT& result, TimePoint now);
+    void taskDone(Job& job, size_t step, Task& task, TimePoint now);
+    void tryAgain(Job& job, const RunId& id, Task& task, TimePoint now);
+    void finish(WorkId id, WorkAnswer answer, TimePoint now);
+    void stopRuns(Job& job, TimePoint now);
+    void recordRun(LogLevel level, std::string_view kind, const Job& job, const RunId& id, const RoomAgent& agent,
+        std::string reason, int64_t ms);
+    void sendStop(size_t agent, const std::vector<RunId>& ids, TimePoint now);
+    void loseRuns(size_t agent, std::string_view cause, TimePoint now);
+    void tickLinks(TimePoint now);
+    void tickQueue(TimePoint now);
+    void tickStragglers(TimePoint now);
+    template <typename Message> void send(RoomAgent& agent, Message message, TimePoint now)
+    {
+        m_effects.send(agent.link, std::move(message));
+        agent.lastSent = now;
+        ++m_counters.messagesSent;
+    }
+
+    DispatcherLimits m_limits;
+    RoomPolicyLimits m_policy;
+    DispatcherHooks m_hooks;
+    EffectListOf<DispatchEffect> m_effects;
+    DispatcherCounters m_counters;
+    std::unordered_map<WorkId, Job> m_jobs;
+    std::set<QueueKey> m_queue; ///< Jobs with ready tasks.
+    std::vector<RoomAgent> m_agents; ///< Positions are never reused.
+    std::unordered_map<std::string, size_t> m_agentByName;
+    std::map<LinkId, size_t> m_agentByLink;
+
+    /** Run numbers of an ended job; a job of the same id goes on above them. */
+    struct PastRuns {
+        RunNumber highest {};
+        TimePoint forgotten {};
+    };
+    std::unordered_map<WorkId, PastRuns> m_pastRuns;
+    size_t m_queuedTasks = 0;
+    size_t m_entries = 1;
+    uint64_t m_salt = 0;
+};
+
+} // namespace sequoia
--- a/include/sequoia/Effects.h
+++ b/include/sequoia/Effects.h
@@ -53,8 +53,8 @@
 
 using Effect = std::variant<SendMessage, CloseLink, DeliverAnswer, CallBackend, AskForRelink, RecordEvent>;
 
-/** Effects of one command, in order. */
-class EffectList {
+/** Effects of one command, in order. `E` is a variant with at least SendMessage and RecordEvent. */
+template <typename E> class EffectListOf {
 public:
     template <typename Message> void send(LinkId link, Message message)
     {
@@ -62,17 +62,19 @@
         effect.body.Set(std::move(message));
         m_effects.emplace_back(std::move(effect));
     }
-    void add(Effect effect) { m_effects.push_back(std::move(effect)); }
+    void add(E effect) { m_effects.push_back(std::move(effect)); }
     void record(LogLevel level, std::string_view kind, std::vector<LogField> fields)
     {
         m_effects.emplace_back(RecordEvent { level, kind, std::move(fields) });
     }
-    std::vector<Effect> take() { return std::exchange(m_effects, {}); }
+    std::vector<E> take() { return std::exchange(m_effects, {}); }
 
 private:
-    std::vector<Effect> m_effects;
+    std::vector<E> m_effects;
 };
 
+using EffectList = EffectListOf<Effect>;
+
 /** Key of a message; empty if the message carries none. */
 std::optional<TaskKey> fromWire(const std::unique_ptr<wire::TaskKey>& key);
 std::optional<JobKey> fromWire(const std::unique_ptr<wire::JobKey>& key);
--- /dev/null
+++ b/include/sequoia/Follower.h
@@ -0,0 +1,55 @@
+/** @file Follower.h Keeps up with the items under a prefix of the shared store. */
+#pragma once
+
+#include <sequoia/Log.h>
+#include <sequoia/SharedStore.h>
+
+#include <map>
+#include <optional>
+
+namespace sequoia {
+
+/** Times of a follower. */
+struct FollowerLimits {
+    Milliseconds watchWait { 1500 }; ///< A watch is renewed this often, since open connections may go silent unnoticed.
+    Milliseconds firstPause { 50 }; ///< Before another try after a failed call.
+    Milliseconds longestPause { 400 };
+};
+
+/** Hooks of a follower; all run on the control thread. */
+struct FollowerHooks {
+    std::function<void(const std::map<std::string, std::string>& items)> changed;
+    std::function<TimePoint()> now;
+};
+
+/** Lists, then watches, and lists again where the history has gone. Belongs to the control thread. */
+class Follower {
+public:
+    Follower(std::string prefix, const SharedStore& store, Log& log, FollowerLimits limits, FollowerHooks hooks);
+
+    /** Starts the next call if it is due. */
+    void tick();
+    /** Whether the last call was answered. */
+    bool isConnected() const { return m_failures == 0 && m_version.has_value(); }
+    const std::map<std::string, std::string>& items() const { return m_items; }
+
+private:
+    void listed(const StoreReply<SharedItems>& reply);
+    void watched(const StoreReply<SharedItems>& reply);
+    void failed(SharedStoreError error);
+    void succeeded();
+
+    std::string m_prefix;
+    const SharedStore& m_store;
+    Log& m_log;
+    FollowerLimits m_limits;
+    FollowerHooks m_hooks;
+    std::map<std::string, std::string> m_items;
+    std::optional<StoreVersion> m_version;
+    bool m_isCalling = false;
+    uint32_t m_failures = 0;
+    TimePoint m_next {};
+    TimePoint m_lostAt {};
+};
+
+} // namespace sequoia
--- a/include/sequoia/Ids.h
+++ b/include/sequoia/Ids.h
@@ -32,6 +32,9 @@
 /** Revision of the configuration; it only grows. */
 enum class Revision : uint64_t {};
 
+/** A job as its caller names it, the same at every entry. */
+enum class WorkId : uint64_t {};
+
 /** Unwraps a strong identifier. */
 template <typename Id> constexpr auto raw(Id id) { return static_cast<std::underlying_type_t<Id>>(id); }
 
@@ -70,6 +73,8 @@
 std::string toString(const SessionId&);
 /** Writes the session, `~` and the sequence number. */
 std::string toString(const JobId&);
+/** Writes the 16 hexadecimal digits that callers use. */
+std::string toString(WorkId);
 /** Writes a job key for logs. */
 std::string toString(const JobKey&);
 /** Writes a task key for logs and backend servers. */
--- a/include/sequoia/Log.h
+++ b/include/sequoia/Log.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -21,7 +22,7 @@
 LogLevel parseLogLevel(std::string_view text);
 
 /** Value of a field; identifiers are written out only when somebody reads them. */
-using LogValue = std::variant<std::string, int64_t, JobKey, TaskKey>;
+using LogValue = std::variant<std::string, int64_t, JobKey, TaskKey, WorkId>;
 
 /** One key=value pair of an event. */
 struct LogField {
@@ -59,10 +60,14 @@
     std::atomic<uint64_t> m_last { 0 };
 };
 
+/** Takes whole lines; must not block. */
+using LineSink = std::function<void(std::string)>;
+
 /** Event output of one process. Thread-safe. */
 class Log {
 public:
-    Log(std::string process, LogLevel level, size_t ringSize);
+    /** Lines go to standard error if there is no sink. */
+    Log(std::string process, LogLevel level, size_t ringSize, LineSink sink = {});
 
     /** Records an event and, at or above the level, prints it as one line. `kind` is a literal. */
     void event(LogLevel level, std::string_view kind, std::vector<LogField> fields);
@@ -89,6 +94,7 @@
     std::string m_process;
     std::atomic<LogLevel> m_level;
     size_t m_ringSize;
+    LineSink m_sink;
     HybridClock m_clock;
     mutable std::mutex m_mutex;
     std::deque<Recorded> m_ring;
--- /dev/null
+++ b/include/sequoia/RoomPolicy.h
@@ -0,0 +1,88 @@
+/** @file RoomPolicy.h Where a task runs, which job is next, and which job is refused: pure functions. */
+#pragma once
+
+#include <sequoia/Room.h>
+#include <sequoia/Time.h>
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace sequoia {
+
+/** What an entry believes of a backend server, as far as placing needs it. */
+struct RoomCandidate {
+    Room free;
+    double slowness = 1.0; ///< Run time over the estimate, smoothed.
+    bool isNear = true; ///< The data is near, or the task names no place.
+    int64_t mostHere = 1; ///< Most tasks of the step that it may still take.
+};
+
+/** Tasks of one step that wait for room. */
+struct RoomRequest {
+    Room room; ///< What each task takes.
+    int64_t count = 1; ///< Waiting tasks.
+    Milliseconds estimate { 0 };
+    Milliseconds waited { 0 }; ///< Since the job arrived, less what its earlier steps took.
+    double stretch = 1; ///< With `objective`, the latency objective of the route.
+    Milliseconds objective { 0 };
+    Milliseconds remaining { 0 }; ///< Until the answer is worth nothing.
+    uint64_t salt = 0; ///< Spreads equal choices of several entries.
+};
+
+/** Tasks for one server. */
+struct RoomChoice {
+    size_t candidate = 0; ///< Position in the list.
+    int64_t count = 0; ///< Tasks that go there.
+};
+
+/** Figures of the policy. */
+struct RoomPolicyLimits {
+    double farFactor = 1.5; ///< Run time of a task whose data is in another rack; from the deployment.
+    Milliseconds overhead { 10 }; ///< Messages and processing of a start and its answer.
+    double lateFactor = 3; ///< An answer later than this many times the objective is worth nothing; from the pages.
+};
+
+/**
+ * Chooses a server for some of the waiting tasks; empty if they should wait.
+ * Servers that meet the latency objective come first. Among them, those too slow for long tasks take the short ones,
+ * and the one that takes most tasks of the job is chosen, so that a failing server spoils few jobs.
+ */
+std::optional<RoomChoice> choosePlace(
+    const std::vector<RoomCandidate>& candidates, const RoomRequest& request, const RoomPolicyLimits& limits);
+
+using PlaceHook = std::function<std::optional<RoomChoice>(const std::vector<RoomCandidate>&, const RoomRequest&)>;
+
+/** A job as the queue sees it. */
+struct QueuedWork {
+    Milliseconds chain { 0 }; ///< Longest chain of estimates that is left.
+    double stretch = 1;
+    Milliseconds objective { 0 };
+    Milliseconds age { 0 }; ///< Since its arrival.
+    Milliseconds remaining { 0 }; ///< Until its caller leaves.
+};
+
+/** Time in which the job must start to meet its objective; negative if it can't. */
+Milliseconds slackToObjective(const QueuedWork& work, const RoomPolicyLimits& limits);
+/** Time in which the job must start to be worth anything; negative if it can't. */
+Milliseconds slackToWorthless(const QueuedWork& work, const RoomPolicyLimits& limits);
+
+/** Load as an entry knows it. */
+struct LoadView {
+    double aheadCpuMs = 0; ///< Estimated core-milliseconds of the work that goes first.
+    double cpuPerMs = 0; ///< Cores that work for this entry.
+};
+
+/** Whether a new job is queued. */
+struct Admission {
+    bool isAdmitted = true;
+    Milliseconds predictedWait { 0 };
+    Milliseconds retryAfter { 0 }; ///< When the queue will have become short enough.
+};
+
+/** Refuses a job that would start too late to be worth anything. Answers bursts and lost servers. */
+Admission admit(const QueuedWork& work, const LoadView& load, const RoomPolicyLimits& limits);
+
+using AdmitHook = std::function<Admission(const QueuedWork&, const LoadView&)>;
+
+} // namespace sequoia
--- /dev/null
+++ b/include/sequoia/RunGate.h
@@ -0,0 +1,276 @@
+/** @file RunGate.h The deterministic state of an agent that gives out room: the only authority on its backend server.
+ */
+#pragma once
+
+#include <sequoia/AgentCore.h>
+#include <sequoia/Room.h>
+#include <sequoia/Work.h>
+
+#include <map>
+#include <set>
+
+namespace sequoia {
+
+/** Bounds of a run gate. */
+struct RunGateLimits {
+    Milliseconds lease { 700 }; ///< Runs end by themselves this long after the last renewal reached the server.
+    Milliseconds lookWait { 150 }; ///< The server answers a look at the latest after this time.
+    Milliseconds lookTimeout { 120 }; ///< Added to `lookWait`; then the look counts as lost.
+    Milliseconds startTimeout { 50 }; ///< A start without an answer is fenced off after this time.
+    Milliseconds stopTimeout { 100 }; ///< A stop without an answer is sent again after this time.
+    double clockError = 0.03; ///< The server's clock is at most 2% slow; from the deployment.
+    Milliseconds ownerSilence { 500 }; ///< Runs of an entry that is silent this long are stopped.
+    Milliseconds relinkGrace { 300 }; ///< An entry whose link broke has this long to link again.
+    Milliseconds beat { 100 }; ///< Longest quiet time on a link with runs.
+    Milliseconds idleBeat { 500 }; ///< Longest quiet time on a link without.
+    Milliseconds keptRoom { 20 }; ///< Room is kept for an entry that waits for this time.
+    Milliseconds updatePeriod { 40 }; ///< An entry hears of changed room at most this often.
+    Milliseconds resultMemory { 10000 }; ///< Ends of runs are remembered for entries that link again.
+    Milliseconds pingSilence { 6000 }; ///< A server that has not announced itself for this time is gone.
+    Milliseconds longestLease { 1050 }; ///< No lease of an earlier process lives longer; from the deployment.
+    Milliseconds wakeGap { 400 }; ///< A pause of the process this long means that it was suspended.
+    AgentLimits health; ///< Quarantine of a server that fails what it starts.
+};
+
+/** What a backend server says of itself. */
+struct ServerReport {
+    std::string instance; ///< Its id; kept over restarts on some platforms.
+    int64_t born = 0; ///< Start of this life, ms since 1970.
+    std::string service;
+    Room total;
+    std::vector<std::string> labels;
+    bool isDraining = false;
+    uint64_t sequence = 0; ///< Grows within a life; tells late reports.
+};
+
+/** How a start went. */
+enum class StartOutcome : uint8_t {
+    Started,
+    RunTooLow, ///< A run with this number or a higher one has been there.
+    Expired, ///< The lease had ended when it arrived.
+    NoRoom,
+    Unhealthy, ///< The server refuses work; it did nothing.
+    OtherLife, ///< Another life of the server answered; it did nothing.
+    Invalid, ///< The server calls the order malformed.
+    Unreachable, ///< No connection; nothing was sent.
+    NoAnswer ///< It may be carried out now or later.
+};
+
+/** One run as the server lists it. */
+struct ListedRun {
+    RunId id;
+};
+
+/** How a listed run ended. */
+enum class EndKind : uint8_t { Done, Failed, Stopped, Lapsed };
+
+/** One end as the server lists it. */
+struct ListedEnd {
+    uint64_t number = 0; ///< Grows by one with each end of a life.
+    RunId id;
+    EndKind kind = EndKind::Failed;
+};
+
+/** What a look at the server showed. */
+struct Listing {
+    int64_t born = 0; ///< Life of the server.
+    std::vector<ListedRun> running;
+    std::vector<ListedEnd> ended;
+};
+
+/** How a look went. */
+enum class LookOutcome : uint8_t {
+    Listed,
+    Refused, ///< Nobody listens there: the server's process has ended.
+    NoAnswer
+};
+
+/** Start a run on the server. */
+struct StartRun {
+    RunId id;
+    std::string payload;
+    std::string instance;
+    Milliseconds lease {}; ///< From now.
+    Milliseconds timeout {};
+};
+/** Stop a run; one that is not there will never start. */
+struct StopRun {
+    RunId id;
+    std::string instance;
+    Milliseconds timeout {};
+};
+/** Renew the lease, forget ends, and list. */
+struct LookAtServer {
+    uint64_t number = 0; ///< Of the look.
+    Milliseconds lease {};
+    Milliseconds wait {}; ///< The server answers at the latest after this time, earlier with a new end.
+    Milliseconds timeout {};
+    uint64_t seenUpTo = 0; ///< Ends up to this number may be forgotten.
+};
+
+using GateEffect = std::variant<SendMessage, CloseLink, StartRun, StopRun, LookAtServer, RecordEvent>;
+
+/** Counters of a run gate. */
+struct RunGateCounters {
+    uint64_t orders = 0;
+    uint64_t refused = 0;
+    uint64_t done = 0;
+    uint64_t failed = 0;
+    uint64_t stopped = 0;
+    uint64_t lost = 0;
+    uint64_t unanswered = 0; ///< Starts without an answer.
+    uint64_t looks = 0;
+    uint64_t lives = 0; ///< Lives of the server that were seen.
+    uint64_t messagesSent = 0;
+};
+
+/**
+ * State of one agent. Every change is a command with the time in it; the time must count suspensions of the process.
+ * Not thread-safe: it belongs to the control thread.
+ */
+class RunGate {
+public:
+    RunGate(Incarnation self, RunGateLimits limits);
+
+    /** The server announced itself. False if the report is older than one already taken. */
+    bool announced(const ServerReport& report, TimePoint now);
+    /** The server said that it ends. */
+    void left(const std::string& instance, TimePoint now);
+
+    void startAnswered(const RunId& id, StartOutcome outcome, TimePoint now);
+    void stopAnswered(const RunId& id, bool isAnswered, TimePoint now);
+    void looked(uint64_t number, LookOutcome outcome, const Listing& listing, TimePoint now);
+
+    void entryLinked(LinkId link, const wire::WelcomeT& welcome, TimePoint now);
+    void linkClosed(LinkId link, TimePoint now);
+    void receive(LinkId link, const wire::BodyUnion& body, TimePoint now);
+
+    /** Takes no more runs; those that run end. */
+    void drain(TimePoint now);
+    void tick(TimePoint now);
+
+    /** Whether nothing of before this process can still run on the server, so that entries may be told of it. */
+    bool isSettled() const { return m_isSettled; }
+    size_t runs() const { return m_runs.size(); }
+    Room used() const { return m_used; }
+    Room total() const { return m_server ? m_server->total : Room(); }
+    double slowness() const { return m_slowness; }
+    wire::GateState state(TimePoint now) const;
+    std::string closedReason(TimePoint now) const;
+    const HealthGate& health() const { return m_health; }
+    const RunGateCounters& counters() const { return m_counters; }
+    std::vector<GateEffect> takeEffects();
+
+private:
+    enum class RunState : uint8_t {
+        Starting, ///< Sent to the server, not answered.
+        Running,
+        Fencing, ///< No answer to its start: it is over once a stop is answered.
+        Stopping ///< Being stopped; it takes room until its end is listed.
+    };
+
+    struct Run {
+        RunState state = RunState::Starting;
+        Room room;
+        Incarnation owner {}; ///< Entry that ordered it; zero if unknown.
+        Milliseconds estimate {};
+        TimePoint ordered {};
+        TimePoint started {}; ///< When its start was answered.
+        uint64_t mustBeListedFrom = 0; ///< A look of this number or a later one lists it, or it is over; 0 if unknown.
+        TimePoint nextStop {};
+        bool isListed = false; ///< It was seen running.
+        bool isStuck = false; ///< It has taken much longer than expected.
+    };
+
+    /** How a run ended, for owners that link again. */
+    struct Past {
+        wire::RunOutcome outcome {};
+        std::string reason;
+        TimePoint forgotten {};
+    };
+
+    struct EntryLink {
+        Incarnation entry {};
+        TimePoint lastHeard {};
+        TimePoint lastSent {};
+        uint32_t ordersSeen = 0;
+        size_t runs = 0;
+        uint32_t demandTasks = 0;
+        Room demandRoom; ///< Smallest room that its waiting work can use.
+        TimePoint demandDue {}; ///< Latest start of its first waiting job.
+        TimePoint demandUntil {};
+        Room kept; ///< Room kept for it.
+        TimePoint keptUntil {};
+        TimePoint lastUpdate {};
+        Room lastFree; ///< As told to it.
+    };
+
+    void wakeUp(TimePoint now);
+    bool isFresh(TimePoint now) const;
+    Room freeRoom() const;
+    Room freeFor(const EntryLink& link, TimePoint now) const;
+    void onOrder(LinkId link, const wire::RunOrderT& order, TimePoint now);
+    wire::Refusal refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const;
+    void onStops(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
+    void onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
+    void stopRun(const RunId& id, Run& run, TimePoint now);
+    void endRun(
+        const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal, const std::string& reason, TimePoint now);
+    void endAll(const std::string& reason, TimePoint now);
+    void offerFreed(std::optional<LinkId> told, TimePoint now);
+    void takeEnds(const Listing& listing, TimePoint now);
+    void takeRunning(uint64_t number, const Listing& listing, TimePoint now);
+    void sendResult(LinkId link, const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal,
+        const std::string& reason, Microseconds run, TimePoint now);
+    void sendReport(LinkId link, TimePoint now);
+    void sendReports(TimePoint now);
+    void sendUpdate(LinkId link, EntryLink& entry, TimePoint now);
+    void learnSpeed(const Run& run, TimePoint now);
+    void newLife(int64_t born, TimePoint now);
+    void look(Milliseconds wait, TimePoint now);
+    void tickLinks(TimePoint now);
+    void tickOwners(TimePoint now);
+    void tickStops(TimePoint now);
+    void tickHealth(TimePoint now);
+    std::optional<LinkId> linkOf(Incarnation entry) const;
+    void recordRun(
+        LogLevel level, std::string_view kind, const RunId& id, const Run& run, std::string reason, TimePoint now);
+    template <typename Message> void send(LinkId link, Message message, TimePoint now)
+    {
+        m_effects.send(link, std::move(message));
+        m_links.at(link).lastSent = now;
+        ++m_counters.messagesSent;
+    }
+
+    Incarnation m_self;
+    RunGateLimits m_limits;
+    HealthGate m_health;
+    EffectListOf<GateEffect> m_effects;
+    RunGateCounters m_counters;
+    std::optional<ServerReport> m_server;
+    int64_t m_born = 0; ///< Life of the server that runs belong to; 0 until it is known.
+    TimePoint m_reported {}; ///< Last report of the server.
+    bool m_isGone = false; ///< Nobody listens at its address.
+    bool m_isDraining = false; ///< This agent is.
+    bool m_isSettled = false;
+    std::optional<TimePoint> m_settleAt; ///< Leases of before this process have ended by then.
+    std::map<RunId, Run> m_runs;
+    std::map<RunId, Past> m_past;
+    std::set<RunId> m_strangers; ///< Listed runs that nobody here ordered.
+    Room m_used;
+    std::map<LinkId, EntryLink> m_links;
+    std::map<Incarnation, TimePoint> m_lostOwners; ///< Entries with runs and without a link, and since when.
+    double m_slowness = 1.0;
+    uint32_t m_samples = 0;
+    uint64_t m_lookNumber = 0;
+    std::set<uint64_t> m_openLooks; ///< Sent, not answered.
+    bool m_isLookLost = false; ///< The last look had no answer: leases are not renewed until one has.
+    TimePoint m_nextLook {};
+    TimePoint m_lastListed {};
+    TimePoint m_leaseEnds {}; ///< No run lives longer without a further renewal.
+    uint64_t m_seenUpTo = 0;
+    TimePoint m_lastTick {};
+    wire::GateState m_toldState = wire::GateState::Closed;
+};
+
+} // namespace sequoia
--- a/include/sequoia/Settings.h
+++ b/include/sequoia/Settings.h
@@ -13,6 +13,8 @@
 using EntrySettings = schema::EntrySettingsT;
 using AgentSettings = schema::AgentSettingsT;
 
+using RoomEntrySettings = schema::RoomEntrySettingsT;
+using RoomAgentSettings = schema::RoomAgentSettingsT;
 using LoadSettings = schema::LoadSettingsT;
 
 /** One fault of a settings file. */
@@ -49,6 +51,11 @@
 /** Table of an agent's settings. */
 const std::vector<SettingRow<AgentSettings>>& agentSettingRows();
 
+/** Table of an entry that places jobs by room. */
+const std::vector<SettingRow<RoomEntrySettings>>& roomEntrySettingRows();
+/** Table of an agent that gives out room. */
+const std::vector<SettingRow<RoomAgentSettings>>& roomAgentSettingRows();
+
 /** Table of a load scenario. */
 const std::vector<SettingRow<LoadSettings>>& loadSettingRows();
 
--- a/include/sequoia/Time.h
+++ b/include/sequoia/Time.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 #include <functional>
 
 namespace sequoia {
@@ -16,6 +17,14 @@
 /** Source of the time; tests replace it. */
 using ClockHook = std::function<TimePoint()>;
 
+/** Monotonic time that goes on while the VM is suspended; for bounds that others rely on. */
+inline TimePoint suspendAwareNow()
+{
+    timespec now {};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return TimePoint(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
+}
+
 /** Rounds any duration down to whole milliseconds. */
 template <typename D> constexpr Milliseconds toMilliseconds(D d) { return std::chrono::duration_cast<Milliseconds>(d); }
 
--- a/src/AgentControl.cpp
+++ b/src/AgentControl.cpp
@@ -1,9 +1,9 @@
 /** @file AgentControl.cpp The control actor of an agent. */
 #include <sequoia/AgentControl.h>
+#include <sequoia/Dialer.h>
+#include <sequoia/LinkEffects.h>
 
-#include <fmt/format.h>
 #include <future>
-#include <map>
 
 namespace sequoia {
 
@@ -11,16 +11,17 @@
 
     constexpr Milliseconds tickPeriod { 20 };
     constexpr int ticksPerCollect = 50;
-    constexpr Milliseconds firstRedialPause { 100 };
-    constexpr Milliseconds longestRedialPause { 2000 };
-    constexpr Milliseconds welcomeTimeout { 2000 };
 
     /** State and handlers of the actor; they run on its thread only. */
-    class AgentState {
+    class AgentState : private LinkEffects {
     public:
         AgentState(caf::event_based_actor* self, AgentControlParts parts)
-            : m_self(self)
+            : LinkEffects(parts.links, parts.log)
+            , m_self(self)
             , m_parts(std::move(parts))
+            , m_dialer(
+                  {}, [this](const std::string& address) { return m_parts.links.dial(address); },
+                  [this](LinkId link) { m_parts.links.close(link); })
         {
         }
 
@@ -31,26 +32,7 @@
         }
 
     private:
-        /** One entry that this agent should be linked to. */
-        struct Dial {
-            std::optional<LinkId> link;
-            bool isWelcomed = false;
-            TimePoint since {}; ///< When the link was dialled or ended.
-            Milliseconds pause = firstRedialPause;
-        };
-
-        void on(DiscoveredInput& input)
-        {
-            std::map<std::string, Dial> wanted;
-            for (const auto& entry : input.entries)
-                wanted.try_emplace(entry.link);
-            for (auto& [address, dial] : m_dials) {
-                // A link in use stays, whatever discovery says: the entry may only be cut from the store.
-                if (wanted.contains(address) || dial.link)
-                    wanted[address] = dial;
-            }
-            m_dials = std::move(wanted);
-        }
+        void on(DiscoveredInput& input) { m_dialer.setAddresses(input.links, now()); }
 
         void on(AgentLinkOpenedInput& input)
         {
@@ -68,22 +50,14 @@
                 m_parts.core.receive(input.link, body, now());
                 return;
             }
-            for (auto& [address, dial] : m_dials) {
-                if (dial.link != input.link)
-                    continue;
-                dial.isWelcomed = true;
-                dial.pause = firstRedialPause;
+            if (m_dialer.welcomed(input.link))
                 m_parts.core.entryLinked(input.link, *body.AsWelcome(), now());
-            }
         }
 
         void on(AgentLinkClosedInput& input)
         {
             m_parts.core.linkClosed(input.link, now());
-            for (auto& [address, dial] : m_dials) {
-                if (dial.link == input.link)
-                    dial = { std::nullopt, false, now(), dial.pause };
-            }
+            m_dialer.closed(input.link, now());
         }
 
         void on(BackendFinishedInput& input)
@@ -103,38 +77,19 @@
         {
             if (const auto link = m_parts.core.linkOf(input.entry))
                 m_parts.links.close(*link);
-            for (auto& [address, dial] : m_dials) {
-                if (!dial.link)
-                    dial.since = TimePoint();
-            }
+            m_dialer.dialNow();
         }
         void on(AgentInspectInput& input) { input.visit(m_parts.core, now()); }
 
         void on(AgentTickInput&)
         {
             m_parts.core.tick(now());
-            redial();
+            m_dialer.tick(now());
             if (++m_ticks % ticksPerCollect == 0)
                 m_parts.links.collect();
             m_self->delayed_send(m_self, tickPeriod, AgentInput(AgentTickInput {}));
         }
 
-        void redial()
-        {
-            for (auto& [address, dial] : m_dials) {
-                if (dial.link) {
-                    if (!dial.isWelcomed && now() - dial.since > welcomeTimeout)
-                        m_parts.links.close(*dial.link);
-                    continue;
-                }
-                if (now() - dial.since < dial.pause)
-                    continue;
-                dial.pause = std::min(dial.pause * 2, longestRedialPause);
-                dial.since = now();
-                dial.link = m_parts.links.dial(address);
-            }
-        }
-
         TimePoint now() const { return m_parts.now(); }
 
         void perform()
@@ -143,26 +98,14 @@
                 std::visit([this](auto& action) { apply(action); }, effect);
         }
 
-        void apply(SendMessage& action)
-        {
-            Frame frame;
-            frame.body = std::move(action.body);
-            m_parts.links.send(action.link, std::move(frame));
-        }
-        void apply(CloseLink& action)
-        {
-            m_parts.log.event(LogLevel::Info, "link-closing",
-                { { "link", fmt::to_string(raw(action.link)) }, { "reason", action.reason } });
-            m_parts.links.close(action.link);
-        }
+        using LinkEffects::apply;
         void apply(DeliverAnswer&) { }
         void apply(AskForRelink&) { }
         void apply(CallBackend& action) { m_parts.call(std::move(action)); }
-        void apply(RecordEvent& action) { m_parts.log.event(action.level, action.kind, std::move(action.fields)); }
 
         caf::event_based_actor* m_self;
         AgentControlParts m_parts;
-        std::map<std::string, Dial> m_dials; ///< By link address.
+        Dialer m_dialer;
         int m_ticks = 0;
     };
 
--- a/src/AgentMain.cpp
+++ b/src/AgentMain.cpp
@@ -276,7 +276,7 @@
             for (const auto& entry : json.value("entries", Json::array())) {
                 if (!entry.is_object() || !entry.contains("link") || !entry.contains("http"))
                     continue;
-                found.entries.push_back({ entry["link"].get<std::string>(), {} });
+                found.links.push_back(entry["link"].get<std::string>());
                 known.insert(entry["http"].get<std::string>());
             }
             m_control->tell(std::move(found));
--- /dev/null
+++ b/src/AsyncHttp.cpp
@@ -0,0 +1,436 @@
+/** @file AsyncHttp.cpp HTTP on Boost.Beast: one coroutine a connection. */
+#include <sequoia/AsyncHttp.h>
+
+#include <sequoia/HttpService.h>
+
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <set>
+
+namespace sequoia {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+using namespace asio::experimental::awaitable_operators;
+
+namespace {
+
+    constexpr auto token = asio::as_tuple(asio::use_awaitable);
+
+    tcp::endpoint endpointOf(const std::string& address)
+    {
+        const auto parts = splitAddress(address);
+        error_code ec;
+        const auto host = asio::ip::make_address(parts ? parts->first : "", ec);
+        if (!parts || ec)
+            throw AsyncHttpError::BadAddress;
+        return { host, static_cast<uint16_t>(parts->second) };
+    }
+
+    std::string toText(const tcp::endpoint& endpoint)
+    {
+        return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+    }
+
+    bool hasPeerClosed(tcp::socket& socket)
+    {
+        char byte = 0;
+        const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
+    int statusOf(const error_code& ec)
+    {
+        if (ec == http::error::body_limit)
+            return 413;
+        if (ec == http::error::header_limit)
+            return 431;
+        return 400;
+    }
+
+    /** The exchange of one request; its reply ends the wait of the connection's coroutine. */
+    class Exchange : public HttpExchange, public std::enable_shared_from_this<Exchange> {
+    public:
+        explicit Exchange(asio::io_context& context)
+            : m_context(context)
+            , m_signal(context, asio::steady_timer::time_point::max())
+        {
+        }
+
+        void reply(HttpReply reply) override
+        {
+            asio::post(m_context, [self = shared_from_this(), reply = std::move(reply)]() mutable {
+                if (self->m_reply)
+                    return;
+                self->m_reply = std::move(reply);
+                self->m_signal.cancel();
+            });
+        }
+        void onGone(std::function<void()> gone) override { m_gone = std::move(gone); }
+
+        /** Waits for the reply; false if the caller has gone. */
+        asio::awaitable<bool> wait(beast::tcp_stream& stream)
+        {
+            bool isWatching = true;
+            while (!m_reply) {
+                if (!isWatching) {
+                    co_await m_signal.async_wait(token);
+                    continue;
+                }
+                co_await (m_signal.async_wait(token) || stream.socket().async_wait(tcp::socket::wait_read, token));
+                if (m_reply)
+                    break;
+                if (hasPeerClosed(stream.socket())) {
+                    if (m_gone)
+                        m_gone();
+                    co_return false;
+                }
+                isWatching = false; // The caller has sent its next request already.
+            }
+            co_return true;
+        }
+        HttpReply& result() { return *m_reply; }
+
+    private:
+        asio::io_context& m_context;
+        asio::steady_timer m_signal;
+        std::optional<HttpReply> m_reply;
+        std::function<void()> m_gone;
+    };
+
+} // namespace
+
+HttpLoop::HttpLoop()
+    : m_context(1)
+    , m_guard(asio::make_work_guard(m_context))
+{
+}
+
+HttpLoop::~HttpLoop() { stop(); }
+
+void HttpLoop::start()
+{
+    m_thread = std::thread([this] { m_context.run(); });
+}
+
+void HttpLoop::stop()
+{
+    m_context.stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+void HttpLoop::post(std::function<void()> work) { asio::post(m_context, std::move(work)); }
+
+std::string HttpCall::header(std::string_view name) const
+{
+    for (const auto& [key, value] : headers) {
+        if (key == name)
+            return value;
+    }
+    return "";
+}
+
+/** Shared by a server and its connections. */
+class AsyncHttpServerState : public std::enable_shared_from_this<AsyncHttpServerState> {
+public:
+    AsyncHttpServerState(asio::io_context& context, AsyncHttpLimits limits, AsyncHttpServer::Handler handler)
+        : m_context(context)
+        , m_limits(limits)
+        , m_handler(std::move(handler))
+        , m_acceptor(context)
+    {
+    }
+
+    std::string listen(const std::string& address)
+    {
+        const auto endpoint = endpointOf(address);
+        error_code ec;
+        m_acceptor.open(endpoint.protocol());
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true));
+        m_acceptor.bind(endpoint, ec);
+        if (ec)
+            throw AsyncHttpError::AddressInUse;
+        m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
+        if (ec)
+            throw AsyncHttpError::AddressInUse;
+        asio::co_spawn(m_context, accept(shared_from_this()), asio::detached);
+        return toText(m_acceptor.local_endpoint());
+    }
+
+    void closeIdle()
+    {
+        m_isClosing = true;
+        for (auto* stream : m_idle)
+            stream->close();
+    }
+
+    void stopListening()
+    {
+        error_code ec;
+        m_acceptor.close(ec);
+    }
+
+    size_t openExchanges() const { return m_open; }
+    asio::io_context& context() { return m_context; }
+
+private:
+    using Self = std::shared_ptr<AsyncHttpServerState>;
+
+    static asio::awaitable<void> accept(Self self)
+    {
+        while (self->m_acceptor.is_open()) {
+            auto [ec, socket] = co_await self->m_acceptor.async_accept(token);
+            if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor)
+                co_return;
+            if (ec || self->m_connections >= self->m_limits.maxConnections)
+                continue;
+            socket.set_option(tcp::no_delay(true), ec);
+            asio::co_spawn(self->m_context, serve(self, std::move(socket)), asio::detached);
+        }
+    }
+
+    static asio::awaitable<void> serve(Self self, tcp::socket socket)
+    {
+        ++self->m_connections;
+        beast::tcp_stream stream(std::move(socket));
+        beast::flat_buffer buffer;
+        while (co_await self->serveOne(stream, buffer)) { }
+        error_code ec;
+        stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        --self->m_connections;
+    }
+
+    /** Serves the next request of a connection; false if the connection ends. */
+    asio::awaitable<bool> serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    {
+        if (m_isClosing)
+            co_return false;
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(m_limits.maxBodyBytes);
+        parser.header_limit(static_cast<uint32_t>(m_limits.maxHeaderBytes));
+        if (buffer.size() == 0) {
+            m_idle.insert(&stream);
+            stream.expires_after(m_limits.idleTimeout);
+            auto [ec, n] = co_await stream.async_read_some(buffer.prepare(firstReadBytes), token);
+            m_idle.erase(&stream);
+            if (ec)
+                co_return false;
+            buffer.commit(n);
+        }
+        stream.expires_after(m_limits.readTimeout);
+        auto [ec, n] = co_await http::async_read(stream, buffer, parser, token);
+        if (ec == http::error::end_of_stream || ec == beast::error::timeout || ec == asio::error::connection_reset
+            || ec == asio::error::operation_aborted)
+            co_return false;
+        if (ec) {
+            HttpReply refusal { statusOf(ec), "{\"error\":\"" + ec.message() + "\"}", "application/json", {} };
+            co_await write(stream, std::move(refusal), false);
+            co_return false;
+        }
+        stream.expires_never();
+        auto request = parser.release();
+        const bool keepAlive = request.keep_alive();
+        auto exchange = std::make_shared<Exchange>(m_context);
+        ++m_open;
+        m_handler(callOf(request), exchange);
+        const bool isHere = co_await exchange->wait(stream);
+        --m_open;
+        if (!isHere)
+            co_return false;
+        stream.expires_after(m_limits.readTimeout);
+        const bool staysOpen = keepAlive && !m_isClosing;
+        co_return co_await write(stream, std::move(exchange->result()), staysOpen) && staysOpen;
+    }
+
+    static asio::awaitable<bool> write(beast::tcp_stream& stream, HttpReply reply, bool keepAlive)
+    {
+        http::response<http::string_body> response(static_cast<http::status>(reply.status), 11);
+        response.set(http::field::content_type, reply.contentType);
+        for (const auto& [name, value] : reply.headers)
+            response.set(name, value);
+        response.keep_alive(keepAlive);
+        response.body() = std::move(reply.body);
+        response.prepare_payload();
+        auto [ec, n] = co_await http::async_write(stream, response, token);
+        co_return !ec;
+    }
+
+    static HttpCall callOf(http::request<http::string_body>& request)
+    {
+        HttpCall call;
+        call.method = std::string(request.method_string());
+        call.target = std::string(request.target());
+        for (const auto& field : request) {
+            std::string name(field.name_string());
+            std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+            call.headers.emplace_back(std::move(name), std::string(field.value()));
+        }
+        call.body = std::move(request.body());
+        return call;
+    }
+
+    static constexpr size_t firstReadBytes = 4096;
+
+    asio::io_context& m_context;
+    AsyncHttpLimits m_limits;
+    AsyncHttpServer::Handler m_handler;
+    tcp::acceptor m_acceptor;
+    std::set<beast::tcp_stream*> m_idle;
+    std::atomic<size_t> m_open { 0 };
+    size_t m_connections = 0;
+    bool m_isClosing = false;
+};
+
+AsyncHttpServer::AsyncHttpServer(HttpLoop& loop, AsyncHttpLimits limits, Handler handler)
+    : m_state(std::make_shared<AsyncHttpServerState>(loop.context(), limits, std::move(handler)))
+{
+}
+
+AsyncHttpServer::~AsyncHttpServer() = default;
+
+std::string AsyncHttpServer::listen(const std::string& address) { return m_state->listen(address); }
+
+void AsyncHttpServer::closeIdle()
+{
+    asio::post(m_state->context(), [state = m_state] { state->closeIdle(); });
+}
+
+void AsyncHttpServer::stopListening()
+{
+    asio::post(m_state->context(), [state = m_state] { state->stopListening(); });
+}
+
+size_t AsyncHttpServer::openExchanges() const { return m_state->openExchanges(); }
+
+/** Connections of a client and the calls that wait for one. */
+class AsyncHttpClientState : public std::enable_shared_from_this<AsyncHttpClientState> {
+public:
+    AsyncHttpClientState(asio::io_context& context, const std::string& address, size_t maxConnections)
+        : m_context(context)
+        , m_endpoint(endpointOf(address))
+        , m_host(address)
+        , m_maxConnections(maxConnections)
+    {
+    }
+
+    asio::io_context& context() { return m_context; }
+
+    void call(HttpRequest request, Milliseconds timeout, std::function<void(HttpResult)> done)
+    {
+        Call next { std::move(request), Clock::now() + timeout, std::move(done) };
+        if (m_busy >= m_maxConnections) {
+            m_waiting.push_back(std::move(next));
+            return;
+        }
+        ++m_busy;
+        asio::co_spawn(m_context, work(shared_from_this(), std::move(next)), asio::detached);
+    }
+
+private:
+    using Stream = std::unique_ptr<beast::tcp_stream>;
+
+    struct Call {
+        HttpRequest request;
+        TimePoint until {};
+        std::function<void(HttpResult)> done;
+    };
+
+    /** Makes a call and then those that wait, on one connection after the other. */
+    static asio::awaitable<void> work(std::shared_ptr<AsyncHttpClientState> self, Call call)
+    {
+        for (;;) {
+            auto result = co_await self->perform(call);
+            call.done(std::move(result));
+            if (self->m_waiting.empty())
+                break;
+            call = std::move(self->m_waiting.front());
+            self->m_waiting.pop_front();
+        }
+        --self->m_busy;
+    }
+
+    asio::awaitable<HttpResult> perform(Call& call)
+    {
+        auto stream = takeIdle();
+        if (!stream) {
+            stream = std::make_unique<beast::tcp_stream>(m_context);
+            stream->expires_at(call.until);
+            auto [ec] = co_await stream->async_connect(m_endpoint, token);
+            if (ec == asio::error::connection_refused)
+                co_return HttpFault::Refused;
+            if (ec)
+                co_return HttpFault::NotSent;
+            stream->socket().set_option(tcp::no_delay(true), ec);
+        }
+        http::request<http::string_body> request(http::string_to_verb(call.request.method), call.request.target, 11);
+        request.set(http::field::host, m_host);
+        for (const auto& [name, value] : call.request.headers)
+            request.set(name, value);
+        if (!call.request.body.empty())
+            request.set(http::field::content_type, "application/json");
+        request.body() = std::move(call.request.body);
+        request.prepare_payload();
+        stream->expires_at(call.until);
+        auto [sendError, sent] = co_await http::async_write(*stream, request, token);
+        if (sendError)
+            co_return HttpFault::NoAnswer;
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(maxReplyBytes);
+        auto [readError, received] = co_await http::async_read(*stream, buffer, parser, token);
+        if (readError)
+            co_return HttpFault::NoAnswer;
+        const bool staysOpen = parser.keep_alive();
+        auto response = parser.release();
+        HttpReply reply;
+        reply.status = static_cast<int>(response.result_int());
+        reply.body = std::move(response.body());
+        if (staysOpen && m_idle.size() < m_maxConnections)
+            m_idle.push_back(std::move(stream));
+        co_return reply;
+    }
+
+    /** A kept connection that the peer has not closed. */
+    Stream takeIdle()
+    {
+        while (!m_idle.empty()) {
+            auto stream = std::move(m_idle.back());
+            m_idle.pop_back();
+            if (!hasPeerClosed(stream->socket()))
+                return stream;
+        }
+        return nullptr;
+    }
+
+    static constexpr uint64_t maxReplyBytes = 16U << 20U;
+
+    asio::io_context& m_context;
+    tcp::endpoint m_endpoint;
+    std::string m_host;
+    size_t m_maxConnections;
+    size_t m_busy = 0;
+    std::vector<Stream> m_idle;
+    std::deque<Call> m_waiting;
+};
+
+AsyncHttpClient::AsyncHttpClient(HttpLoop& loop, const std::string& address, size_t maxConnections)
+    : m_state(std::make_shared<AsyncHttpClientState>(loop.context(), address, maxConnections))
+{
+}
+
+void AsyncHttpClient::call(HttpRequest request, Milliseconds timeout, std::function<void(HttpResult)> done)
+{
+    asio::post(
+        m_state->context(), [state = m_state, request = std::move(request), timeout, done = std::move(done)]() mutable {
+            state->call(std::move(request), timeout, std::move(done));
+        });
+}
+
+} // namespace sequoia
--- a/src/CommandLine.cpp
+++ b/src/CommandLine.cpp
@@ -84,6 +84,10 @@
 }
 
 template std::optional<EntrySettings> loadOrReport(const std::vector<SettingRow<EntrySettings>>&, const DaemonOptions&);
+template std::optional<RoomEntrySettings> loadOrReport(
+    const std::vector<SettingRow<RoomEntrySettings>>&, const DaemonOptions&);
+template std::optional<RoomAgentSettings> loadOrReport(
+    const std::vector<SettingRow<RoomAgentSettings>>&, const DaemonOptions&);
 template std::optional<LoadSettings> loadOrReport(const std::vector<SettingRow<LoadSettings>>&, const DaemonOptions&);
 template std::optional<AgentSettings> loadOrReport(const std::vector<SettingRow<AgentSettings>>&, const DaemonOptions&);
 
--- /dev/null
+++ b/src/Dispatcher.cpp
@@ -0,0 +1,555 @@
+/** @file Dispatcher.cpp Jobs of an entry that places by room: submission, queue, placing and answers. */
+#include <sequoia/Dispatcher.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+namespace {
+
+    enum Band : uint8_t { HasRuns, MeetsObjective, Late };
+
+    constexpr uint32_t runNumberJump = 16; // After a server said that a run number is too low for it.
+    constexpr Milliseconds retryUnavailable { 1000 }; // Retry-After while no backend server is known.
+
+    int64_t msOf(Clock::duration d) { return toMilliseconds(d).count(); }
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherLimits limits, RoomPolicyLimits policy, DispatcherHooks hooks)
+    : m_limits(limits)
+    , m_policy(policy)
+    , m_hooks(std::move(hooks))
+{
+}
+
+std::vector<DispatchEffect> Dispatcher::takeEffects() { return m_effects.take(); }
+
+Dispatcher::Job* Dispatcher::findJob(WorkId id)
+{
+    const auto it = m_jobs.find(id);
+    return it == m_jobs.end() ? nullptr : &it->second;
+}
+
+void Dispatcher::submit(WorkSpec spec, RoutePolicy route, Milliseconds budget, WaiterId waiter, TimePoint now)
+{
+    const auto id = spec.id;
+    if (auto* known = findJob(id)) {
+        known->waiters.push_back(waiter);
+        m_effects.record(LogLevel::Info, "job-joined", { { "job", id }, { "route", route.name } });
+        return;
+    }
+    ++m_counters.jobs;
+    auto& job = m_jobs[id];
+    job.waiters.push_back(waiter);
+    job.arrival = now;
+    job.deadline = now + (route.timeout.count() > 0 ? std::min(budget, route.timeout) : budget);
+    job.route = std::move(route);
+    job.spec = std::move(spec);
+    if (const auto past = m_pastRuns.find(id); past != m_pastRuns.end())
+        job.firstRun = RunNumber(raw(past->second.highest) + 1);
+
+    const auto n = job.spec.steps.size();
+    job.steps.resize(n);
+    job.chains.assign(n, Milliseconds(0));
+    for (size_t i = n; i-- > 0;) {
+        const auto& step = job.spec.steps[i];
+        job.steps[i].tasks.resize(step.count);
+        job.tasksLeft += step.count;
+        job.chains[i] += step.estimate;
+        for (const auto before : step.after)
+            job.chains[before] = std::max(job.chains[before], job.chains[i]);
+    }
+    for (size_t i = 0; i < n; ++i) {
+        if (job.spec.steps[i].after.empty())
+            makeReady(job, i);
+    }
+
+    const auto refuse = [&](std::string_view reason, Milliseconds retryAfter) {
+        finish(id, { WorkStatus::NotRun, reason, retryAfter }, now);
+    };
+    if (m_jobs.size() > m_limits.maxOpenJobs || m_queuedTasks + job.tasksLeft > m_limits.maxQueuedTasks)
+        return refuse("queue-full", retryUnavailable);
+    const auto work = queuedWork(job, now);
+    const auto admission = m_hooks.admit(work, loadBefore(job, keyOf(job, now)));
+    if (!admission.isAdmitted) {
+        m_effects.record(LogLevel::Debug, "admission",
+            { { "job", id }, { "wait_ms", admission.predictedWait.count() },
+                { "slack_ms", slackToWorthless(work, m_policy).count() },
+                { "queued_tasks", static_cast<int64_t>(m_queuedTasks) } });
+        return refuse("overloaded", admission.retryAfter);
+    }
+    requeue(job, now);
+    pump(now);
+}
+
+void Dispatcher::callerGone(WorkId id, WaiterId waiter, TimePoint now)
+{
+    auto* job = findJob(id);
+    if (job == nullptr)
+        return;
+    std::erase(job->waiters, waiter);
+    if (!job->waiters.empty())
+        return;
+    ++m_counters.callersGone;
+    finish(id, { job->orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, "caller-gone", {} }, now);
+}
+
+bool Dispatcher::cancel(WorkId id, TimePoint now)
+{
+    const auto* job = findJob(id);
+    if (job == nullptr)
+        return false;
+    finish(id, { job->orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, "cancelled", {} }, now);
+    return true;
+}
+
+size_t Dispatcher::waitingJobs(const std::string& route) const
+{
+    return static_cast<size_t>(std::count_if(m_jobs.begin(), m_jobs.end(),
+        [&](const auto& job) { return job.second.orders == 0 && job.second.route.name == route; }));
+}
+
+QueuedWork Dispatcher::queuedWork(const Job& job, TimePoint now) const
+{
+    Milliseconds chain {};
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        if (job.steps[i].done < job.steps[i].tasks.size())
+            chain = std::max(chain, job.chains[i]);
+    }
+    return { chain, job.route.stretch, job.route.objective, toMilliseconds(now - job.arrival),
+        toMilliseconds(job.deadline - now) };
+}
+
+Dispatcher::QueueKey Dispatcher::keyOf(const Job& job, TimePoint now) const
+{
+    const auto slack = slackToObjective(queuedWork(job, now), m_policy);
+    const auto band = job.orders > 0 ? HasRuns : slack.count() >= 0 ? MeetsObjective : Late;
+    return { band, 0, now + slack, job.spec.id };
+}
+
+LoadView Dispatcher::loadBefore(const Job&, const QueueKey& key) const
+{
+    LoadView load;
+    for (const auto& ahead : m_queue) {
+        if (!(ahead < key))
+            break;
+        const auto& job = m_jobs.at(ahead.job);
+        for (size_t i = 0; i < job.steps.size(); ++i) {
+            const auto& step = job.spec.steps[i];
+            load.aheadCpuMs += static_cast<double>(job.steps[i].ready.size()) * static_cast<double>(step.room.cpu)
+                * static_cast<double>(step.estimate.count());
+        }
+    }
+    for (const auto& agent : m_agents) {
+        if (agent.isLinked && agent.state != wire::GateState::Closed)
+            load.cpuPerMs += static_cast<double>(agent.total.cpu) / agent.slowness;
+    }
+    load.cpuPerMs /= static_cast<double>(m_entries);
+    return load;
+}
+
+void Dispatcher::makeReady(Job& job, size_t index)
+{
+    auto& step = job.steps[index];
+    for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+        step.tasks[i].state = TaskState::Ready;
+        step.ready.push_back(i);
+    }
+}
+
+void Dispatcher::unqueue(Job& job)
+{
+    if (!job.queued)
+        return;
+    m_queue.erase(*job.queued);
+    job.queued.reset();
+}
+
+void Dispatcher::requeue(Job& job, TimePoint now)
+{
+    unqueue(job);
+    const bool isWaiting
+        = std::any_of(job.steps.begin(), job.steps.end(), [](const Step& step) { return !step.ready.empty(); });
+    if (!isWaiting)
+        return;
+    job.queued = keyOf(job, now);
+    m_queue.insert(*job.queued);
+}
+
+void Dispatcher::pump(TimePoint now)
+{
+    const bool hasRoom = std::any_of(
+        m_agents.begin(), m_agents.end(), [](const RoomAgent& agent) { return agent.isLinked && agent.free.cpu > 0; });
+    size_t misses = 0;
+    for (auto it = m_queue.begin(); hasRoom && it != m_queue.end() && misses < m_limits.scanDepth;) {
+        auto& job = m_jobs.at((it++)->job);
+        if (!placeJob(job, now))
+            ++misses;
+    }
+    m_queuedTasks = 0;
+    for (const auto& key : m_queue) {
+        for (const auto& step : m_jobs.at(key.job).steps)
+            m_queuedTasks += step.ready.size();
+    }
+    if (!m_queue.empty())
+        askForRoom(now);
+}
+
+bool Dispatcher::placeJob(Job& job, TimePoint now)
+{
+    bool isPlaced = true;
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        while (!job.steps[i].ready.empty()) {
+            if (!placeStep(job, i, now)) {
+                isPlaced = false;
+                break;
+            }
+        }
+    }
+    requeue(job, now);
+    return isPlaced;
+}
+
+int64_t Dispatcher::mostOfStepAt(const Job& job, size_t step, size_t agent)
+{
+    const auto bound = job.spec.steps[step].maxPerServer;
+    if (bound == 0)
+        return INT64_MAX;
+    const auto& tasks = job.steps[step].tasks;
+    const auto here = std::count_if(tasks.begin(), tasks.end(),
+        [&](const Task& task) { return task.state == TaskState::Ordered && task.agent == agent; });
+    return std::max<int64_t>(bound - here, 0);
+}
+
+std::vector<size_t> Dispatcher::eligibleAgents(const Job& job, size_t step) const
+{
+    const auto& spec = job.spec.steps[step];
+    std::vector<size_t> all;
+    std::vector<size_t> fresh;
+    const auto& avoided = job.steps[step].tasks[job.steps[step].ready.back()].avoided;
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        const auto& agent = m_agents[i];
+        if (!agent.isLinked || agent.state == wire::GateState::Closed || agent.service != job.route.service)
+            continue;
+        const auto hasLabel = [&](const std::string& label) {
+            return label.empty() || std::find(agent.labels.begin(), agent.labels.end(), label) != agent.labels.end();
+        };
+        if (!hasLabel(spec.requiredLabel))
+            continue;
+        all.push_back(i);
+        if (std::find(avoided.begin(), avoided.end(), i) == avoided.end())
+            fresh.push_back(i);
+    }
+    return fresh.empty() ? all : fresh;
+}
+
+bool Dispatcher::placeStep(Job& job, size_t index, TimePoint now)
+{
+    const auto& spec = job.spec.steps[index];
+    auto& step = job.steps[index];
+    const auto eligible = eligibleAgents(job, index);
+    std::vector<RoomCandidate> candidates;
+    candidates.reserve(eligible.size());
+    for (const auto i : eligible) {
+        const auto& agent = m_agents[i];
+        const bool isNear = spec.preferredLabel.empty()
+            || std::find(agent.labels.begin(), agent.labels.end(), spec.preferredLabel) != agent.labels.end();
+        const bool isTrial = agent.state == wire::GateState::Trial;
+        const int64_t trials = agent.runs.empty() ? 1 : 0;
+        candidates.push_back({ agent.free, agent.slowness, isNear, isTrial ? trials : mostOfStepAt(job, index, i) });
+    }
+    RoomRequest request;
+    request.room = spec.room;
+    // A task that failed elsewhere avoids servers that its fellows need not avoid, so it is placed alone.
+    request.count = step.tasks[step.ready.back()].avoided.empty() ? static_cast<int64_t>(step.ready.size()) : 1;
+    request.estimate = job.chains[index];
+    request.waited = toMilliseconds(now - job.arrival);
+    request.stretch = job.route.stretch;
+    request.objective = job.route.objective;
+    request.remaining = toMilliseconds(job.deadline - now);
+    request.salt = m_salt += 0x9E3779B97F4A7C15U;
+    const auto choice = m_hooks.place(candidates, request);
+    if (!choice)
+        return false;
+    for (int64_t n = 0; n < choice->count; ++n) {
+        const auto task = step.ready.back();
+        step.ready.pop_back();
+        order(job, index, task, eligible[choice->candidate], now);
+    }
+    return true;
+}
+
+void Dispatcher::order(Job& job, size_t index, uint32_t position, size_t at, TimePoint now)
+{
+    auto& agent = m_agents[at];
+    auto& task = job.steps[index].tasks[position];
+    const auto& spec = job.spec.steps[index];
+    task.state = TaskState::Ordered;
+    task.run = std::max(RunNumber(raw(task.run) + 1), job.firstRun);
+    task.agent = at;
+    task.ordered = now;
+    task.isStopping = false;
+    const RunId id { { job.spec.id, StepIndex(index), TaskIndex(position) }, task.run };
+    if (job.orders == 0)
+        job.firstOrder = now;
+    ++job.orders;
+    ++job.outstanding;
+    ++m_counters.orders;
+
+    wire::RunOrderT message;
+    message.id = std::make_unique<wire::RunId>(toWire(id));
+    message.agent_incarnation = raw(agent.incarnation);
+    message.room = std::make_unique<wire::Room>(toWire(spec.room));
+    message.payload = job.spec.payload;
+    message.estimate_ms = static_cast<uint32_t>(spec.estimate.count());
+    message.remaining_ms = static_cast<uint32_t>(std::max<int64_t>(msOf(job.deadline - now), 0));
+    message.max_per_server = spec.maxPerServer;
+    agent.free -= spec.room;
+    agent.unseenOrders.emplace_back(++agent.ordersSent, spec.room);
+    if (agent.runs.empty())
+        agent.lastHeard = now; // Silence counts from the first run that expects an answer.
+    agent.runs.insert(id);
+    m_effects.record(LogLevel::Debug, "run-ordered",
+        { { "job", job.spec.id }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
+            { "agent", agent.name }, { "free", toString(agent.free) }, { "view_age_ms", msOf(now - agent.reported) } });
+    send(agent, std::move(message), now);
+}
+
+void Dispatcher::askForRoom(TimePoint now)
+{
+    const auto& first = m_jobs.at(m_queue.begin()->job);
+    std::optional<Room> smallest;
+    for (size_t i = 0; i < first.steps.size(); ++i) {
+        if (!first.steps[i].ready.empty())
+            smallest = smallest ? smallerOf(*smallest, first.spec.steps[i].room) : first.spec.steps[i].room;
+    }
+    // The rate grows with the number of agents, so the period does as well.
+    constexpr size_t agentsAtBasePeriod = 16;
+    const auto period = m_limits.demandPeriod
+        * std::max<int64_t>(1, static_cast<int64_t>((m_agents.size() + agentsAtBasePeriod - 1) / agentsAtBasePeriod));
+    for (auto& agent : m_agents) {
+        if (!agent.isLinked || agent.state == wire::GateState::Closed || agent.service != first.route.service
+            || now < agent.nextDemand)
+            continue;
+        agent.nextDemand = now + period;
+        wire::DemandT message;
+        message.tasks = static_cast<uint32_t>(m_queuedTasks);
+        message.smallest = std::make_unique<wire::Room>(toWire(smallest.value_or(Room())));
+        message.slack_ms = static_cast<int32_t>(msOf(m_queue.begin()->latestStart - now));
+        message.valid_ms = static_cast<uint32_t>(2 * period.count());
+        ++m_counters.demands;
+        send(agent, std::move(message), now);
+    }
+}
+
+void Dispatcher::finish(WorkId id, WorkAnswer answer, TimePoint now)
+{
+    auto& job = m_jobs.at(id);
+    unqueue(job);
+    for (auto& step : job.steps) {
+        step.ready.clear();
+    }
+    switch (answer.status) {
+    case WorkStatus::Succeeded:
+        ++m_counters.succeeded;
+        break;
+    case WorkStatus::Failed:
+        ++m_counters.failed;
+        break;
+    case WorkStatus::NotRun:
+        ++m_counters.notRun;
+        break;
+    case WorkStatus::GivenUp:
+        ++m_counters.givenUp;
+        break;
+    }
+    const bool isOrdinary = answer.status == WorkStatus::Succeeded;
+    m_effects.record(isOrdinary ? LogLevel::Info : LogLevel::Warning, "job-answered",
+        { { "job", id }, { "route", job.route.name }, { "status", std::string(toString(answer.status)) },
+            { "reason", std::string(answer.reason) }, { "age_ms", msOf(now - job.arrival) },
+            { "queued_ms", job.orders > 0 ? msOf(job.firstOrder - job.arrival) : msOf(now - job.arrival) },
+            { "tasks_left", static_cast<int64_t>(job.tasksLeft) }, { "orders", job.orders },
+            { "refused", job.refusals }, { "failed_runs", job.failures },
+            { "retry_after_ms", answer.retryAfter.count() }, { "queued_tasks", static_cast<int64_t>(m_queuedTasks) } });
+    for (const auto waiter : job.waiters)
+        m_effects.add(AnswerCaller { waiter, id, answer });
+    if (job.orders > 0)
+        stopRuns(job, now);
+    m_jobs.erase(id);
+}
+
+void Dispatcher::stopRuns(Job& job, TimePoint now)
+{
+    std::map<size_t, std::vector<RunId>> byAgent;
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        for (size_t n = 0; n < job.steps[i].tasks.size(); ++n) {
+            const auto& task = job.steps[i].tasks[n];
+            auto& past = m_pastRuns[job.spec.id];
+            past = { std::max(past.highest, task.run), now + m_limits.runMemory };
+            if (task.state == TaskState::Ordered)
+                byAgent[task.agent].push_back(
+                    { { job.spec.id, StepIndex(i), TaskIndex(static_cast<uint16_t>(n)) }, task.run });
+        }
+    }
+    for (const auto& [agent, ids] : byAgent)
+        sendStop(agent, ids, now);
+}
+
+void Dispatcher::sendStop(size_t at, const std::vector<RunId>& ids, TimePoint now)
+{
+    auto& agent = m_agents[at];
+    if (!agent.isLinked)
+        return; // The agent stops the runs of an entry that it does not hear from.
+    wire::RunStopT message;
+    for (const auto& id : ids)
+        message.ids.push_back(toWire(id));
+    send(agent, std::move(message), now);
+}
+
+void Dispatcher::tick(TimePoint now)
+{
+    tickLinks(now);
+    tickStragglers(now);
+    tickQueue(now);
+    std::erase_if(m_pastRuns, [&](const auto& past) { return past.second.forgotten <= now; });
+    pump(now);
+}
+
+void Dispatcher::tickQueue(TimePoint now)
+{
+    std::vector<WorkId> worthless;
+    std::vector<WorkId> moved;
+    for (const auto& key : m_queue) {
+        const auto& job = m_jobs.at(key.job);
+        // A job with runs may still end in time, as its estimates may be too long: it goes on until its deadline.
+        if (job.orders == 0 && slackToWorthless(queuedWork(job, now), m_policy).count() < 0)
+            worthless.push_back(key.job);
+        else if (key.band == MeetsObjective && key.latestStart < now)
+            moved.push_back(key.job);
+    }
+    for (const auto id : moved)
+        requeue(m_jobs.at(id), now);
+    const bool hasAgents = linkedAgents() > 0;
+    for (const auto id : worthless)
+        finish(id, { WorkStatus::NotRun, hasAgents ? "waited-too-long" : "no-backend-server", retryUnavailable }, now);
+    std::vector<WorkId> expired;
+    for (const auto& [id, job] : m_jobs) {
+        if (job.deadline <= now)
+            expired.push_back(id);
+    }
+    for (const auto id : expired)
+        finish(id, { m_jobs.at(id).orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, "deadline", {} }, now);
+}
+
+void Dispatcher::tickStragglers(TimePoint now)
+{
+    for (auto& [id, job] : m_jobs) {
+        for (size_t i = 0; i < job.steps.size(); ++i) {
+            const auto estimate = job.spec.steps[i].estimate;
+            if (estimate.count() == 0)
+                continue;
+            for (size_t n = 0; n < job.steps[i].tasks.size(); ++n) {
+                auto& task = job.steps[i].tasks[n];
+                if (task.state != TaskState::Ordered || task.isStopping)
+                    continue;
+                const auto& agent = m_agents[task.agent];
+                const auto expected
+                    = estimate * std::max(agent.slowness, 1.0) * m_limits.stragglerFactor + m_limits.stragglerMargin;
+                const bool isWorthRepeating = now + estimate + m_policy.overhead < job.deadline;
+                if (now - task.ordered < expected || !isWorthRepeating || !agent.isLinked)
+                    continue;
+                task.isStopping = true;
+                task.avoided.push_back(task.agent);
+                ++m_counters.stragglers;
+                const RunId run { { id, StepIndex(i), TaskIndex(static_cast<uint16_t>(n)) }, task.run };
+                recordRun(LogLevel::Warning, "run-stuck", job, run, agent, "", msOf(now - task.ordered));
+                sendStop(task.agent, { run }, now);
+            }
+        }
+    }
+}
+
+void Dispatcher::taskDone(Job& job, size_t index, Task& task, TimePoint now)
+{
+    task.state = TaskState::Done;
+    auto& step = job.steps[index];
+    ++step.done;
+    if (--job.tasksLeft == 0) {
+        finish(job.spec.id, { WorkStatus::Succeeded, "done", {} }, now);
+        return;
+    }
+    if (step.done < step.tasks.size())
+        return;
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        const auto& after = job.spec.steps[i].after;
+        const bool isNext = std::find(after.begin(), after.end(), index) != after.end();
+        const bool isReady = std::all_of(after.begin(), after.end(),
+            [&](uint32_t before) { return job.steps[before].done == job.steps[before].tasks.size(); });
+        if (isNext && isReady)
+            makeReady(job, i);
+    }
+    requeue(job, now);
+}
+
+void Dispatcher::tryAgain(Job& job, const RunId& id, Task& task, TimePoint now)
+{
+    task.state = TaskState::Ready;
+    job.steps[raw(id.task.step)].ready.push_back(raw(id.task.index));
+    requeue(job, now);
+}
+
+void Dispatcher::recordRun(LogLevel level, std::string_view kind, const Job& job, const RunId& id,
+    const RoomAgent& agent, std::string reason, int64_t ms)
+{
+    m_effects.record(level, kind,
+        { { "job", job.spec.id }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
+            { "agent", agent.name }, { "reason", std::move(reason) }, { "ms", ms } });
+}
+
+void Dispatcher::runEnded(Job& job, const RunId& id, size_t at, const wire::RunResultT& result, TimePoint now)
+{
+    auto& task = job.steps[raw(id.task.step)].tasks[raw(id.task.index)];
+    if (task.state != TaskState::Ordered || task.run != id.run)
+        return;
+    const auto& agent = m_agents[at];
+    const auto since = msOf(now - task.ordered);
+    --job.outstanding;
+    switch (result.outcome) {
+    case wire::RunOutcome::Done:
+        taskDone(job, raw(id.task.step), task, now);
+        return;
+    case wire::RunOutcome::Failed:
+        ++job.failures;
+        ++m_counters.failedRuns;
+        recordRun(LogLevel::Info, "run-failed", job, id, agent, result.reason, since);
+        if (++task.failures >= job.route.maxFailures) {
+            finish(job.spec.id, { WorkStatus::Failed, "attempts-exhausted", {} }, now);
+            return;
+        }
+        task.avoided.push_back(at);
+        break;
+    case wire::RunOutcome::NotStarted:
+        ++job.refusals;
+        ++m_counters.refusedOrders;
+        recordRun(LogLevel::Debug, "run-refused", job, id, agent, wire::EnumNameRefusal(result.refusal), since);
+        if (result.refusal == wire::Refusal::RunTooLow)
+            task.run = RunNumber(raw(task.run) + runNumberJump);
+        if (result.refusal != wire::Refusal::NoRoom)
+            task.avoided.push_back(at);
+        break;
+    case wire::RunOutcome::Stopped:
+    case wire::RunOutcome::Lost:
+        ++m_counters.lostRuns;
+        recordRun(LogLevel::Info, "run-lost", job, id, agent, result.reason, since);
+        if (!task.isStopping)
+            task.avoided.push_back(at);
+        break;
+    case wire::RunOutcome::Running:
+        break;
+    }
+    tryAgain(job, id, task, now);
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/DispatcherAgents.cpp
@@ -0,0 +1,186 @@
+/** @file DispatcherAgents.cpp What a dispatcher knows of its agents, and their messages. */
+#include <sequoia/Dispatcher.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+std::optional<size_t> Dispatcher::agentOf(LinkId link) const
+{
+    const auto it = m_agentByLink.find(link);
+    return it == m_agentByLink.end() ? std::nullopt : std::optional(it->second);
+}
+
+size_t Dispatcher::linkedAgents() const
+{
+    return static_cast<size_t>(
+        std::count_if(m_agents.begin(), m_agents.end(), [](const RoomAgent& agent) { return agent.isLinked; }));
+}
+
+void Dispatcher::agentLinked(LinkId link, const wire::HelloT& hello, TimePoint now)
+{
+    const auto [it, isNew] = m_agentByName.try_emplace(hello.agent, m_agents.size());
+    if (isNew)
+        m_agents.push_back({});
+    const auto index = it->second;
+    auto& agent = m_agents[index];
+    if (agent.isLinked) {
+        m_agentByLink.erase(agent.link);
+        m_effects.add(CloseLink { agent.link, "replaced by a new link" });
+    }
+    agent.name = hello.agent;
+    agent.link = link;
+    agent.isLinked = true;
+    agent.lastHeard = now;
+    agent.lastSent = now;
+    agent.state = wire::GateState::Closed; // Until it reports.
+    agent.ordersSent = 0;
+    agent.unseenOrders.clear();
+    agent.nextDemand = now;
+    m_agentByLink[link] = index;
+    const bool isNewLife = agent.incarnation != Incarnation(hello.incarnation);
+    agent.incarnation = Incarnation(hello.incarnation);
+    m_effects.record(LogLevel::Info, "agent-linked",
+        { { "agent", agent.name }, { "new_life", isNewLife ? "true" : "false" },
+            { "runs", static_cast<int64_t>(agent.runs.size()) } });
+    if (isNewLife) {
+        // An agent links once nothing runs on its server that it does not know of.
+        loseRuns(index, "agent-restarted", now);
+        pump(now);
+        return;
+    }
+    if (agent.runs.empty())
+        return;
+    wire::RunQueryT query;
+    for (const auto& id : agent.runs)
+        query.ids.push_back(toWire(id));
+    send(agent, std::move(query), now);
+}
+
+void Dispatcher::linkClosed(LinkId link, TimePoint now)
+{
+    const auto index = agentOf(link);
+    if (!index)
+        return;
+    auto& agent = m_agents[*index];
+    m_agentByLink.erase(link);
+    agent.isLinked = false;
+    agent.lostAt = now;
+    m_effects.record(LogLevel::Warning, "agent-unlinked",
+        { { "agent", agent.name }, { "runs", static_cast<int64_t>(agent.runs.size()) },
+            { "heard_ms_ago", toMilliseconds(now - agent.lastHeard).count() } });
+}
+
+void Dispatcher::loseRuns(size_t index, std::string_view cause, TimePoint now)
+{
+    for (const auto& id : std::exchange(m_agents[index].runs, {})) {
+        auto* job = findJob(id.task.job);
+        if (job == nullptr)
+            continue;
+        wire::RunResultT lost;
+        lost.outcome = wire::RunOutcome::Lost;
+        lost.reason = cause;
+        runEnded(*job, id, index, lost, now);
+    }
+}
+
+void Dispatcher::tickLinks(TimePoint now)
+{
+    std::vector<LinkId> silent;
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        auto& agent = m_agents[i];
+        if (!agent.isLinked) {
+            if (!agent.runs.empty() && now - agent.lostAt > m_limits.runLapse)
+                loseRuns(i, "agent-out-of-reach", now);
+            continue;
+        }
+        const bool isBusy = !agent.runs.empty();
+        const auto allowed = isBusy ? m_limits.linkSilence : 4 * m_limits.idleBeat;
+        if (now - agent.lastHeard > allowed) {
+            silent.push_back(agent.link);
+            continue;
+        }
+        if (now - agent.lastSent >= (isBusy ? m_limits.beat : m_limits.idleBeat))
+            send(agent, wire::BeatT(), now);
+    }
+    for (const auto link : silent) {
+        m_effects.add(CloseLink { link, "silent" });
+        linkClosed(link, now);
+    }
+}
+
+void Dispatcher::setRoom(RoomAgent& agent, const wire::Room* free, uint32_t ordersSeen, float slowness, TimePoint now)
+{
+    if (free == nullptr)
+        return;
+    while (!agent.unseenOrders.empty() && agent.unseenOrders.front().first <= ordersSeen)
+        agent.unseenOrders.pop_front();
+    agent.free = fromWire(free);
+    for (const auto& [number, room] : agent.unseenOrders)
+        agent.free -= room;
+    if (slowness > 0)
+        agent.slowness = slowness;
+    agent.reported = now;
+}
+
+void Dispatcher::receive(LinkId link, const wire::BodyUnion& body, TimePoint now)
+{
+    const auto index = agentOf(link);
+    if (!index)
+        return;
+    ++m_counters.messagesReceived;
+    m_agents[*index].lastHeard = now;
+    switch (body.type) {
+    case wire::Body::RoomReport:
+        onReport(*index, *body.AsRoomReport(), now);
+        break;
+    case wire::Body::RoomUpdate: {
+        const auto& update = *body.AsRoomUpdate();
+        ++m_counters.updates;
+        setRoom(m_agents[*index], update.free.get(), update.orders_seen, update.slowness, now);
+        break;
+    }
+    case wire::Body::RunResult:
+        onResult(*index, *body.AsRunResult(), now);
+        break;
+    default:
+        return; // Beats only show that the agent is there.
+    }
+    pump(now);
+}
+
+void Dispatcher::onReport(size_t index, const wire::RoomReportT& report, TimePoint now)
+{
+    auto& agent = m_agents[index];
+    const bool isChanged = agent.state != report.state;
+    agent.service = report.service;
+    agent.labels = report.labels;
+    agent.state = report.state;
+    agent.total = fromWire(report.total.get());
+    setRoom(agent, report.free.get(), report.orders_seen, report.slowness, now);
+    if (!isChanged)
+        return;
+    m_effects.record(LogLevel::Info, "agent-state",
+        { { "agent", agent.name }, { "state", wire::EnumNameGateState(agent.state) }, { "reason", report.reason },
+            { "total", toString(agent.total) }, { "free", toString(agent.free) },
+            { "slowness_percent", static_cast<int64_t>(agent.slowness * 100) } });
+}
+
+void Dispatcher::onResult(size_t index, const wire::RunResultT& result, TimePoint now)
+{
+    auto& agent = m_agents[index];
+    setRoom(agent, result.free.get(), result.orders_seen, result.slowness, now);
+    if (result.id == nullptr || result.outcome == wire::RunOutcome::Running)
+        return;
+    const auto id = fromWire(*result.id);
+    if (agent.runs.erase(id) == 0)
+        return;
+    auto* job = findJob(id.task.job);
+    const bool isKnown = job != nullptr && raw(id.task.step) < job->steps.size()
+        && raw(id.task.index) < job->steps[raw(id.task.step)].tasks.size();
+    if (isKnown)
+        runEnded(*job, id, index, result, now);
+}
+
+} // namespace sequoia
--- a/src/EntryControl.cpp
+++ b/src/EntryControl.cpp
@@ -1,5 +1,6 @@
 /** @file EntryControl.cpp The control actor of an entry. */
 #include <sequoia/EntryControl.h>
+#include <sequoia/LinkEffects.h>
 
 #include <fmt/format.h>
 
@@ -11,10 +12,11 @@
     constexpr int ticksPerCollect = 100;
 
     /** State and handlers of the actor; they run on its thread only. */
-    class ControlState {
+    class ControlState : private LinkEffects {
     public:
         ControlState(caf::event_based_actor* self, EntryControlParts parts)
-            : m_self(self)
+            : LinkEffects(parts.links, parts.log)
+            , m_self(self)
             , m_parts(std::move(parts))
         {
         }
@@ -102,18 +104,7 @@
                 std::visit([this](auto& action) { apply(action); }, effect);
         }
 
-        void apply(SendMessage& action)
-        {
-            Frame frame;
-            frame.body = std::move(action.body);
-            m_parts.links.send(action.link, std::move(frame));
-        }
-        void apply(CloseLink& action)
-        {
-            m_parts.log.event(LogLevel::Info, "link-closing",
-                { { "link", fmt::to_string(raw(action.link)) }, { "reason", action.reason } });
-            m_parts.links.close(action.link);
-        }
+        using LinkEffects::apply;
         void apply(DeliverAnswer& action)
         {
             m_parts.answered(action.job, *action.answer);
@@ -127,7 +118,6 @@
         }
         void apply(CallBackend&) { }
         void apply(AskForRelink& action) { m_parts.askForRelink(action.agentAddress); }
-        void apply(RecordEvent& action) { m_parts.log.event(action.level, action.kind, std::move(action.fields)); }
 
         caf::event_based_actor* m_self;
         EntryControlParts m_parts;
--- a/src/Ids.cpp
+++ b/src/Ids.cpp
@@ -54,6 +54,8 @@
 
 std::string toString(const JobId& id) { return fmt::format("{}~{}", toString(id.session), raw(id.sequence)); }
 
+std::string toString(WorkId id) { return fmt::format("{:016x}", raw(id)); }
+
 std::string toString(const JobKey& key)
 {
     return fmt::format("{:016x}~{}~{}", raw(key.home), raw(key.session), raw(key.sequence));
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -74,10 +74,11 @@
     while (last < stamp && !m_last.compare_exchange_weak(last, stamp)) { }
 }
 
-Log::Log(std::string process, LogLevel level, size_t ringSize)
+Log::Log(std::string process, LogLevel level, size_t ringSize, LineSink sink)
     : m_process(std::move(process))
     , m_level(level)
     , m_ringSize(ringSize)
+    , m_sink(std::move(sink))
 {
 }
 
@@ -107,8 +108,13 @@
 void Log::event(LogLevel level, std::string_view kind, std::vector<LogField> fields)
 {
     Recorded event { m_clock.next(), level, kind, std::move(fields) };
-    if (level >= m_level.load())
+    const bool isPrinted = level >= m_level.load();
+    if (isPrinted && m_sink)
+        m_sink(toLine(shown(event)));
+    else if (isPrinted)
         fmt::print(stderr, "{}", toLine(shown(event)));
+    if (m_ringSize == 0)
+        return;
     const std::lock_guard lock(m_mutex);
     m_ring.push_back(std::move(event));
     if (m_ring.size() > m_ringSize)
--- /dev/null
+++ b/src/Room.cpp
@@ -0,0 +1,53 @@
+/** @file Room.cpp Arithmetic on amounts of room. */
+#include <sequoia/Room.h>
+
+#include <fmt/format.h>
+#include <sequoia/generated/Messages_generated.h>
+
+namespace sequoia {
+
+namespace {
+
+    int64_t timesFitting(int64_t part, int64_t whole, int64_t most)
+    {
+        if (part <= 0)
+            return most;
+        return std::clamp<int64_t>(whole / part, 0, most);
+    }
+
+    uint32_t unsignedPart(int64_t n) { return static_cast<uint32_t>(std::clamp<int64_t>(n, 0, UINT32_MAX)); }
+
+} // namespace
+
+int64_t timesFitting(const Room& part, const Room& whole, int64_t most)
+{
+    most = timesFitting(part.cpu, whole.cpu, most);
+    most = timesFitting(part.memory, whole.memory, most);
+    return timesFitting(part.accelerators, whole.accelerators, most);
+}
+
+Room largerOf(const Room& a, const Room& b)
+{
+    return { std::max(a.cpu, b.cpu), std::max(a.memory, b.memory), std::max(a.accelerators, b.accelerators) };
+}
+
+Room smallerOf(const Room& a, const Room& b)
+{
+    return { std::min(a.cpu, b.cpu), std::min(a.memory, b.memory), std::min(a.accelerators, b.accelerators) };
+}
+
+std::string toString(const Room& room) { return fmt::format("{}/{}/{}", room.cpu, room.memory, room.accelerators); }
+
+wire::Room toWire(const Room& room)
+{
+    return { unsignedPart(room.cpu), unsignedPart(room.memory), unsignedPart(room.accelerators) };
+}
+
+Room fromWire(const wire::Room* room)
+{
+    if (room == nullptr)
+        return {};
+    return { room->cpu(), room->memory(), room->accelerators() };
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/RunGate.cpp
@@ -0,0 +1,538 @@
+/** @file RunGate.cpp Runs on a backend server: orders, starts, stops, ends and lives. */
+#include <sequoia/RunGate.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+namespace {
+
+    /** JobKey under which the health gate counts failures of a job. */
+    JobKey healthKey(const RunId& id) { return { Incarnation(0), SessionNumber(raw(id.task.job)), JobSequence(0) }; }
+
+    wire::RunOutcome toOutcome(EndKind kind)
+    {
+        switch (kind) {
+        case EndKind::Done:
+            return wire::RunOutcome::Done;
+        case EndKind::Failed:
+            return wire::RunOutcome::Failed;
+        case EndKind::Stopped:
+            return wire::RunOutcome::Stopped;
+        case EndKind::Lapsed:
+            return wire::RunOutcome::Lost;
+        }
+        return wire::RunOutcome::Lost;
+    }
+
+    std::string_view nameOf(EndKind kind)
+    {
+        constexpr std::array<std::string_view, 4> names { "done", "failed", "stopped", "lapsed" };
+        return names.at(static_cast<size_t>(kind));
+    }
+
+    wire::Refusal refusalFor(StartOutcome outcome)
+    {
+        switch (outcome) {
+        case StartOutcome::RunTooLow:
+            return wire::Refusal::RunTooLow;
+        case StartOutcome::Expired:
+            return wire::Refusal::Expired;
+        case StartOutcome::NoRoom:
+            return wire::Refusal::NoRoom;
+        case StartOutcome::Unhealthy:
+            return wire::Refusal::Unhealthy;
+        case StartOutcome::OtherLife:
+            return wire::Refusal::OtherLife;
+        case StartOutcome::Invalid:
+            return wire::Refusal::Invalid;
+        case StartOutcome::Started:
+        case StartOutcome::Unreachable:
+        case StartOutcome::NoAnswer:
+            break;
+        }
+        return wire::Refusal::Closed;
+    }
+
+} // namespace
+
+RunGate::RunGate(Incarnation self, RunGateLimits limits)
+    : m_self(self)
+    , m_limits(limits)
+    , m_health(limits.health)
+{
+}
+
+std::vector<GateEffect> RunGate::takeEffects() { return m_effects.take(); }
+
+bool RunGate::isFresh(TimePoint now) const
+{
+    return m_lastListed != TimePoint() && now - m_lastListed <= m_limits.lookWait + m_limits.lookTimeout;
+}
+
+std::string RunGate::closedReason(TimePoint now) const
+{
+    if (m_isDraining)
+        return "agent-stopping";
+    if (!m_server)
+        return "no-server";
+    if (m_isGone)
+        return "server-gone";
+    if (m_server->isDraining)
+        return "server-draining";
+    if (!isFresh(now))
+        return "server-silent";
+    if (m_born != m_server->born)
+        return "server-changing";
+    if (!m_strangers.empty())
+        return "unknown-runs";
+    if (m_health.health() == Health::Quarantined)
+        return "quarantined: " + m_health.reason();
+    return "";
+}
+
+wire::GateState RunGate::state(TimePoint now) const
+{
+    if (!closedReason(now).empty())
+        return wire::GateState::Closed;
+    return m_health.health() == Health::Trial ? wire::GateState::Trial : wire::GateState::Open;
+}
+
+void RunGate::wakeUp(TimePoint now)
+{
+    if (m_lastTick == TimePoint() || now - m_lastTick <= m_limits.wakeGap)
+        return;
+    // Messages that waited meanwhile may be outdated: entries have given these runs up.
+    m_effects.record(LogLevel::Warning, "suspended", { { "ms", toMilliseconds(now - m_lastTick).count() } });
+    m_lastTick = now;
+    while (!m_links.empty()) {
+        const auto id = m_links.begin()->first;
+        m_effects.add(CloseLink { id, "suspended" });
+        linkClosed(id, now);
+    }
+    tick(now);
+}
+
+bool RunGate::announced(const ServerReport& report, TimePoint now)
+{
+    wakeUp(now);
+    const bool isSame = m_server && m_server->instance == report.instance && m_server->born == report.born;
+    if (isSame && report.sequence <= m_server->sequence)
+        return false;
+    if (m_server && report.born < m_server->born)
+        return false;
+    const bool wasDraining = m_server && m_server->isDraining;
+    const bool isRestarted = m_server && m_server->instance == report.instance && report.born > m_server->born;
+    if (!isSame || report.isDraining != wasDraining || report.total != m_server->total) {
+        m_effects.record(LogLevel::Info, "server-announced",
+            { { "instance", report.instance }, { "born", report.born }, { "service", report.service },
+                { "total", toString(report.total) }, { "draining", report.isDraining ? "true" : "false" } });
+    }
+    m_server = report;
+    m_reported = now;
+    m_isGone = false;
+    if (isRestarted && report.born > m_born)
+        newLife(report.born, now);
+    if (state(now) != m_toldState)
+        sendReports(now);
+    return true;
+}
+
+void RunGate::left(const std::string& instance, TimePoint now)
+{
+    wakeUp(now);
+    if (!m_server || m_server->instance != instance)
+        return;
+    m_effects.record(LogLevel::Info, "server-left", { { "instance", instance } });
+    m_isGone = true;
+    endAll("server-left", now);
+    sendReports(now);
+}
+
+void RunGate::newLife(int64_t born, TimePoint now)
+{
+    m_effects.record(LogLevel::Info, "server-life",
+        { { "born", born }, { "before", m_born }, { "runs", static_cast<int64_t>(m_runs.size()) } });
+    ++m_counters.lives;
+    const bool isFirst = m_born == 0;
+    m_born = born;
+    m_seenUpTo = 0;
+    m_strangers.clear();
+    m_samples = 0; // The new life may be of another kind.
+    if (!isFirst)
+        endAll("server-restarted", now);
+}
+
+Room RunGate::freeRoom() const
+{
+    if (!m_server)
+        return {};
+    auto usable = m_server->total;
+    // From the second failed job in a row each one halves the room, so that a failing server spoils few jobs.
+    constexpr size_t mostHalvings = 16;
+    const auto halvings = std::min(m_health.failures() > 0 ? m_health.failures() - 1 : 0, mostHalvings);
+    usable.cpu >>= halvings;
+    return usable - m_used;
+}
+
+Room RunGate::freeFor(const EntryLink& link, TimePoint now) const
+{
+    auto free = freeRoom();
+    for (const auto& [id, other] : m_links) {
+        if (&other != &link && other.keptUntil > now)
+            free -= other.kept;
+    }
+    return free;
+}
+
+void RunGate::receive(LinkId link, const wire::BodyUnion& body, TimePoint now)
+{
+    wakeUp(now);
+    const auto it = m_links.find(link);
+    if (it == m_links.end())
+        return;
+    it->second.lastHeard = now;
+    switch (body.type) {
+    case wire::Body::RunOrder:
+        onOrder(link, *body.AsRunOrder(), now);
+        break;
+    case wire::Body::RunStop:
+        onStops(link, body.AsRunStop()->ids, now);
+        break;
+    case wire::Body::RunQuery:
+        onQuery(link, body.AsRunQuery()->ids, now);
+        break;
+    case wire::Body::Demand: {
+        const auto& demand = *body.AsDemand();
+        auto& entry = it->second;
+        entry.demandTasks = demand.tasks;
+        entry.demandRoom = fromWire(demand.smallest.get());
+        entry.demandDue = now + Milliseconds(demand.slack_ms);
+        entry.demandUntil = now + Milliseconds(demand.valid_ms);
+        offerFreed(std::nullopt, now);
+        break;
+    }
+    default:
+        break; // Beats only show that the entry is there.
+    }
+}
+
+wire::Refusal RunGate::refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const
+{
+    if (order.agent_incarnation != raw(m_self))
+        return wire::Refusal::OtherLife;
+    const auto gate = state(now);
+    if (gate == wire::GateState::Closed)
+        return m_health.health() == Health::Quarantined ? wire::Refusal::Unhealthy : wire::Refusal::Closed;
+    if (gate == wire::GateState::Trial && !m_runs.empty())
+        return wire::Refusal::Unhealthy;
+    const auto active = m_runs.lower_bound({ id.task, RunNumber(0) });
+    if (active != m_runs.end() && active->first.task == id.task)
+        return wire::Refusal::Occupied;
+    if (order.remaining_ms == 0)
+        return wire::Refusal::Expired;
+    if (order.max_per_server > 0) {
+        const auto ofStep = std::count_if(m_runs.begin(), m_runs.end(),
+            [&](const auto& run) { return run.first.task.job == id.task.job && run.first.task.step == id.task.step; });
+        if (ofStep >= static_cast<std::ptrdiff_t>(order.max_per_server))
+            return wire::Refusal::TooManyOfStep;
+    }
+    if (!fromWire(order.room.get()).fitsIn(freeFor(link, now)))
+        return wire::Refusal::NoRoom;
+    return wire::Refusal::None;
+}
+
+void RunGate::onOrder(LinkId linkId, const wire::RunOrderT& order, TimePoint now)
+{
+    if (order.id == nullptr || order.room == nullptr)
+        return;
+    auto& link = m_links.at(linkId);
+    ++link.ordersSeen;
+    ++m_counters.orders;
+    const auto id = fromWire(*order.id);
+    const auto room = fromWire(order.room.get());
+    link.kept = { std::max<int64_t>(link.kept.cpu - room.cpu, 0), std::max<int64_t>(link.kept.memory - room.memory, 0),
+        std::max<int64_t>(link.kept.accelerators - room.accelerators, 0) };
+    if (const auto past = m_past.find(id); past != m_past.end()) {
+        sendResult(linkId, id, past->second.outcome, wire::Refusal::None, past->second.reason, {}, now);
+        return;
+    }
+    if (const auto known = m_runs.find(id); known != m_runs.end() && known->second.owner == link.entry)
+        return; // Sent twice.
+    if (const auto refusal = refusalOf(link, id, order, now); refusal != wire::Refusal::None) {
+        ++m_counters.refused;
+        m_effects.record(LogLevel::Debug, "order-refused",
+            { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
+                { "reason", wire::EnumNameRefusal(refusal) }, { "detail", closedReason(now) },
+                { "free", toString(freeFor(link, now)) } });
+        sendResult(linkId, id, wire::RunOutcome::NotStarted, refusal, closedReason(now), {}, now);
+        return;
+    }
+    auto& run = m_runs[id];
+    run.room = room;
+    run.owner = link.entry;
+    run.estimate = Milliseconds(order.estimate_ms);
+    run.ordered = now;
+    m_used += room;
+    ++link.runs;
+    m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(m_limits.lease * (1 + m_limits.clockError)));
+    m_effects.add(StartRun { id, order.payload, m_server->instance, m_limits.lease, m_limits.startTimeout });
+}
+
+void RunGate::startAnswered(const RunId& id, StartOutcome outcome, TimePoint now)
+{
+    wakeUp(now);
+    const auto it = m_runs.find(id);
+    if (it == m_runs.end())
+        return;
+    auto& run = it->second;
+    switch (outcome) {
+    case StartOutcome::Started:
+        run.started = now;
+        if (run.state == RunState::Starting) {
+            run.state = RunState::Running;
+            run.mustBeListedFrom = m_lookNumber + 1;
+        }
+        return;
+    case StartOutcome::NoAnswer:
+        ++m_counters.unanswered;
+        recordRun(LogLevel::Info, "start-unanswered", id, run, "", now);
+        if (run.state == RunState::Starting) {
+            run.state = RunState::Fencing;
+            run.nextStop = now;
+            tickStops(now);
+        }
+        return;
+    case StartOutcome::Unhealthy:
+        if (m_health.failed(healthKey(id), "server refuses work", now))
+            sendReports(now);
+        break;
+    default:
+        break;
+    }
+    recordRun(LogLevel::Info, "start-refused", id, run, wire::EnumNameRefusal(refusalFor(outcome)), now);
+    endRun(id, wire::RunOutcome::NotStarted, refusalFor(outcome), "", now);
+}
+
+void RunGate::stopRun(const RunId& id, Run& run, TimePoint now)
+{
+    if (run.state == RunState::Fencing || run.state == RunState::Stopping)
+        return;
+    run.state = run.state == RunState::Starting ? RunState::Fencing : RunState::Stopping;
+    run.nextStop = now + m_limits.stopTimeout;
+    m_effects.add(StopRun { id, m_server ? m_server->instance : "", m_limits.stopTimeout });
+}
+
+void RunGate::stopAnswered(const RunId& id, bool isAnswered, TimePoint now)
+{
+    wakeUp(now);
+    const auto it = m_runs.find(id);
+    if (it == m_runs.end())
+        return;
+    auto& run = it->second;
+    if (!isAnswered) {
+        run.nextStop = now;
+        return;
+    }
+    // From now on the server lists it as running or ended, or it is over without having started.
+    run.state = RunState::Stopping;
+    run.nextStop = now + m_limits.stopTimeout;
+    run.mustBeListedFrom = m_lookNumber + 1;
+    look(Milliseconds(0), now);
+}
+
+void RunGate::look(Milliseconds wait, TimePoint now)
+{
+    const auto lease = m_isLookLost ? Milliseconds(0) : m_limits.lease;
+    if (lease.count() > 0)
+        m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(lease * (1 + m_limits.clockError)));
+    m_openLooks.insert(++m_lookNumber);
+    ++m_counters.looks;
+    m_effects.add(LookAtServer { m_lookNumber, lease, wait, wait + m_limits.lookTimeout, m_seenUpTo });
+}
+
+void RunGate::looked(uint64_t number, LookOutcome outcome, const Listing& listing, TimePoint now)
+{
+    wakeUp(now);
+    m_openLooks.erase(number);
+    const bool wasFresh = isFresh(now);
+    if (outcome == LookOutcome::Refused) {
+        m_nextLook = now + m_limits.lookTimeout;
+        m_isSettled = true; // Without a process nothing runs there.
+        if (!m_isGone) {
+            m_effects.record(LogLevel::Warning, "server-gone", { { "runs", static_cast<int64_t>(m_runs.size()) } });
+            m_isGone = true;
+        }
+        endAll("server-gone", now);
+    } else if (outcome == LookOutcome::NoAnswer) {
+        if (!m_isLookLost)
+            m_effects.record(LogLevel::Info, "look-unanswered", { { "look", static_cast<int64_t>(number) } });
+        m_isLookLost = true;
+        m_nextLook = now;
+    } else if (listing.born >= m_born) {
+        m_isLookLost = false;
+        m_isGone = false;
+        m_lastListed = now;
+        if (listing.born != m_born)
+            newLife(listing.born, now);
+        takeEnds(listing, now);
+        takeRunning(number, listing, now);
+        if (m_openLooks.empty())
+            look(m_limits.lookWait, now);
+    }
+    if (!wasFresh || state(now) != m_toldState)
+        sendReports(now);
+}
+
+void RunGate::takeEnds(const Listing& listing, TimePoint now)
+{
+    for (const auto& end : listing.ended) {
+        if (end.number <= m_seenUpTo)
+            continue;
+        m_seenUpTo = end.number;
+        const auto it = m_runs.find(end.id);
+        if (it == m_runs.end())
+            continue;
+        if (end.kind == EndKind::Done) {
+            learnSpeed(it->second, now);
+            if (m_health.succeeded())
+                m_effects.record(LogLevel::Info, "quarantine-ended", {});
+        } else if (end.kind == EndKind::Failed) {
+            recordRun(LogLevel::Info, "run-failed", end.id, it->second, "", now);
+            m_health.failed(healthKey(end.id), "fails what it starts", now);
+        } else if (end.kind == EndKind::Lapsed) {
+            recordRun(LogLevel::Warning, "run-lapsed", end.id, it->second, "", now);
+        }
+        endRun(end.id, toOutcome(end.kind), wire::Refusal::None, std::string(nameOf(end.kind)), now);
+    }
+}
+
+void RunGate::takeRunning(uint64_t number, const Listing& listing, TimePoint now)
+{
+    std::set<RunId> running;
+    for (const auto& listed : listing.running) {
+        running.insert(listed.id);
+        const auto it = m_runs.find(listed.id);
+        if (it != m_runs.end()) {
+            it->second.isListed = true;
+            continue;
+        }
+        if (m_strangers.insert(listed.id).second) {
+            m_effects.record(LogLevel::Warning, "unknown-run",
+                { { "job", listed.id.task.job }, { "task", toString(listed.id.task) },
+                    { "run", static_cast<int64_t>(raw(listed.id.run)) } });
+        }
+        m_effects.add(StopRun { listed.id, "", m_limits.stopTimeout });
+    }
+    std::erase_if(m_strangers, [&](const RunId& id) { return !running.contains(id); });
+    if (m_strangers.empty())
+        m_isSettled = true;
+    std::vector<RunId> over;
+    for (const auto& [id, run] : m_runs) {
+        if (run.mustBeListedFrom > 0 && number >= run.mustBeListedFrom && !running.contains(id))
+            over.push_back(id);
+    }
+    for (const auto& id : over) {
+        const auto& run = m_runs.at(id);
+        const bool hasStarted = run.isListed || run.started != TimePoint();
+        endRun(id, hasStarted ? wire::RunOutcome::Lost : wire::RunOutcome::NotStarted,
+            hasStarted ? wire::Refusal::None : wire::Refusal::Unanswered, "not-listed", now);
+    }
+}
+
+void RunGate::learnSpeed(const Run& run, TimePoint now)
+{
+    if (run.estimate.count() == 0 || run.isStuck)
+        return;
+    constexpr double leastWeight = 0.05;
+    constexpr double most = 8; // One run that was held up must not count for many.
+    using FloatMs = std::chrono::duration<double, std::milli>;
+    const auto begin = run.started == TimePoint() ? run.ordered : run.started;
+    const double ratio = std::min(FloatMs(now - begin) / FloatMs(run.estimate), most);
+    const double weight = std::max(1.0 / (1.0 + m_samples), leastWeight);
+    m_slowness += (ratio - m_slowness) * weight;
+    ++m_samples;
+}
+
+void RunGate::endRun(
+    const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal, const std::string& reason, TimePoint now)
+{
+    const auto it = m_runs.find(id);
+    const Run run = it->second;
+    m_runs.erase(it);
+    m_used -= run.room;
+    switch (outcome) {
+    case wire::RunOutcome::Done:
+        ++m_counters.done;
+        break;
+    case wire::RunOutcome::Failed:
+        ++m_counters.failed;
+        break;
+    case wire::RunOutcome::Stopped:
+        ++m_counters.stopped;
+        break;
+    case wire::RunOutcome::Lost:
+        ++m_counters.lost;
+        break;
+    default:
+        break;
+    }
+    m_past[id] = { outcome, reason, now + m_limits.resultMemory };
+    const auto link = linkOf(run.owner);
+    if (link)
+        --m_links.at(*link).runs;
+    offerFreed(link, now);
+    const auto begin = run.started == TimePoint() ? run.ordered : run.started;
+    if (link)
+        sendResult(*link, id, outcome, refusal, reason, toMicroseconds(now - begin), now);
+}
+
+void RunGate::endAll(const std::string& reason, TimePoint now)
+{
+    while (!m_runs.empty()) {
+        const auto id = m_runs.begin()->first;
+        recordRun(LogLevel::Warning, "run-lost", id, m_runs.begin()->second, reason, now);
+        endRun(id, wire::RunOutcome::Lost, wire::Refusal::None, reason, now);
+    }
+}
+
+void RunGate::onStops(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now)
+{
+    for (const auto& wireId : ids) {
+        const auto id = fromWire(wireId);
+        const auto it = m_runs.find(id);
+        if (it != m_runs.end()) {
+            stopRun(id, it->second, now);
+            continue;
+        }
+        const auto [past, isNew] = m_past.try_emplace(
+            id, Past { wire::RunOutcome::Stopped, "stopped before it arrived", now + m_limits.resultMemory });
+        sendResult(link, id, past->second.outcome, wire::Refusal::None, past->second.reason, {}, now);
+    }
+}
+
+void RunGate::onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now)
+{
+    for (const auto& wireId : ids) {
+        const auto id = fromWire(wireId);
+        if (m_runs.contains(id)) {
+            sendResult(link, id, wire::RunOutcome::Running, wire::Refusal::None, "", {}, now);
+            continue;
+        }
+        const auto [past, isNew] = m_past.try_emplace(
+            id, Past { wire::RunOutcome::NotStarted, "never arrived", now + m_limits.resultMemory });
+        sendResult(link, id, past->second.outcome, isNew ? wire::Refusal::NeverArrived : wire::Refusal::None,
+            past->second.reason, {}, now);
+    }
+}
+
+void RunGate::recordRun(
+    LogLevel level, std::string_view kind, const RunId& id, const Run& run, std::string reason, TimePoint now)
+{
+    m_effects.record(level, kind,
+        { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
+            { "reason", std::move(reason) }, { "ms", toMilliseconds(now - run.ordered).count() } });
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/RunGateLinks.cpp
@@ -0,0 +1,247 @@
+/** @file RunGateLinks.cpp Entries of a run gate: what they are told, who gets freed room, and silence. */
+#include <sequoia/RunGate.h>
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace sequoia {
+
+std::optional<LinkId> RunGate::linkOf(Incarnation entry) const
+{
+    for (const auto& [id, link] : m_links) {
+        if (link.entry == entry)
+            return id;
+    }
+    return std::nullopt;
+}
+
+void RunGate::entryLinked(LinkId id, const wire::WelcomeT& welcome, TimePoint now)
+{
+    wakeUp(now);
+    const auto entry = Incarnation(welcome.incarnation);
+    if (const auto older = linkOf(entry)) {
+        m_effects.add(CloseLink { *older, "replaced by a new link" });
+        m_links.erase(*older);
+    }
+    auto& link = m_links[id];
+    link.entry = entry;
+    link.lastHeard = now;
+    link.lastSent = now;
+    link.runs = static_cast<size_t>(
+        std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& run) { return run.second.owner == entry; }));
+    m_lostOwners.erase(entry);
+    m_effects.record(
+        LogLevel::Info, "entry-linked", { { "entry", welcome.entry }, { "runs", static_cast<int64_t>(link.runs) } });
+    sendReport(id, now);
+}
+
+void RunGate::linkClosed(LinkId id, TimePoint now)
+{
+    const auto it = m_links.find(id);
+    if (it == m_links.end())
+        return;
+    if (it->second.runs > 0)
+        m_lostOwners.emplace(it->second.entry, now);
+    m_effects.record(LogLevel::Info, "entry-unlinked",
+        { { "link", static_cast<int64_t>(raw(id)) }, { "runs", static_cast<int64_t>(it->second.runs) },
+            { "heard_ms_ago", toMilliseconds(now - it->second.lastHeard).count() } });
+    m_links.erase(it);
+}
+
+void RunGate::sendResult(LinkId id, const RunId& run, wire::RunOutcome outcome, wire::Refusal refusal,
+    const std::string& reason, Microseconds time, TimePoint now)
+{
+    auto& link = m_links.at(id);
+    wire::RunResultT result;
+    result.id = std::make_unique<wire::RunId>(toWire(run));
+    result.outcome = outcome;
+    result.refusal = refusal;
+    result.reason = reason;
+    result.run_us = static_cast<uint32_t>(std::max<int64_t>(time.count(), 0));
+    link.lastFree = freeFor(link, now);
+    link.lastUpdate = now;
+    result.free = std::make_unique<wire::Room>(toWire(link.lastFree));
+    result.orders_seen = link.ordersSeen;
+    result.slowness = static_cast<float>(m_slowness);
+    send(id, std::move(result), now);
+}
+
+void RunGate::sendUpdate(LinkId id, EntryLink& link, TimePoint now)
+{
+    wire::RoomUpdateT update;
+    link.lastFree = freeFor(link, now);
+    link.lastUpdate = now;
+    update.free = std::make_unique<wire::Room>(toWire(link.lastFree));
+    update.orders_seen = link.ordersSeen;
+    update.slowness = static_cast<float>(m_slowness);
+    send(id, std::move(update), now);
+}
+
+void RunGate::sendReport(LinkId id, TimePoint now)
+{
+    auto& link = m_links.at(id);
+    wire::RoomReportT report;
+    if (m_server) {
+        report.service = m_server->service;
+        report.labels = m_server->labels;
+    }
+    report.state = state(now);
+    report.reason = closedReason(now);
+    report.total = std::make_unique<wire::Room>(toWire(total()));
+    link.lastFree = freeFor(link, now);
+    link.lastUpdate = now;
+    report.free = std::make_unique<wire::Room>(toWire(link.lastFree));
+    report.orders_seen = link.ordersSeen;
+    report.slowness = static_cast<float>(m_slowness);
+    send(id, std::move(report), now);
+}
+
+void RunGate::sendReports(TimePoint now)
+{
+    const auto gate = state(now);
+    if (gate != m_toldState) {
+        m_effects.record(gate == wire::GateState::Closed ? LogLevel::Warning : LogLevel::Info, "gate-state",
+            { { "state", wire::EnumNameGateState(gate) }, { "reason", closedReason(now) }, { "used", toString(m_used) },
+                { "total", toString(total()) } });
+    }
+    m_toldState = gate;
+    for (const auto& [id, link] : m_links)
+        sendReport(id, now);
+}
+
+void RunGate::offerFreed(std::optional<LinkId> told, TimePoint now)
+{
+    if (state(now) != wire::GateState::Open)
+        return;
+    const auto isWaiting = [&](const EntryLink& link) {
+        return link.demandUntil > now && link.demandTasks > 0 && link.keptUntil <= now
+            && link.demandRoom.fitsIn(freeFor(link, now));
+    };
+    for (;;) {
+        auto best = m_links.end();
+        int64_t waiting = 0;
+        for (auto it = m_links.begin(); it != m_links.end(); ++it) {
+            if (!isWaiting(it->second))
+                continue;
+            ++waiting;
+            if (best == m_links.end() || it->second.demandDue < best->second.demandDue)
+                best = it;
+        }
+        if (best == m_links.end())
+            return;
+        auto& link = best->second;
+        const auto most = timesFitting(link.demandRoom, freeFor(link, now), link.demandTasks);
+        const auto n = std::max<int64_t>(most / waiting, 1);
+        link.kept = link.demandRoom * n;
+        link.keptUntil = now + m_limits.keptRoom;
+        link.demandTasks -= static_cast<uint32_t>(n);
+        if (best->first != told) // The result of a run follows and tells it.
+            sendUpdate(best->first, link, now);
+    }
+}
+
+void RunGate::drain(TimePoint now)
+{
+    wakeUp(now);
+    m_isDraining = true;
+    sendReports(now);
+}
+
+void RunGate::tick(TimePoint now)
+{
+    wakeUp(now);
+    m_lastTick = now;
+    if (!m_settleAt)
+        m_settleAt = now + m_limits.longestLease;
+    if (!m_isSettled && now >= *m_settleAt && m_strangers.empty())
+        m_isSettled = true; // Nobody has renewed the leases of an earlier process.
+    if (m_openLooks.empty() && now >= m_nextLook)
+        look(m_isLookLost ? Milliseconds(0) : m_limits.lookWait, now);
+    if (!m_runs.empty() && now > m_leaseEnds)
+        endAll("lease-ended", now);
+    tickLinks(now);
+    tickOwners(now);
+    tickStops(now);
+    tickHealth(now);
+    std::erase_if(m_past, [&](const auto& past) { return past.second.forgotten <= now; });
+    if (state(now) != m_toldState)
+        sendReports(now);
+}
+
+void RunGate::tickLinks(TimePoint now)
+{
+    std::vector<LinkId> silent;
+    // Each entry hears of changes less often where there are many.
+    constexpr int64_t linksAtBasePeriod = 4;
+    const auto factor = std::max<int64_t>(1, static_cast<int64_t>(m_links.size()) / linksAtBasePeriod);
+    constexpr int64_t noticeablePart = 16; // Of the server's processors.
+    for (auto& [id, link] : m_links) {
+        const bool isBusy = link.runs > 0;
+        if (now - link.lastHeard > (isBusy ? m_limits.ownerSilence : 4 * m_limits.idleBeat)) {
+            silent.push_back(id);
+            continue;
+        }
+        const auto change = std::abs(freeFor(link, now).cpu - link.lastFree.cpu);
+        if (change * noticeablePart > total().cpu && now - link.lastUpdate >= m_limits.updatePeriod * factor)
+            sendUpdate(id, link, now);
+        else if (now - link.lastSent >= (isBusy ? m_limits.beat : m_limits.idleBeat))
+            send(id, wire::BeatT(), now);
+    }
+    for (const auto id : silent) {
+        m_effects.add(CloseLink { id, "silent" });
+        linkClosed(id, now);
+    }
+}
+
+void RunGate::tickOwners(TimePoint now)
+{
+    for (auto it = m_lostOwners.begin(); it != m_lostOwners.end();) {
+        if (now - it->second < m_limits.relinkGrace) {
+            ++it;
+            continue;
+        }
+        int64_t stopped = 0;
+        for (auto& [id, run] : m_runs) {
+            if (run.owner == it->first) {
+                stopRun(id, run, now);
+                ++stopped;
+            }
+        }
+        m_effects.record(LogLevel::Warning, "owner-lost",
+            { { "entry", fmt::format("{:016x}", raw(it->first)) }, { "runs_stopped", stopped } });
+        it = m_lostOwners.erase(it);
+    }
+}
+
+void RunGate::tickStops(TimePoint now)
+{
+    for (auto& [id, run] : m_runs) {
+        if ((run.state != RunState::Fencing && run.state != RunState::Stopping) || now < run.nextStop)
+            continue;
+        run.nextStop = now + 2 * m_limits.stopTimeout;
+        m_effects.add(StopRun { id, m_server ? m_server->instance : "", m_limits.stopTimeout });
+    }
+}
+
+void RunGate::tickHealth(TimePoint now)
+{
+    // A run this far over its expected time shows that the server hangs, or crawls.
+    constexpr double stuckFactor = 3;
+    constexpr Milliseconds stuckMargin { 100 };
+    for (auto& [id, run] : m_runs) {
+        if (run.state != RunState::Running || run.isStuck || run.estimate.count() == 0)
+            continue;
+        const auto expected
+            = toMicroseconds(run.estimate * stuckFactor * std::max(m_slowness, 1.0)) + Microseconds(stuckMargin);
+        if (now - run.ordered <= expected)
+            continue;
+        run.isStuck = true;
+        recordRun(LogLevel::Info, "run-stuck", id, run, "", now);
+        const JobKey key { Incarnation(0), SessionNumber(raw(id.task.job)), JobSequence(0) };
+        m_health.failed(key, "runs are stuck", now);
+    }
+    if (m_health.beginTrial(now))
+        m_effects.record(LogLevel::Info, "quarantine-trial", { { "reason", m_health.reason() } });
+}
+
+} // namespace sequoia
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -242,6 +242,12 @@
     const std::vector<SettingRow<EntrySettings>>&, const std::string&, const std::vector<std::string>&);
 template boost::leaf::result<AgentSettings> loadSettings(
     const std::vector<SettingRow<AgentSettings>>&, const std::string&, const std::vector<std::string>&);
+template boost::leaf::result<RoomEntrySettings> loadSettings(
+    const std::vector<SettingRow<RoomEntrySettings>>&, const std::string&, const std::vector<std::string>&);
+template boost::leaf::result<RoomAgentSettings> loadSettings(
+    const std::vector<SettingRow<RoomAgentSettings>>&, const std::string&, const std::vector<std::string>&);
+template std::string describeSettings(const std::vector<SettingRow<RoomEntrySettings>>&, const std::string&);
+template std::string describeSettings(const std::vector<SettingRow<RoomAgentSettings>>&, const std::string&);
 template boost::leaf::result<LoadSettings> loadSettings(
     const std::vector<SettingRow<LoadSettings>>&, const std::string&, const std::vector<std::string>&);
 template std::string describeSettings(const std::vector<SettingRow<LoadSettings>>&, const std::string&);
--- a/src/SettingsTables.cpp
+++ b/src/SettingsTables.cpp
@@ -124,6 +124,71 @@
     return rows;
 }
 
+const std::vector<SettingRow<RoomEntrySettings>>& roomEntrySettingRows()
+{
+    using S = RoomEntrySettings;
+    static const std::vector<SettingRow<S>> rows {
+        text<S>("name", &S::name, "entry", "", "Name of the process in logs and in the store."),
+        text<S>("failure_domain", &S::failure_domain, "", "", "Failure domain of this VM."),
+        text<S>("callers_address", &S::callers_address, "127.0.0.1:0", "", "Address for callers' jobs."),
+        text<S>("readiness_address", &S::readiness_address, "127.0.0.1:0", "", "Address that the balancer asks."),
+        text<S>("peers_address", &S::peers_address, "127.0.0.1:0", "", "Address for other entries."),
+        text<S>("link_address", &S::link_address, "127.0.0.1:0", "", "Address for agents."),
+        text<S>("metrics_address", &S::metrics_address, "", "", "Address of the metrics; empty for none."),
+        text<S>("store_address", &S::store_address, "", "", "Store that all VMs share."),
+        list<S>("seeds", &S::seeds, "Peers addresses of some entries; they may be outdated."),
+        text<S>("far_factor", &S::far_factor, "1.5", "", "Run time of a task far from its data over the time near it."),
+        number<S>("link_silence_ms", &S::link_silence_ms, 400, 50, 60000,
+            "A link with runs that is silent this long is replaced, ms."),
+        number<S>("run_lapse_ms", &S::run_lapse_ms, 1250, 100, 60000,
+            "Runs at an agent out of reach this long are over, ms; above what agents take to stop them."),
+        number<S>("straggler_percent", &S::straggler_percent, 300, 110, 10000,
+            "A run is repeated elsewhere after this share of its expected time, %."),
+        number<S>("max_open_jobs", &S::max_open_jobs, 4000, 1, 1000000, "Most jobs without an answer."),
+        number<S>("max_queued_tasks", &S::max_queued_tasks, 40000, 1, 10000000, "Most waiting tasks."),
+        number<S>("max_connections", &S::max_connections, 3000, 4, 100000, "Most connections of callers."),
+        number<S>("max_body_bytes", &S::max_body_bytes, mebibyte, 1024, 64 * mebibyte, "Largest request body."),
+        number<S>("rotation_ms", &S::rotation_ms, 2300, 0, 60000,
+            "Time from a stop signal until the balancer sends no new connections, ms."),
+        number<S>("stop_timeout_ms", &S::stop_timeout_ms, 5500, 0, hour, "Longest graceful stop, ms."),
+        text<S>("log_level", &S::log_level, "info", levels, "Least severe event that is printed."),
+    };
+    return rows;
+}
+
+const std::vector<SettingRow<RoomAgentSettings>>& roomAgentSettingRows()
+{
+    using S = RoomAgentSettings;
+    static const std::vector<SettingRow<S>> rows {
+        text<S>("name", &S::name, "agent", "", "Name of the agent; one per backend server, kept over restarts."),
+        text<S>("failure_domain", &S::failure_domain, "", "", "Failure domain of this VM."),
+        text<S>("pings_address", &S::pings_address, "127.0.0.1:0", "", "Address that the backend server reports to."),
+        text<S>("server_address", &S::server_address, "", "", "Address of the backend server."),
+        text<S>("metrics_address", &S::metrics_address, "", "", "Address of the metrics; empty for none."),
+        text<S>("store_address", &S::store_address, "", "", "Store that all VMs share."),
+        list<S>("seeds", &S::seeds, "Addresses of some entries, with any port; they may be outdated."),
+        number<S>("link_port", &S::link_port, 0, 0, UINT16_MAX, "Port of entries for agents."),
+        number<S>(
+            "lease_ms", &S::lease_ms, 700, 50, 60000, "Runs end by themselves this long after the last renewal, ms."),
+        number<S>("longest_lease_ms", &S::longest_lease_ms, 1050, 50, 600000,
+            "No lease of an earlier process lives longer, ms."),
+        number<S>("owner_silence_ms", &S::owner_silence_ms, 500, 50, 60000,
+            "Runs of an entry that is silent this long are stopped, ms."),
+        number<S>("start_timeout_ms", &S::start_timeout_ms, 50, 5, 60000,
+            "A start without an answer is fenced off after this time, ms."),
+        number<S>("server_connections", &S::server_connections, 32, 4, 64, "Most connections to the backend server."),
+        number<S>("quarantine_failures", &S::quarantine_failures, 3, 1, 1000,
+            "Failures in a row, of as many jobs, that stop new work."),
+        number<S>("quarantine_pause_ms", &S::quarantine_pause_ms, 300, 10, hour,
+            "Pause before the first trial, ms; doubles with each failed one."),
+        number<S>("quarantine_pause_max_ms", &S::quarantine_pause_max_ms, 1200, 10, hour,
+            "Longest pause between trials, ms."),
+        number<S>("stop_timeout_ms", &S::stop_timeout_ms, 5500, 0, hour, "Longest graceful stop, ms."),
+        text<S>("log_level", &S::log_level, "info", levels, "Least severe event that is printed."),
+    };
+    return rows;
+}
+
 const std::vector<SettingRow<LoadSettings>>& loadSettingRows()
 {
     using S = LoadSettings;
