--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -20,6 +20,7 @@
     Milliseconds idleBeat { 500 }; ///< Longest quiet time on a link without.
     Milliseconds runLapse { 1250 }; ///< Runs at an agent that is out of reach this long are over; see RunGateLimits.
     Milliseconds demandPeriod { 40 }; ///< Waiting work is told to an agent this often.
+    Milliseconds summaryPeriod { 5000 }; ///< The state is logged this often.
     size_t maxOpenJobs = 4000;
     size_t maxQueuedTasks = 40000;
     size_t scanDepth = 24; ///< Jobs behind a job without room that are tried.
@@ -191,6 +192,8 @@
     void taskDone(Job& job, size_t step, Task& task, TimePoint now);
     void tryAgain(Job& job, const RunId& id, Task& task, TimePoint now);
     void finish(WorkId id, WorkAnswer answer, TimePoint now);
+    /** Runs of a job that have not ended, with their agents, times and estimates, for the log. */
+    std::string unfinishedText(const Job& job, TimePoint now) const;
     void stopRuns(Job& job, TimePoint now);
     void recordRun(LogLevel level, std::string_view kind, const Job& job, const RunId& id, const RoomAgent& agent,
         std::string reason, int64_t ms);
@@ -199,6 +202,7 @@
     void tickLinks(TimePoint now);
     void tickQueue(TimePoint now);
     void tickStragglers(TimePoint now);
+    void recordSummary(TimePoint now);
     template <typename Message> void send(RoomAgent& agent, Message message, TimePoint now)
     {
         m_effects.send(agent.link, std::move(message));
@@ -223,6 +227,7 @@
         TimePoint forgotten {};
     };
     std::unordered_map<WorkId, PastRuns> m_pastRuns;
+    TimePoint m_nextSummary {};
     size_t m_queuedTasks = 0;
     size_t m_entries = 1;
     uint64_t m_salt = 0;
--- a/include/sequoia/RoomPolicy.h
+++ b/include/sequoia/RoomPolicy.h
@@ -41,12 +41,26 @@
     double farFactor = 1.5; ///< Run time of a task whose data is in another rack; from the deployment.
     Milliseconds overhead { 10 }; ///< Messages and processing of a start and its answer.
     double lateFactor = 3; ///< An answer later than this many times the objective is worth nothing; from the pages.
+    double estimateError = 1.4; ///< Estimates are off by this factor either way; from the users' brief.
+    double holdShare = 0.5; ///< Part of the spare time that may be spent on waiting for a server that is surely in time.
 };
 
+/** How well a server suits a task; the later the better. */
+enum class Fit : uint8_t {
+    Hopeless, ///< Too late to be worth anything.
+    Late, ///< Worth less, or in time only if the estimate is too long.
+    Likely, ///< In time if the estimate is right.
+    Safe ///< In time even if the estimate is off.
+};
+
+/** How well a server suits a task that starts now. */
+Fit fitOf(const RoomCandidate& candidate, const RoomRequest& request, const RoomPolicyLimits& limits);
+
 /**
  * Chooses a server for some of the waiting tasks; empty if they should wait.
- * Servers that meet the latency objective come first. Among them, those too slow for long tasks take the short ones,
- * and the one that takes most tasks of the job is chosen, so that a failing server spoils few jobs.
+ * Of the servers that are surely in time the slowest is taken, so that the fast ones are left for long tasks; of equal ones
+ * the one that takes most tasks of the job, so that a failing server spoils few jobs. If all that are surely in time are
+ * full, the task waits for one during a part of its spare time, and then takes the fastest.
  */
 std::optional<RoomChoice> choosePlace(
     const std::vector<RoomCandidate>& candidates, const RoomRequest& request, const RoomPolicyLimits& limits);
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -29,6 +29,7 @@
     Milliseconds pingSilence { 6000 }; ///< A server that has not announced itself for this time is gone.
     Milliseconds longestLease { 1050 }; ///< No lease of an earlier process lives longer; from the deployment.
     Milliseconds wakeGap { 400 }; ///< A pause of the process this long means that it was suspended.
+    Milliseconds summaryPeriod { 5000 }; ///< The state is logged this often.
     AgentLimits health; ///< Quarantine of a server that fails what it starts.
 };
 
@@ -232,6 +233,7 @@
     void tickOwners(TimePoint now);
     void tickStops(TimePoint now);
     void tickHealth(TimePoint now);
+    void recordSummary(TimePoint now);
     std::optional<LinkId> linkOf(Incarnation entry) const;
     void recordRun(
         LogLevel level, std::string_view kind, const RunId& id, const Run& run, std::string reason, TimePoint now);
@@ -269,6 +271,7 @@
     TimePoint m_lastListed {};
     TimePoint m_leaseEnds {}; ///< No run lives longer without a further renewal.
     uint64_t m_seenUpTo = 0;
+    TimePoint m_nextSummary {};
     TimePoint m_lastTick {};
     wire::GateState m_toldState = wire::GateState::Closed;
 };
--- a/src/CommandLine.cpp
+++ b/src/CommandLine.cpp
@@ -24,6 +24,7 @@
         sigemptyset(&set);
         sigaddset(&set, SIGTERM);
         sigaddset(&set, SIGINT);
+        sigaddset(&set, SIGHUP);
         return set;
     }
 
@@ -99,11 +100,15 @@
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
-int waitForStopSignal()
+int waitForStopSignal(const std::function<void()>& reload)
 {
     const auto set = stopSignals();
     int signal = 0;
-    sigwait(&set, &signal);
+    do {
+        sigwait(&set, &signal);
+        if (signal == SIGHUP && reload)
+            reload();
+    } while (signal == SIGHUP);
     return signal;
 }
 
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -372,7 +372,8 @@
             { "queued_ms", job.orders > 0 ? msOf(job.firstOrder - job.arrival) : msOf(now - job.arrival) },
             { "tasks_left", static_cast<int64_t>(job.tasksLeft) }, { "orders", job.orders },
             { "refused", job.refusals }, { "failed_runs", job.failures },
-            { "retry_after_ms", answer.retryAfter.count() }, { "queued_tasks", static_cast<int64_t>(m_queuedTasks) } });
+            { "retry_after_ms", answer.retryAfter.count() }, { "queued_tasks", static_cast<int64_t>(m_queuedTasks) },
+            { "unfinished", unfinishedText(job, now) } });
     for (const auto waiter : job.waiters)
         m_effects.add(AnswerCaller { waiter, id, answer });
     if (job.orders > 0)
@@ -380,6 +381,24 @@
     m_jobs.erase(id);
 }
 
+std::string Dispatcher::unfinishedText(const Job& job, TimePoint now) const
+{
+    constexpr size_t most = 4; // Enough to see which servers held the job up.
+    std::string out;
+    size_t n = 0;
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        for (size_t k = 0; k < job.steps[i].tasks.size() && n < most; ++k) {
+            const auto& task = job.steps[i].tasks[k];
+            if (task.state != TaskState::Ordered)
+                continue;
+            ++n;
+            out += fmt::format("{}{}.{}@{}:{}ms/{}ms", out.empty() ? "" : ",", i, k, m_agents[task.agent].name,
+                msOf(now - task.ordered), job.spec.steps[i].estimate.count());
+        }
+    }
+    return out;
+}
+
 void Dispatcher::stopRuns(Job& job, TimePoint now)
 {
     std::map<size_t, std::vector<RunId>> byAgent;
@@ -415,6 +434,21 @@
     tickQueue(now);
     std::erase_if(m_pastRuns, [&](const auto& past) { return past.second.forgotten <= now; });
     pump(now);
+    recordSummary(now);
+}
+
+void Dispatcher::recordSummary(TimePoint now)
+{
+    if (now < m_nextSummary)
+        return;
+    m_nextSummary = now + m_limits.summaryPeriod;
+    const auto n = [](uint64_t count) { return static_cast<int64_t>(count); };
+    m_effects.record(LogLevel::Info, "entry-summary",
+        { { "open_jobs", n(m_jobs.size()) }, { "queued_tasks", n(m_queuedTasks) }, { "agents", n(linkedAgents()) },
+            { "entries", n(m_entries) }, { "jobs", n(m_counters.jobs) }, { "not_run", n(m_counters.notRun) },
+            { "given_up", n(m_counters.givenUp) }, { "orders", n(m_counters.orders) },
+            { "refused", n(m_counters.refusedOrders) }, { "demands", n(m_counters.demands) },
+            { "updates", n(m_counters.updates) } });
 }
 
 void Dispatcher::tickQueue(TimePoint now)
--- a/src/RoomPolicy.cpp
+++ b/src/RoomPolicy.cpp
@@ -10,56 +10,87 @@
 
     using FloatMs = std::chrono::duration<double, std::milli>;
 
-    FloatMs predictedRun(const RoomCandidate& candidate, const RoomRequest& request, const RoomPolicyLimits& limits)
+    double slownessFor(const RoomCandidate& candidate, const RoomPolicyLimits& limits)
     {
-        return FloatMs(request.estimate) * candidate.slowness * (candidate.isNear ? 1.0 : limits.farFactor);
+        return candidate.slowness * (candidate.isNear ? 1.0 : limits.farFactor);
     }
 
-    /** Longest run that still meets the objective. */
-    FloatMs allowedRun(const RoomRequest& request, const RoomPolicyLimits& limits)
+    /** Time to spare until the objective and the caller's leave if the task takes `work` at slowness 1. */
+    FloatMs spareTime(FloatMs work, double slowness, const RoomRequest& request, const RoomPolicyLimits& limits)
     {
-        return FloatMs(request.estimate) * request.stretch + request.objective - request.waited - limits.overhead;
+        // The objective is counted from the true work, so that a wrong estimate moves both sides of it.
+        const auto toObjective = work * (request.stretch - slowness) + request.objective - request.waited;
+        const auto toLeave = FloatMs(request.remaining) - work * slowness;
+        return std::min(toObjective, toLeave) - limits.overhead;
+    }
+
+    /** Servers of almost equal speed are told apart by the room they have. */
+    int64_t speedClass(double slowness)
+    {
+        constexpr double classesPerDoubling = 3;
+        constexpr double least = 0.01;
+        return std::llround(std::log2(std::max(slowness, least)) * classesPerDoubling);
     }
 
 } // namespace
 
+Fit fitOf(const RoomCandidate& candidate, const RoomRequest& request, const RoomPolicyLimits& limits)
+{
+    const auto slowness = slownessFor(candidate, limits);
+    const auto work = FloatMs(request.estimate);
+    const auto nominal = spareTime(work, slowness, request, limits);
+    const auto longer = spareTime(work * limits.estimateError, slowness, request, limits);
+    const auto shorter = spareTime(work / limits.estimateError, slowness, request, limits);
+    if (std::min({ nominal, longer, shorter }).count() >= 0)
+        return Fit::Safe;
+    if (nominal.count() >= 0)
+        return Fit::Likely;
+    const auto useful = FloatMs(request.remaining - limits.overhead);
+    return work / limits.estimateError * slowness <= useful ? Fit::Late : Fit::Hopeless;
+}
+
 std::optional<RoomChoice> choosePlace(
     const std::vector<RoomCandidate>& candidates, const RoomRequest& request, const RoomPolicyLimits& limits)
 {
-    const auto allowed = allowedRun(request, limits);
-    const auto useful = FloatMs(request.remaining - limits.overhead);
-    bool isWorthWaiting = false;
-    std::optional<RoomChoice> inTime;
-    std::tuple<bool, int64_t, uint64_t> inTimeRank {};
-    std::optional<RoomChoice> late;
-    std::tuple<double, int64_t> lateRank {};
+    auto best = Fit::Hopeless; // With or without room.
+    std::optional<RoomChoice> safe;
+    std::tuple<int64_t, int64_t, uint64_t> safeRank {};
+    std::optional<RoomChoice> other;
+    std::tuple<Fit, double, int64_t> otherRank {};
     for (size_t i = 0; i < candidates.size(); ++i) {
         const auto& candidate = candidates[i];
-        const auto run = predictedRun(candidate, request, limits);
-        const bool meetsObjective = run <= allowed;
-        isWorthWaiting |= meetsObjective;
-        const auto most = std::min(request.count, candidate.mostHere);
-        const auto n = timesFitting(request.room, candidate.free, most);
-        if (n < 1)
+        const auto fit = fitOf(candidate, request, limits);
+        best = std::max(best, fit);
+        const auto n = timesFitting(request.room, candidate.free, std::min(request.count, candidate.mostHere));
+        if (n < 1 || fit == Fit::Hopeless)
             continue;
-        const uint64_t spread = (request.salt + i * 0x9E3779B97F4A7C15U) >> 40U;
-        if (meetsObjective) {
-            const std::tuple rank { candidate.slowness > request.stretch, n, spread };
-            if (!inTime || rank > inTimeRank) {
-                inTime = { i, n };
-                inTimeRank = rank;
-            }
-        } else if (run <= useful) {
-            const std::tuple rank { -run.count(), n };
-            if (!late || rank > lateRank) {
-                late = { i, n };
-                lateRank = rank;
+        const auto slowness = slownessFor(candidate, limits);
+        if (fit == Fit::Safe) {
+            const uint64_t spread = (request.salt + i * 0x9E3779B97F4A7C15U) >> 40U;
+            const std::tuple rank { speedClass(slowness), n, spread };
+            if (!safe || rank > safeRank) {
+                safe = { i, n };
+                safeRank = rank;
             }
+            continue;
+        }
+        const std::tuple rank { fit, -slowness, n };
+        if (!other || rank > otherRank) {
+            other = { i, n };
+            otherRank = rank;
         }
     }
-    if (inTime)
-        return inTime;
-    return isWorthWaiting ? std::nullopt : late;
+    if (safe || !other)
+        return safe;
+    const auto fit = std::get<Fit>(otherRank);
+    if (fit == best)
+        return other;
+    if (fit == Fit::Late)
+        return std::nullopt; // It can still be in time elsewhere.
+    const auto spare = spareTime(
+        FloatMs(request.estimate), slownessFor(candidates[other->candidate], limits), request, limits);
+    const auto longestHold = (spare + request.waited) * limits.holdShare;
+    return FloatMs(request.waited) < longestHold ? std::nullopt : other;
 }
 
 Milliseconds slackToObjective(const QueuedWork& work, const RoomPolicyLimits& limits)
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -396,6 +396,11 @@
             continue;
         if (end.kind == EndKind::Done) {
             learnSpeed(it->second, now);
+            m_effects.record(LogLevel::Debug, "run-done",
+                { { "job", end.id.task.job }, { "task", toString(end.id.task) },
+                    { "estimate_ms", it->second.estimate.count() },
+                    { "start_ms", toMilliseconds(it->second.started - it->second.ordered).count() },
+                    { "ms", toMilliseconds(now - it->second.ordered).count() } });
             if (m_health.succeeded())
                 m_effects.record(LogLevel::Info, "quarantine-ended", {});
         } else if (end.kind == EndKind::Failed) {
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -166,6 +166,22 @@
     std::erase_if(m_past, [&](const auto& past) { return past.second.forgotten <= now; });
     if (state(now) != m_toldState)
         sendReports(now);
+    recordSummary(now);
+}
+
+void RunGate::recordSummary(TimePoint now)
+{
+    if (now < m_nextSummary)
+        return;
+    m_nextSummary = now + m_limits.summaryPeriod;
+    constexpr double percent = 100;
+    const auto n = [](uint64_t count) { return static_cast<int64_t>(count); };
+    m_effects.record(LogLevel::Info, "gate-summary",
+        { { "state", wire::EnumNameGateState(state(now)) }, { "reason", closedReason(now) },
+            { "total", toString(total()) }, { "used", toString(m_used) }, { "runs", n(m_runs.size()) },
+            { "entries", n(m_links.size()) }, { "slowness_percent", static_cast<int64_t>(m_slowness * percent) },
+            { "orders", n(m_counters.orders) }, { "refused", n(m_counters.refused) }, { "done", n(m_counters.done) },
+            { "failed", n(m_counters.failed) }, { "lost", n(m_counters.lost) } });
 }
 
 void RunGate::tickLinks(TimePoint now)
