--- a/include/sequoia/AgentCore.h
+++ b/include/sequoia/AgentCore.h
@@ -18,7 +18,7 @@
     Milliseconds revisionGrace { 11000 }; ///< How long starts under an older configuration are taken.
     uint32_t quarantineFailures = 3; ///< Failures in a row, from as many jobs, that stop new work.
     Milliseconds quarantinePause { 1000 }; ///< Pause before the first trial.
-    Milliseconds quarantinePauseMax { 60000 };
+    Milliseconds quarantinePauseMax { 4000 }; ///< A server that is good again is tried within this time.
     double stallFactor = 8; ///< A task that runs this many times its declared time is stalled.
     Milliseconds stallMinimum { 8000 }; ///< No task counts as stalled before.
 };
--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -24,9 +24,9 @@
     size_t maxOpenJobs = 4000;
     size_t maxQueuedTasks = 40000;
     size_t scanDepth = 24; ///< Jobs behind a job without room that are tried.
-    double stragglerFactor = 3; ///< A run is stopped and repeated elsewhere after this many times its expected time.
+    double stragglerFactor = 2; ///< A run is stopped and repeated elsewhere after this many times its expected time.
     Milliseconds runMemory { 20000 }; ///< Run numbers of ended jobs are remembered for this time.
-    Milliseconds stragglerMargin { 60 }; ///< Added to the expected time before a run counts as stuck.
+    Milliseconds stragglerMargin { 40 }; ///< Added to the expected time before a run counts as stuck.
 };
 
 /** Give an answer to a caller. */
--- a/include/sequoia/EntryCore.h
+++ b/include/sequoia/EntryCore.h
@@ -19,6 +19,7 @@
     Milliseconds linkSilence { 1500 }; ///< A link with starts outstanding that is silent this long is replaced.
     Milliseconds beat { 3000 }; ///< Longest quiet time on a link.
     Milliseconds agentLost { 6000 }; ///< Starts at an agent without a link count as unknown after this time.
+    Milliseconds speedMemory { 2000 }; ///< The speed of an agent without starts is taken for unknown after this time.
     uint32_t retryAttempts = 8; ///< Starts of one task that may be refused.
 };
 
@@ -199,6 +200,8 @@
     Attempt attemptOf(const TaskKey& task) const;
     void onSucceeded(Job& job, TaskIndex task, const std::string& body, TimePoint now);
     void learnSpeed(AgentIndex agent, Microseconds run, Milliseconds declared);
+    /** An agent that looked slow gets no starts, so that nothing would ever correct an outdated estimate. */
+    void forgetSpeed(AgentIndex agent, TimePoint now);
     void onNotStarted(Job& job, TaskIndex task, const std::string& reason, TimePoint now);
     void onState(AgentIndex agent, const wire::StateT& state, TimePoint now);
     void onRecall(AgentIndex agent, uint32_t wanted, TimePoint now);
--- a/include/sequoia/Placement.h
+++ b/include/sequoia/Placement.h
@@ -38,6 +38,7 @@
     double freesPerSecond = 0; ///< Slots that it frees in a second, as counted in the sums.
     TimePoint lastHeard {};
     TimePoint lastSent {};
+    TimePoint lastStarted {}; ///< Last start of this entry there.
     TimePoint owedSince {}; ///< First answer since the last message to it; zero if there is none.
     TimePoint lostAt {}; ///< When the link ended, if it is not linked.
     TimePoint nextRelinkRequest {};
--- a/src/EntryAgents.cpp
+++ b/src/EntryAgents.cpp
@@ -231,6 +231,17 @@
     m_agents.setSlowness(index, agent.slowness + weight * (ratio - agent.slowness));
 }
 
+void EntryCore::forgetSpeed(AgentIndex index, TimePoint now)
+{
+    auto& agent = m_agents.at(index);
+    if (agent.grants == 0 || !agent.outstanding.empty() || now - agent.lastStarted <= m_limits.speedMemory)
+        return;
+    agent.lastStarted = now;
+    const double fastest = m_agents.granted().begin()->first;
+    if (agent.slowness > fastest)
+        m_agents.setSlowness(index, fastest);
+}
+
 void EntryCore::onState(AgentIndex index, const wire::StateT& state, TimePoint now)
 {
     for (const auto& answer : state.answers)
@@ -301,6 +312,7 @@
                 chaseLostStarts(index, now);
             continue;
         }
+        forgetSpeed(index, now);
         const auto silence = now - agent.lastHeard;
         const bool isSilent = !agent.outstanding.empty() ? silence > m_limits.linkSilence : silence > 3 * quiet;
         if (isSilent) {
--- a/src/EntryCore.cpp
+++ b/src/EntryCore.cpp
@@ -418,6 +418,7 @@
         m_agents.setGrants(index, agent.grants - 1);
     m_agents.addOutstanding(index, key);
     agent.lastSent = now;
+    agent.lastStarted = now;
     agent.owedSince = TimePoint();
     if (agent.outstanding.size() == 1)
         agent.lastHeard = now; // Silence counts from the first start that expects an answer.
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -242,8 +242,8 @@
 void RunGate::tickHealth(TimePoint now)
 {
     // A run this far over its expected time shows that the server hangs, or crawls.
-    constexpr double stuckFactor = 3;
-    constexpr Milliseconds stuckMargin { 100 };
+    constexpr double stuckFactor = 2;
+    constexpr Milliseconds stuckMargin { 40 };
     for (auto& [id, run] : m_runs) {
         if (run.state != RunState::Running || run.isStuck || run.estimate.count() == 0)
             continue;
--- a/tests/PolicyTest.cpp
+++ b/tests/PolicyTest.cpp
@@ -69,6 +69,19 @@
     core.receive(LinkId(n), body, start);
 }
 
+/** The agent of link `n` has run a task of job 1 and gives the slot back. */
+void answerTask(EntryCore& core, uint32_t n, uint16_t task, Microseconds run)
+{
+    wire::AnswerT answer;
+    answer.task = std::make_unique<wire::TaskKey>(toWire({ jobKey(1), TaskIndex(task) }, Attempt(1)));
+    answer.outcome = wire::Outcome::Succeeded;
+    answer.run_us = static_cast<uint32_t>(run.count());
+    answer.grants = 1;
+    wire::BodyUnion body;
+    body.Set(std::move(answer));
+    core.receive(LinkId(n), body, start);
+}
+
 } // namespace
 
 Test(TeamQueue, sharesByWeightAndHoldsQuota)
@@ -173,6 +186,23 @@
     cr_expect(gate.health() == Health::Good);
 }
 
+Test(EntryCore, anAgentThatLookedSlowIsTriedAgain)
+{
+    auto core = makeCore();
+    core.openSession(start);
+    linkAgent(core, 1, 1);
+    linkAgent(core, 2, 1);
+    // One task on each agent; the one on the second agent takes ten times as long.
+    core.submit(makeJob(1, 2, Milliseconds(100), Milliseconds(5000)), WaiterId(1), start, CommandMode::Execute);
+    answerTask(core, 1, 1, Microseconds(100000));
+    answerTask(core, 2, 0, Microseconds(1000000));
+    cr_assert_gt(core.agents().at(AgentIndex(1)).slowness, core.agents().at(AgentIndex(0)).slowness);
+    core.tick(start + Milliseconds(1000));
+    cr_expect_gt(core.agents().at(AgentIndex(1)).slowness, core.agents().at(AgentIndex(0)).slowness, "too early");
+    core.tick(start + Milliseconds(2100));
+    cr_expect_leq(core.agents().at(AgentIndex(1)).slowness, core.agents().at(AgentIndex(0)).slowness);
+}
+
 struct RefusalRow {
     char team[8];
     int tasks;
--- /dev/null
+++ b/tests/RoomPolicyTest.cpp
@@ -0,0 +1,221 @@
+/** @file RoomPolicyTest.cpp Placing, ordering and refusing by room: single decisions, and what callers get under load. */
+#include "RoomWorld.h"
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace sequoia;
+using namespace sequoia::test;
+
+namespace {
+
+RoomRequest requestOf(Milliseconds estimate, int64_t count = 1)
+{
+    RoomRequest request;
+    request.room = { 1000, 64, 0 };
+    request.count = count;
+    request.estimate = estimate;
+    request.stretch = 1.6;
+    request.objective = Milliseconds(60);
+    request.remaining = Milliseconds(1500);
+    return request;
+}
+
+RoomCandidate candidateOf(int64_t cpu, double slowness) { return { { cpu, 1 << 20, 0 }, slowness, true, INT64_MAX }; }
+
+} // namespace
+
+struct RoomRow {
+    char name[32];
+    Room part;
+    Room whole;
+    int64_t most;
+    int64_t times;
+};
+
+ParameterizedTestParameters(Room, timesFitting)
+{
+    static RoomRow rows[] = {
+        { "processors bind", { 1000, 10, 0 }, { 3500, 1000, 0 }, 10, 3 },
+        { "memory binds", { 1000, 10, 0 }, { 9000, 25, 0 }, 10, 2 },
+        { "accelerators bind", { 1, 1, 1 }, { 100, 100, 0 }, 10, 0 },
+        { "the bound binds", { 1, 1, 0 }, { 100, 100, 0 }, 7, 7 },
+        { "nothing asked", { 0, 0, 0 }, { 0, 0, 0 }, 7, 7 },
+        { "overcommitted", { 1000, 1, 0 }, { -5, 100, 0 }, 7, 0 },
+    };
+    return cr_make_param_array(RoomRow, rows, sizeof(rows) / sizeof(RoomRow));
+}
+
+ParameterizedTest(RoomRow* row, Room, timesFitting)
+{
+    cr_expect_eq(timesFitting(row->part, row->whole, row->most), row->times, "%s", row->name);
+    cr_expect_eq(row->part.fitsIn(row->whole), timesFitting(row->part, row->whole, 1) == 1, "%s", row->name);
+}
+
+struct FitRow {
+    char name[40];
+    int estimateMs;
+    int waitedMs;
+    int remainingMs;
+    double slowness;
+    int fit; ///< Fit
+};
+
+ParameterizedTestParameters(RoomPolicy, fits)
+{
+    static FitRow rows[] = {
+        { "short on a slow server", 60, 0, 1500, 1.7, static_cast<int>(Fit::Safe) },
+        { "short on a slow server, after a wait", 60, 60, 1440, 2.5, static_cast<int>(Fit::Late) },
+        { "long on a fast server", 900, 0, 1500, 0.7, static_cast<int>(Fit::Safe) },
+        { "long where it is just in time", 900, 0, 1500, 1.3, static_cast<int>(Fit::Likely) },
+        { "long on a slow server", 900, 0, 1500, 1.7, static_cast<int>(Fit::Late) },
+        { "too long for the caller", 3600, 0, 1500, 1.0, static_cast<int>(Fit::Hopeless) },
+    };
+    return cr_make_param_array(FitRow, rows, sizeof(rows) / sizeof(FitRow));
+}
+
+ParameterizedTest(FitRow* row, RoomPolicy, fits)
+{
+    auto request = requestOf(Milliseconds(row->estimateMs));
+    request.waited = Milliseconds(row->waitedMs);
+    request.remaining = Milliseconds(row->remainingMs);
+    cr_expect_eq(static_cast<int>(fitOf(candidateOf(1000, row->slowness), request, {})), row->fit, "%s", row->name);
+}
+
+Test(RoomPolicy, shortTasksLeaveTheFastServers)
+{
+    const std::vector<RoomCandidate> candidates { candidateOf(9000, 0.55), candidateOf(9000, 1.2) };
+    const auto shortTask = choosePlace(candidates, requestOf(Milliseconds(60)), {});
+    cr_assert(shortTask.has_value());
+    cr_expect_eq(shortTask->candidate, 1U);
+    const auto longTask = choosePlace(candidates, requestOf(Milliseconds(900)), {});
+    cr_assert(longTask.has_value());
+    cr_expect_eq(longTask->candidate, 0U);
+}
+
+Test(RoomPolicy, aJobStaysTogetherWhereItFits)
+{
+    const std::vector<RoomCandidate> candidates { candidateOf(2000, 1.0), candidateOf(9000, 1.0), candidateOf(4000, 1.0) };
+    const auto choice = choosePlace(candidates, requestOf(Milliseconds(100), 8), {});
+    cr_assert(choice.has_value());
+    cr_expect_eq(choice->candidate, 1U);
+    cr_expect_eq(choice->count, 8);
+}
+
+Test(RoomPolicy, waitsForAServerThatIsInTimeButNotForEver)
+{
+    const std::vector<RoomCandidate> candidates { candidateOf(0, 0.55), candidateOf(9000, 1.3) };
+    auto request = requestOf(Milliseconds(900));
+    cr_expect_not(choosePlace(candidates, request, {}).has_value(), "the fast server may become free");
+    request.waited = Milliseconds(250);
+    request.remaining -= request.waited;
+    const auto choice = choosePlace(candidates, request, {});
+    cr_assert(choice.has_value());
+    cr_expect_eq(choice->candidate, 1U);
+}
+
+struct AdmitRow {
+    char name[32];
+    double aheadCpuMs;
+    double cpuPerMs;
+    int chainMs;
+    bool isAdmitted;
+};
+
+ParameterizedTestParameters(RoomPolicy, admits)
+{
+    static AdmitRow rows[] = {
+        { "empty queue", 0, 0, 100, true },
+        { "short queue", 1000, 100, 100, true },
+        { "queue longer than the objective", 100000, 100, 100, false },
+        { "nothing works", 1, 0, 100, false },
+    };
+    return cr_make_param_array(AdmitRow, rows, sizeof(rows) / sizeof(AdmitRow));
+}
+
+ParameterizedTest(AdmitRow* row, RoomPolicy, admits)
+{
+    const QueuedWork work { Milliseconds(row->chainMs), 1.6, Milliseconds(60), Milliseconds(0), Milliseconds(1500) };
+    const auto admission = admit(work, { row->aheadCpuMs, row->cpuPerMs }, {});
+    cr_expect_eq(admission.isAdmitted, row->isAdmitted, "%s", row->name);
+    cr_expect_eq(admission.retryAfter.count() > 0, !row->isAdmitted, "%s", row->name);
+}
+
+/**
+ * A play and what callers must get. The bounds follow from the users' aims: on ordinary load nearly everything in time; under
+ * more load than the servers can carry no kind and no size of job starved.
+ */
+struct PlayRow {
+    char name[40];
+    bool isSnevaern;
+    double load;
+    int trouble; ///< ServerTrouble, -1 for none.
+    size_t troubled; ///< Servers struck.
+    double poison;
+    double lateOrders;
+    double lostReplies;
+    bool killsEntry;
+    bool cutsEntry;
+    double leastWorth;
+    double leastKind;
+    double leastSize;
+};
+
+ParameterizedTestParameters(RoomPlay, callersAreServed)
+{
+    constexpr int none = -1;
+    static PlayRow rows[] = {
+        { "minga, ordinary", false, 1.0, none, 0, 0, 0, 0, false, false, 0.95, 0.9, 0.5 },
+        { "snevaern, ordinary", true, 1.0, none, 0, 0, 0, 0, false, false, 0.95, 0.9, 0.5 },
+        { "minga, busy", false, 1.25, none, 0, 0, 0, 0, false, false, 0.95, 0.9, 0.5 },
+        { "snevaern, busy", true, 1.25, none, 0, 0, 0, 0, false, false, 0.95, 0.9, 0.5 },
+        { "minga, too much", false, 1.5, none, 0, 0, 0, 0, false, false, 0.8, 0.5, 0.5 },
+        { "snevaern, too much", true, 1.5, none, 0, 0, 0, 0, false, false, 0.8, 0.5, 0.5 },
+        { "two servers dark", false, 1.0, static_cast<int>(ServerTrouble::Dark), 2, 0, 0, 0, false, false, 0.9, 0.8, 0.5 },
+        { "two servers crash", true, 1.0, static_cast<int>(ServerTrouble::Crash), 2, 0, 0, 0, false, false, 0.9, 0.8, 0.5 },
+        { "two servers hang", false, 1.0, static_cast<int>(ServerTrouble::Hang), 2, 0, 0, 0, false, false, 0.9, 0.8, 0.5 },
+        { "two servers slow", true, 1.0, static_cast<int>(ServerTrouble::Slow), 2, 0, 0, 0, false, false, 0.9, 0.8, 0.5 },
+        { "one server fails all", false, 1.0, static_cast<int>(ServerTrouble::Fail), 1, 0, 0, 0, false, false, 0.9, 0.8, 0.5 },
+        { "poison", false, 1.0, none, 0, 0.05, 0, 0, false, false, 0.85, 0.8, 0.5 },
+        { "late orders", false, 1.0, none, 0, 0, 0.05, 0, false, false, 0.9, 0.8, 0.5 },
+        { "lost replies", true, 1.0, none, 0, 0, 0, 0.05, false, false, 0.85, 0.8, 0.5 },
+        { "an entry is killed", false, 1.0, none, 0, 0, 0, 0, true, false, 0.85, 0.8, 0.5 },
+        { "an entry is cut off", true, 1.0, none, 0, 0, 0, 0, false, true, 0.75, 0.7, 0.5 },
+        { "all at once", false, 1.1, static_cast<int>(ServerTrouble::Dark), 2, 0.03, 0.03, 0.03, true, true, 0.6, 0.5, 0.5 },
+    };
+    return cr_make_param_array(PlayRow, rows, sizeof(rows) / sizeof(PlayRow));
+}
+
+ParameterizedTest(PlayRow* row, RoomPlay, callersAreServed, .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        auto scenario = row->isSnevaern ? snevaernScenario(row->name) : mingaScenario(row->name);
+        scenario.seed = seed;
+        scenario.load = row->load;
+        scenario.lateOrders = row->lateOrders;
+        scenario.lostReplies = row->lostReplies;
+        for (auto& kind : scenario.kinds)
+            kind.poison = row->poison;
+        if (row->trouble >= 0) {
+            std::vector<size_t> servers;
+            for (size_t i = 0; i < row->troubled; ++i)
+                servers.push_back((seed + i * 4) % scenario.servers);
+            const auto trouble = static_cast<ServerTrouble>(row->trouble);
+            scenario.faults = { { trouble, servers, Milliseconds(5000), Milliseconds(4000) },
+                { trouble, servers, Milliseconds(13000), Milliseconds(3000) } };
+        }
+        if (row->killsEntry)
+            scenario.entryKills = { { 0, Milliseconds(7000) }, { 1, Milliseconds(7500) } };
+        if (row->cutsEntry)
+            scenario.entryCuts = { { 0, Milliseconds(10000) } };
+        const auto report = play(scenario);
+        for (const auto& violation : report.violations)
+            cr_expect_fail("%s, seed %d: %s", row->name, static_cast<int>(seed), violation.c_str());
+        cr_expect_geq(report.worth(), row->leastWorth, "%s, seed %d: worth %f", row->name, static_cast<int>(seed),
+            report.worth());
+        cr_expect_geq(report.worstKind(), row->leastKind, "%s, seed %d: worst kind %f", row->name,
+            static_cast<int>(seed), report.worstKind());
+        cr_expect_geq(report.worstSize(), row->leastSize, "%s, seed %d: worst size %f", row->name,
+            static_cast<int>(seed), report.worstSize());
+    }
+}
--- a/tests/SystemTest.cpp
+++ b/tests/SystemTest.cpp
@@ -259,7 +259,8 @@
     const auto more
         = fleet.startLoad({ "seconds=12", "jobs_per_minute=1200", "tasks_max=2", "run_ms_max=200", "seed=2" });
     Fleet::finishLoad(*more);
-    cr_expect_gt(fleet.startsAt(1), before + 5, "it takes work again by itself");
+    cr_expect_gt(fleet.startsAt(1), before + 5, "it takes work again by itself; %d starts before, log: %s",
+        static_cast<int>(before), fleet.process("agent1").log().c_str());
 }
 
 Test(Configuration, inForceOnEightEntriesAndNeverBack, .timeout = 170)
