--- a/include/sequoia/RoomPolicy.h
+++ b/include/sequoia/RoomPolicy.h
@@ -16,6 +16,7 @@
     double slowness = 1.0; ///< Run time over the estimate, smoothed.
     bool isNear = true; ///< The data is near, or the task names no place.
     int64_t mostHere = 1; ///< Most tasks of the step that it may still take.
+    bool isTrial = false; ///< It takes one task to show that it is good again.
 };
 
 /** Tasks of one step that wait for room. */
@@ -41,8 +42,11 @@
     double farFactor = 1.5; ///< Run time of a task whose data is in another rack; from the deployment.
     Milliseconds overhead { 10 }; ///< Messages and processing of a start and its answer.
     double lateFactor = 3; ///< An answer later than this many times the objective is worth nothing; from the pages.
-    double estimateError = 1.4; ///< Estimates are off by this factor either way; from the users' brief.
-    double holdShare = 0.5; ///< Part of the spare time that may be spent on waiting for a server that is surely in time.
+    double tooShort
+        = 1.9; ///< True run time over the estimate at most: estimates are 40% off, tasks of a job differ by 15%.
+    double tooLong = 1.4; ///< Estimate over the true run time at most.
+    double holdShare
+        = 0.15; ///< Part of the spare time that may be spent on waiting for a server that is surely in time.
 };
 
 /** How well a server suits a task; the later the better. */
@@ -58,9 +62,9 @@
 
 /**
  * Chooses a server for some of the waiting tasks; empty if they should wait.
- * Of the servers that are surely in time the slowest is taken, so that the fast ones are left for long tasks; of equal ones
- * the one that takes most tasks of the job, so that a failing server spoils few jobs. If all that are surely in time are
- * full, the task waits for one during a part of its spare time, and then takes the fastest.
+ * Of the servers that are surely in time the slowest is taken, so that the fast ones are left for long tasks; of equal
+ * ones the one that takes most tasks of the job, so that a failing server spoils few jobs. If all that are surely in
+ * time are full, the task waits for one during a part of its spare time, and then takes the fastest.
  */
 std::optional<RoomChoice> choosePlace(
     const std::vector<RoomCandidate>& candidates, const RoomRequest& request, const RoomPolicyLimits& limits);
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -30,7 +30,8 @@
     Milliseconds longestLease { 1050 }; ///< No lease of an earlier process lives longer; from the deployment.
     Milliseconds wakeGap { 400 }; ///< A pause of the process this long means that it was suspended.
     Milliseconds summaryPeriod { 5000 }; ///< The state is logged this often.
-    AgentLimits health; ///< Quarantine of a server that fails what it starts.
+    AgentLimits health { .quarantinePause = Milliseconds(300),
+        .quarantinePauseMax = Milliseconds(1200) }; ///< Quarantine of a server that fails what it starts.
 };
 
 /** What a backend server says of itself. */
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -126,7 +126,7 @@
 {
     const auto slack = slackToObjective(queuedWork(job, now), m_policy);
     const auto band = job.orders > 0 ? HasRuns : slack.count() >= 0 ? MeetsObjective : Late;
-    return { band, 0, now + slack, job.spec.id };
+    return { band, band == MeetsObjective ? job.route.priority : 0, now + slack, job.spec.id };
 }
 
 LoadView Dispatcher::loadBefore(const Job&, const QueueKey& key) const
@@ -258,7 +258,8 @@
             || std::find(agent.labels.begin(), agent.labels.end(), spec.preferredLabel) != agent.labels.end();
         const bool isTrial = agent.state == wire::GateState::Trial;
         const int64_t trials = agent.runs.empty() ? 1 : 0;
-        candidates.push_back({ agent.free, agent.slowness, isNear, isTrial ? trials : mostOfStepAt(job, index, i) });
+        candidates.push_back(
+            { agent.free, agent.slowness, isNear, isTrial ? trials : mostOfStepAt(job, index, i), isTrial });
     }
     RoomRequest request;
     request.room = spec.room;
--- a/src/RoomPolicy.cpp
+++ b/src/RoomPolicy.cpp
@@ -39,14 +39,14 @@
     const auto slowness = slownessFor(candidate, limits);
     const auto work = FloatMs(request.estimate);
     const auto nominal = spareTime(work, slowness, request, limits);
-    const auto longer = spareTime(work * limits.estimateError, slowness, request, limits);
-    const auto shorter = spareTime(work / limits.estimateError, slowness, request, limits);
+    const auto longer = spareTime(work * limits.tooShort, slowness, request, limits);
+    const auto shorter = spareTime(work / limits.tooLong, slowness, request, limits);
     if (std::min({ nominal, longer, shorter }).count() >= 0)
         return Fit::Safe;
     if (nominal.count() >= 0)
         return Fit::Likely;
     const auto useful = FloatMs(request.remaining - limits.overhead);
-    return work / limits.estimateError * slowness <= useful ? Fit::Late : Fit::Hopeless;
+    return work / limits.tooLong * slowness <= useful ? Fit::Late : Fit::Hopeless;
 }
 
 std::optional<RoomChoice> choosePlace(
@@ -54,7 +54,7 @@
 {
     auto best = Fit::Hopeless; // With or without room.
     std::optional<RoomChoice> safe;
-    std::tuple<int64_t, int64_t, uint64_t> safeRank {};
+    std::tuple<bool, int64_t, int64_t, uint64_t> safeRank {};
     std::optional<RoomChoice> other;
     std::tuple<Fit, double, int64_t> otherRank {};
     for (size_t i = 0; i < candidates.size(); ++i) {
@@ -67,14 +67,16 @@
         const auto slowness = slownessFor(candidate, limits);
         if (fit == Fit::Safe) {
             const uint64_t spread = (request.salt + i * 0x9E3779B97F4A7C15U) >> 40U;
-            const std::tuple rank { speedClass(slowness), n, spread };
+            // A trial costs one task and may bring back a whole server.
+            const std::tuple rank { candidate.isTrial, speedClass(slowness), n, spread };
             if (!safe || rank > safeRank) {
                 safe = { i, n };
                 safeRank = rank;
             }
             continue;
         }
-        const std::tuple rank { fit, -slowness, n };
+        // What is late anyway is left to the slow servers.
+        const std::tuple rank { fit, fit == Fit::Late ? slowness : -slowness, n };
         if (!other || rank > otherRank) {
             other = { i, n };
             otherRank = rank;
@@ -87,8 +89,8 @@
         return other;
     if (fit == Fit::Late)
         return std::nullopt; // It can still be in time elsewhere.
-    const auto spare = spareTime(
-        FloatMs(request.estimate), slownessFor(candidates[other->candidate], limits), request, limits);
+    const auto spare
+        = spareTime(FloatMs(request.estimate), slownessFor(candidates[other->candidate], limits), request, limits);
     const auto longestHold = (spare + request.waited) * limits.holdShare;
     return FloatMs(request.waited) < longestHold ? std::nullopt : other;
 }
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -169,10 +169,11 @@
     if (!m_server)
         return {};
     auto usable = m_server->total;
-    // From the second failed job in a row each one halves the room, so that a failing server spoils few jobs.
+    // From the second failed job in a row each one halves the room, so that a failing server spoils few jobs. A trial
+    // is a single run anyway.
     constexpr size_t mostHalvings = 16;
-    const auto halvings = std::min(m_health.failures() > 0 ? m_health.failures() - 1 : 0, mostHalvings);
-    usable.cpu >>= halvings;
+    const auto failures = m_health.health() == Health::Trial ? 0 : m_health.failures();
+    usable.cpu >>= std::min(failures > 0 ? failures - 1 : 0, mostHalvings);
     return usable - m_used;
 }
 
