--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -20,6 +20,7 @@
     Milliseconds idleBeat { 500 }; ///< Longest quiet time on a link without.
     Milliseconds runLapse { 1250 }; ///< Runs at an agent that is out of reach this long are over; see RunGateLimits.
     Milliseconds demandPeriod { 40 }; ///< Waiting work is told to an agent this often.
+    Milliseconds settleTime { 1500 }; ///< After the first command; agents are found meanwhile, and nothing is refused for load.
     Milliseconds summaryPeriod { 5000 }; ///< The state is logged this often.
     size_t maxOpenJobs = 4000;
     size_t maxQueuedTasks = 40000;
@@ -173,7 +174,7 @@
     std::optional<size_t> agentOf(LinkId link) const;
     Job* findJob(WorkId id);
     QueuedWork queuedWork(const Job& job, TimePoint now) const;
-    LoadView loadBefore(const Job& job, const QueueKey& key) const;
+    LoadView loadBefore(const QueueKey& key, TimePoint now) const;
     QueueKey keyOf(const Job& job, TimePoint now) const;
     void makeReady(Job& job, size_t step);
     void requeue(Job& job, TimePoint now);
@@ -228,6 +229,7 @@
     };
     std::unordered_map<WorkId, PastRuns> m_pastRuns;
     TimePoint m_nextSummary {};
+    TimePoint m_settledAt {}; ///< When the agents count as known.
     size_t m_queuedTasks = 0;
     size_t m_entries = 1;
     uint64_t m_salt = 0;
--- a/include/sequoia/Link.h
+++ b/include/sequoia/Link.h
@@ -3,6 +3,7 @@
 
 #include <sequoia/Ids.h>
 #include <sequoia/Log.h>
+#include <sequoia/Time.h>
 #include <sequoia/generated/Messages_generated.h>
 
 #include <memory>
@@ -24,6 +25,7 @@
 struct LinkLimits {
     size_t maxFrameBytes = 4U << 20U; ///< A longer frame closes the connection.
     size_t maxOutboxBytes = 16U << 20U; ///< A peer that reads slower than this is closed.
+    Milliseconds dialTimeout { 1000 }; ///< A VM without power answers a dial with silence.
 };
 
 /** Errors of this layer. */
--- a/include/sequoia/RoomPolicy.h
+++ b/include/sequoia/RoomPolicy.h
@@ -89,6 +89,7 @@
 struct LoadView {
     double aheadCpuMs = 0; ///< Estimated core-milliseconds of the work that goes first.
     double cpuPerMs = 0; ///< Cores that work for this entry.
+    bool isComplete = true; ///< False while agents are still being found, as after a start.
 };
 
 /** Whether a new job is queued. */
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -72,7 +72,7 @@
     if (m_jobs.size() > m_limits.maxOpenJobs || m_queuedTasks + job.tasksLeft > m_limits.maxQueuedTasks)
         return refuse("queue-full", retryUnavailable);
     const auto work = queuedWork(job, now);
-    const auto admission = m_hooks.admit(work, loadBefore(job, keyOf(job, now)));
+    const auto admission = m_hooks.admit(work, loadBefore(keyOf(job, now), now));
     if (!admission.isAdmitted) {
         m_effects.record(LogLevel::Debug, "admission",
             { { "job", id }, { "wait_ms", admission.predictedWait.count() },
@@ -129,9 +129,10 @@
     return { band, band == MeetsObjective ? job.route.priority : 0, now + slack, job.spec.id };
 }
 
-LoadView Dispatcher::loadBefore(const Job&, const QueueKey& key) const
+LoadView Dispatcher::loadBefore(const QueueKey& key, TimePoint now) const
 {
     LoadView load;
+    load.isComplete = m_settledAt != TimePoint() && now >= m_settledAt;
     for (const auto& ahead : m_queue) {
         if (!(ahead < key))
             break;
@@ -430,6 +431,8 @@
 
 void Dispatcher::tick(TimePoint now)
 {
+    if (m_settledAt == TimePoint())
+        m_settledAt = now + m_limits.settleTime;
     tickLinks(now);
     tickStragglers(now);
     tickQueue(now);
--- a/src/Link.cpp
+++ b/src/Link.cpp
@@ -91,12 +91,11 @@
 
     void dial(const std::string& address)
     {
-        constexpr nng_duration dialTimeoutMs = 1000;
         if (nng_stream_dialer_alloc(&m_dialer, ("tcp://" + address).c_str()) != 0) {
             finish("bad address " + address);
             return;
         }
-        nng_aio_set_timeout(m_dialAio, dialTimeoutMs);
+        nng_aio_set_timeout(m_dialAio, static_cast<nng_duration>(m_hub.m_limits.dialTimeout.count()));
         nng_stream_dialer_dial(m_dialer, m_dialAio);
     }
 
--- a/src/RoomPolicy.cpp
+++ b/src/RoomPolicy.cpp
@@ -111,7 +111,7 @@
 Admission admit(const QueuedWork& work, const LoadView& load, const RoomPolicyLimits& limits)
 {
     Admission out;
-    if (load.aheadCpuMs <= 0)
+    if (load.aheadCpuMs <= 0 || !load.isComplete)
         return out;
     constexpr double leastCpuPerMs = 0.001; // Keeps the prediction finite when nothing works.
     constexpr double longestWaitMs = 60000;
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -156,7 +156,7 @@
     if (!m_isSettled && now >= *m_settleAt && m_strangers.empty())
         m_isSettled = true; // Nobody has renewed the leases of an earlier process.
     if (m_openLooks.empty() && now >= m_nextLook)
-        look(m_isLookLost ? Milliseconds(0) : m_limits.lookWait, now);
+        look(m_isLookLost || !m_isSettled ? Milliseconds(0) : m_limits.lookWait, now);
     if (!m_runs.empty() && now > m_leaseEnds)
         endAll("lease-ended", now);
     tickLinks(now);
