Tests of the codec (with seeded mutations), HTTP plumbing, log output, follower, registration and dialer

Found by keptConnectionsThatTheServerClosedAreNotUsed: a connection that came during a stop was closed without an answer; it is now served once.

--- a/src/AsyncHttp.cpp
+++ b/src/AsyncHttp.cpp
@@ -201,7 +201,11 @@
         ++self->m_connections;
         beast::tcp_stream stream(std::move(socket));
         beast::flat_buffer buffer;
-        while (co_await self->serveOne(stream, buffer)) { }
+        // A connection that comes during a stop is served once.
+        do {
+            if (!co_await self->serveOne(stream, buffer))
+                break;
+        } while (!self->m_isClosing);
         error_code ec;
         stream.socket().shutdown(tcp::socket::shutdown_send, ec);
         --self->m_connections;
@@ -210,8 +214,6 @@
     /** Serves the next request of a connection; false if the connection ends. */
     asio::awaitable<bool> serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer)
     {
-        if (m_isClosing)
-            co_return false;
         http::request_parser<http::string_body> parser;
         parser.body_limit(m_limits.maxBodyBytes);
         parser.header_limit(static_cast<uint32_t>(m_limits.maxHeaderBytes));
--- /dev/null
+++ b/tests/CodecTest.cpp
@@ -0,0 +1,202 @@
+/** @file CodecTest.cpp The platform's JSON: good texts, malformed ones, and seeded mutations of both. */
+#include <Codec.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <random>
+
+using namespace sequoia;
+using namespace sequoia::platform;
+
+namespace {
+
+const std::string goodJob
+    = R"({"spec":"x","best_effort":true,"steps":[{"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,)"
+      R"("affinity":"r1-3"},{"cpu":2000,"after":[0],"max_per_server":2,"required_label":"a"}]})";
+const std::string goodPing
+    = R"({"service":"s","address":"10.1.1.1:80","zone":"z","version":"v1","slots":8,"state":"ready",)"
+      R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],"born":17,"seq":4})";
+const std::string goodListing = R"({"clock_ms":48,"born":17,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]],)"
+                                R"("ended":[[58,"5c0e7a21d94b36f8.0.0.9",1,"done",""]]})";
+const std::string goodConfiguration
+    = R"({"version":7,"routes":[{"name":"r","host":"h.example","prefix":"/p/","slo_ms":60,"timeout_ms":1500,"priority":2,)"
+      R"("service":"s","max_attempts":4,"stretch":1.6}],"services":[],"limits":{}})";
+const std::string goodItems
+    = R"({"items":[{"key":"op/config","value":"bm9kZS0x","revision":412,"created":412,"lease":0}],"truncated":true,)"
+      R"("current_rev":530})";
+
+template <typename T> std::string faultOf(const Decoded<T>& decoded)
+{
+    const auto* error = std::get_if<CodecError>(&decoded);
+    return error == nullptr ? "" : error->place;
+}
+
+} // namespace
+
+Test(Codec, readsAJob)
+{
+    const auto decoded = decodeJob(WorkId(1), goodJob, {});
+    cr_assert(std::holds_alternative<WorkSpec>(decoded), "%s", faultOf(decoded).c_str());
+    const auto& job = std::get<WorkSpec>(decoded);
+    cr_assert_eq(job.steps.size(), 2U);
+    cr_expect_eq(job.steps[0].count, 4U);
+    cr_expect_eq(job.steps[0].room.cpu, 500);
+    cr_expect_eq(job.steps[0].estimate.count(), 900);
+    cr_expect_eq(job.steps[0].preferredLabel, "r1-3");
+    cr_expect_eq(job.steps[1].count, 1U);
+    cr_expect_eq(job.steps[1].after.size(), 1U);
+    cr_expect_eq(job.steps[1].maxPerServer, 2U);
+    cr_expect_eq(job.steps[1].requiredLabel, "a");
+}
+
+struct JobRow {
+    char text[200];
+    char place[32]; ///< Of the fault.
+};
+
+ParameterizedTestParameters(Codec, namesThePlaceOfAFault)
+{
+    static JobRow rows[] = {
+        { "", "body" },
+        { "[]", "body" },
+        { "{\"best_effort\":true}", "steps" },
+        { "{\"steps\":[{\"cpu\":1}]}", "best_effort" },
+        { "{\"best_effort\":1,\"steps\":[{}]}", "best_effort" },
+        { "{\"best_effort\":true,\"spec\":7,\"steps\":[{}]}", "spec" },
+        { "{\"best_effort\":true,\"steps\":[]}", "steps" },
+        { "{\"best_effort\":true,\"steps\":[7]}", "steps[0]." },
+        { "{\"best_effort\":true,\"steps\":[{\"count\":0}]}", "steps[0].count" },
+        { "{\"best_effort\":true,\"steps\":[{\"count\":1e9}]}", "steps[0].count" },
+        { "{\"best_effort\":true,\"steps\":[{\"cpu\":-1}]}", "steps[0].cpu" },
+        { "{\"best_effort\":true,\"steps\":[{\"cpu\":18446744073709551615}]}", "steps[0].cpu" },
+        { "{\"best_effort\":true,\"steps\":[{},{\"after\":[1]}]}", "steps[1].after" },
+        { "{\"best_effort\":true,\"steps\":[{\"gang\":true}]}", "steps[0].gang" },
+        { "{\"best_effort\":true,\"repeats\":2,\"steps\":[{}]}", "repeats" },
+    };
+    return cr_make_param_array(JobRow, rows, sizeof(rows) / sizeof(JobRow));
+}
+
+ParameterizedTest(JobRow* row, Codec, namesThePlaceOfAFault)
+{
+    cr_expect_eq(faultOf(decodeJob(WorkId(1), row->text, {})), std::string(row->place), "%s: %s", row->text,
+        faultOf(decodeJob(WorkId(1), row->text, {})).c_str());
+}
+
+struct IdRow {
+    char text[24];
+    bool isGood;
+};
+
+ParameterizedTestParameters(Codec, jobIdsHaveSixteenDigits)
+{
+    static IdRow rows[] = { { "5c0e7a21d94b36f8", true }, { "5C0E7A21D94B36F8", true }, { "5c0e7a21d94b36f", false },
+        { "5c0e7a21d94b36f88", false }, { "5c0e7a21d94b36fg", false }, { "-c0e7a21d94b36f8", false }, { "", false } };
+    return cr_make_param_array(IdRow, rows, sizeof(rows) / sizeof(IdRow));
+}
+
+ParameterizedTest(IdRow* row, Codec, jobIdsHaveSixteenDigits)
+{
+    cr_expect_eq(decodeWorkId(row->text).has_value(), row->isGood, "%s", row->text);
+}
+
+Test(Codec, readsWhatAServerSays)
+{
+    const auto ping = decodeServerReport("i-1", goodPing);
+    cr_assert(std::holds_alternative<ServerReport>(ping), "%s", faultOf(ping).c_str());
+    const auto& report = std::get<ServerReport>(ping);
+    cr_expect_eq(report.born, 17);
+    cr_expect_eq(report.total.cpu, 16000);
+    cr_expect_eq(report.labels.size(), 2U);
+    cr_expect_not(report.isDraining);
+
+    const auto decoded = decodeListing(goodListing);
+    cr_assert(std::holds_alternative<Listing>(decoded), "%s", faultOf(decoded).c_str());
+    const auto& listing = std::get<Listing>(decoded);
+    cr_expect_eq(raw(listing.running[0].id.task.index), 17);
+    cr_expect_eq(raw(listing.running[0].id.run), 2U);
+    cr_expect_eq(listing.ended[0].number, 58U);
+    cr_expect(listing.ended[0].kind == EndKind::Done);
+    cr_expect_eq(decodeServerReply(R"({"clock_ms":5,"reason":"late"})").reason, "late");
+}
+
+struct PingRow {
+    char name[24];
+    char from[40]; ///< Replaced in a good ping.
+    char to[40];
+    char place[16];
+};
+
+ParameterizedTestParameters(Codec, malformedPingsNameNoServer)
+{
+    static PingRow rows[] = {
+        { "no life", "\"born\":17,", "", "born" },
+        { "life of another type", "\"born\":17", "\"born\":1.5", "born" },
+        { "unknown state", "\"ready\"", "\"resting\"", "state" },
+        { "no service", "\"service\":\"s\",", "", "service" },
+        { "no capacity", "\"capacity\"", "\"capacities\"", "capacity" },
+        { "labels of another type", "[\"a\",\"r1-3\"]", "[1]", "labels" },
+    };
+    return cr_make_param_array(PingRow, rows, sizeof(rows) / sizeof(PingRow));
+}
+
+ParameterizedTest(PingRow* row, Codec, malformedPingsNameNoServer)
+{
+    auto text = goodPing;
+    const auto at = text.find(row->from);
+    cr_assert_neq(at, std::string::npos);
+    text.replace(at, std::string(row->from).size(), row->to);
+    cr_expect_eq(faultOf(decodeServerReport("i-1", text)), std::string(row->place), "%s", row->name);
+}
+
+Test(Codec, readsAConfigurationAndItems)
+{
+    const auto decoded = decodeConfiguration(goodConfiguration);
+    cr_assert(std::holds_alternative<RouteTable>(decoded), "%s", faultOf(decoded).c_str());
+    const auto& table = std::get<RouteTable>(decoded);
+    cr_expect_eq(table.version, 7U);
+    cr_expect_eq(table.routes[0].policy.maxFailures, 4U);
+    cr_expect(table.find("H.example:80", "/p/1") != nullptr);
+    cr_expect(table.find("h.example", "/q/1") == nullptr);
+    bool isTruncated = false;
+    const auto items = decodeItems(goodItems, &isTruncated);
+    cr_assert(std::holds_alternative<SharedItems>(items), "%s", faultOf(items).c_str());
+    cr_expect(isTruncated);
+    cr_expect_eq(std::get<SharedItems>(items).items[0].value, "node-1");
+    cr_expect(encodePut("k", "node-1", StoreLease(5)).find("bm9kZS0x") != std::string::npos);
+}
+
+Test(Codec, mutationsOfEveryTextAreReadOrRefused, .timeout = 60)
+{
+    std::mt19937 random(1); // A fixed seed: CI has the same verdict each time.
+    const std::string alphabet = "{}[]\",:0123456789.-eEtruefalsnul \\\x01\xff";
+    const std::vector<std::string> texts { goodJob, goodPing, goodListing, goodConfiguration, goodItems };
+    size_t refused = 0;
+    for (int i = 0; i < 20000; ++i) {
+        auto text = texts[static_cast<size_t>(i) % texts.size()];
+        for (auto n = 1 + random() % 4; n > 0; --n) {
+            const auto at = random() % text.size();
+            switch (random() % 3) {
+            case 0:
+                text[at] = alphabet[random() % alphabet.size()];
+                break;
+            case 1:
+                text.erase(at, 1 + random() % 8);
+                break;
+            default:
+                text.insert(at, text.substr(random() % text.size(), random() % 16));
+            }
+            if (text.empty())
+                text = "0";
+        }
+        // None of these may throw or crash, whatever the text is.
+        const auto job = decodeJob(WorkId(1), text, {});
+        refused += std::holds_alternative<CodecError>(job) ? 1 : 0;
+        decodeServerReport("i", text);
+        decodeListing(text);
+        decodeConfiguration(text);
+        decodeItems(text, nullptr);
+        decodeLease(text);
+        decodeServerReply(text);
+    }
+    cr_expect_gt(refused, 0U);
+}
--- /dev/null
+++ b/tests/PlumbingTest.cpp
@@ -0,0 +1,421 @@
+/** @file PlumbingTest.cpp HTTP, log output, store follower, registration and dialer on their own. */
+#include <sequoia/AsyncHttp.h>
+#include <sequoia/Dialer.h>
+#include <sequoia/Follower.h>
+#include <sequoia/HttpService.h>
+#include <sequoia/LineWriter.h>
+#include <sequoia/Registration.h>
+#include <sequoia/RouteTable.h>
+
+#include <arpa/inet.h>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <fcntl.h>
+#include <future>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace sequoia;
+
+namespace {
+
+/** A plain connection, to send what no client library would. */
+class RawConnection {
+public:
+    explicit RawConnection(const std::string& address)
+        : m_socket(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const auto parts = splitAddress(address);
+        sockaddr_in to {};
+        to.sin_family = AF_INET;
+        to.sin_port = htons(static_cast<uint16_t>(parts->second));
+        inet_pton(AF_INET, parts->first.c_str(), &to.sin_addr);
+        cr_assert_eq(connect(m_socket, reinterpret_cast<sockaddr*>(&to), sizeof(to)), 0);
+        timeval longest { 5, 0 };
+        setsockopt(m_socket, SOL_SOCKET, SO_RCVTIMEO, &longest, sizeof(longest));
+    }
+    ~RawConnection() { close(m_socket); }
+    RawConnection(const RawConnection&) = delete;
+    RawConnection& operator=(const RawConnection&) = delete;
+
+    void send(const std::string& text) const { ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL); }
+    void closeWriting() const { shutdown(m_socket, SHUT_WR); }
+    /** All that comes until the server closes. */
+    std::string readAll() const
+    {
+        std::string out;
+        char buf[4096];
+        for (ssize_t n = 0; (n = recv(m_socket, buf, sizeof(buf), 0)) > 0;)
+            out.append(buf, static_cast<size_t>(n));
+        return out;
+    }
+
+private:
+    int m_socket;
+};
+
+AsyncHttpLimits smallLimits()
+{
+    AsyncHttpLimits limits;
+    limits.maxHeaderBytes = 1024;
+    limits.maxBodyBytes = 100;
+    limits.idleTimeout = Milliseconds(2000);
+    limits.readTimeout = Milliseconds(300);
+    return limits;
+}
+
+/** A server that repeats what it is sent, or keeps callers waiting at /wait. */
+class EchoServer {
+public:
+    EchoServer()
+        : m_server(loop, smallLimits(), [this](const HttpCall& call, const HttpExchangePtr& exchange) {
+            if (call.target == "/wait") {
+                exchange->onGone([this] { gone.set_value(); });
+                waiting = exchange;
+                arrived.set_value();
+                return;
+            }
+            exchange->reply({ 200, call.method + " " + call.target + " " + call.body, "text/plain", {} });
+        })
+    {
+        address = m_server.listen("127.0.0.1:0");
+        loop.start();
+    }
+    ~EchoServer() { loop.stop(); }
+    EchoServer(const EchoServer&) = delete;
+    EchoServer& operator=(const EchoServer&) = delete;
+
+    HttpLoop loop;
+    std::string address;
+    std::promise<void> gone;
+    std::promise<void> arrived;
+    HttpExchangePtr waiting;
+    AsyncHttpServer& server() { return m_server; }
+
+private:
+    AsyncHttpServer m_server;
+};
+
+HttpResult callAndWait(AsyncHttpClient& client, HttpRequest request, Milliseconds timeout)
+{
+    std::promise<HttpResult> done;
+    client.call(std::move(request), timeout, [&](HttpResult result) { done.set_value(std::move(result)); });
+    return done.get_future().get();
+}
+
+} // namespace
+
+struct BadRequestRow {
+    char name[24];
+    char text[64];
+    int fill; ///< Bytes of 'a' inserted at `%`.
+    char status[8]; ///< Expected; empty if the connection just ends.
+};
+
+ParameterizedTestParameters(AsyncHttp, answersBadRequests)
+{
+    static BadRequestRow rows[] = {
+        { "no request", "nonsense\r\n\r\n", 0, "400" },
+        { "long header", "GET / HTTP/1.1\r\nX: %\r\n\r\n", 4000, "431" },
+        { "long body", "POST / HTTP/1.1\r\nContent-Length: 4000\r\n\r\n%", 4000, "413" },
+        { "unfinished", "GET / HTT", 0, "" },
+        { "body missing", "POST / HTTP/1.1\r\nContent-Length: 50\r\n\r\nx", 0, "" },
+        { "nothing", "", 0, "" },
+    };
+    return cr_make_param_array(BadRequestRow, rows, sizeof(rows) / sizeof(BadRequestRow));
+}
+
+ParameterizedTest(BadRequestRow* row, AsyncHttp, answersBadRequests, .timeout = 20)
+{
+    EchoServer echo;
+    RawConnection connection(echo.address);
+    std::string text = row->text;
+    if (const auto at = text.find('%'); at != std::string::npos)
+        text.replace(at, 1, std::string(static_cast<size_t>(row->fill), 'a'));
+    connection.send(text);
+    const auto reply = connection.readAll();
+    if (std::string(row->status).empty())
+        cr_expect(reply.empty(), "%s: %s", row->name, reply.c_str());
+    else
+        cr_expect(reply.starts_with(std::string("HTTP/1.1 ") + row->status), "%s: %s", row->name, reply.c_str());
+}
+
+Test(AsyncHttp, servesSeveralRequestsOnOneConnection, .timeout = 20)
+{
+    EchoServer echo;
+    RawConnection connection(echo.address);
+    connection.send("GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 1\r\nConnection: close\r\n\r\nx");
+    const auto reply = connection.readAll();
+    cr_expect(reply.find("GET /a ") != std::string::npos, "%s", reply.c_str());
+    cr_expect(reply.find("POST /b x") != std::string::npos, "%s", reply.c_str());
+}
+
+Test(AsyncHttp, tellsThatACallerHasGone, .timeout = 20)
+{
+    EchoServer echo;
+    {
+        RawConnection connection(echo.address);
+        connection.send("GET /wait HTTP/1.1\r\n\r\n");
+        echo.arrived.get_future().get();
+    }
+    cr_expect(echo.gone.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
+}
+
+Test(AsyncHttp, aStopEndsIdleConnectionsAndAnswersWaitingCallers, .timeout = 20)
+{
+    EchoServer echo;
+    RawConnection idle(echo.address);
+    idle.send("GET /a HTTP/1.1\r\n\r\n");
+    RawConnection busy(echo.address);
+    busy.send("GET /wait HTTP/1.1\r\n\r\n");
+    echo.arrived.get_future().get();
+    echo.server().closeIdle();
+    const auto first = idle.readAll();
+    cr_expect(first.find("GET /a") != std::string::npos, "%s", first.c_str());
+    echo.waiting->reply({ 200, "late", "text/plain", {} });
+    const auto reply = busy.readAll();
+    cr_expect(reply.find("Connection: close") != std::string::npos && reply.ends_with("late"), "%s", reply.c_str());
+}
+
+Test(AsyncHttp, aClientTellsRefusedFromUnanswered, .timeout = 20)
+{
+    EchoServer echo;
+    AsyncHttpClient client(echo.loop, echo.address, 2);
+    const auto good = callAndWait(client, { "PUT", "/x", "y", {} }, Milliseconds(2000));
+    cr_assert(std::holds_alternative<HttpReply>(good));
+    cr_expect_eq(std::get<HttpReply>(good).body, "PUT /x y");
+    const auto silent = callAndWait(client, { "GET", "/wait", "", {} }, Milliseconds(200));
+    cr_assert(std::holds_alternative<HttpFault>(silent));
+    cr_expect(std::get<HttpFault>(silent) == HttpFault::NoAnswer);
+
+    std::string closed;
+    {
+        HttpLoop other;
+        AsyncHttpServer server(other, {}, [](const HttpCall&, const HttpExchangePtr&) {});
+        closed = server.listen("127.0.0.1:0");
+        other.start();
+        server.stopListening();
+        other.stop();
+    }
+    AsyncHttpClient nobody(echo.loop, closed, 1);
+    const auto refused = callAndWait(nobody, { "GET", "/", "", {} }, Milliseconds(1000));
+    cr_assert(std::holds_alternative<HttpFault>(refused));
+    cr_expect(std::get<HttpFault>(refused) == HttpFault::Refused);
+}
+
+Test(AsyncHttp, keptConnectionsThatTheServerClosedAreNotUsed, .timeout = 20)
+{
+    EchoServer echo;
+    AsyncHttpClient client(echo.loop, echo.address, 2);
+    for (int i = 0; i < 3; ++i) {
+        const auto reply = callAndWait(client, { "GET", "/x", "", {} }, Milliseconds(2000));
+        cr_assert(std::holds_alternative<HttpReply>(reply), "call %d", i);
+        echo.server().closeIdle(); // From now on each reply closes its connection.
+    }
+}
+
+Test(LineWriter, aReaderThatStopsReadingCostsLinesNotTime, .timeout = 30)
+{
+    int ends[2];
+    cr_assert_eq(pipe(ends), 0);
+    LineWriterLimits limits;
+    limits.maxBufferedBytes = 64U << 10U;
+    const auto begin = Clock::now();
+    {
+        LineWriter writer(ends[1], limits);
+        const std::string line(200, 'x');
+        for (int i = 0; i < 20000; ++i)
+            writer.write(line + "\n");
+        cr_expect_gt(writer.dropped(), 0U);
+        // 4 MB of lines against a pipe that nobody reads: writing them must not wait for it.
+        cr_expect_lt(toMilliseconds(Clock::now() - begin).count(), 2000);
+    }
+    cr_expect_lt(toMilliseconds(Clock::now() - begin).count(), 5000, "the end waits a bounded time");
+    close(ends[0]);
+    close(ends[1]);
+}
+
+Test(LineWriter, writesAllLinesToAReader, .timeout = 30)
+{
+    int ends[2];
+    cr_assert_eq(pipe(ends), 0);
+    auto read = std::async(std::launch::async, [&] {
+        size_t lines = 0;
+        char buf[4096];
+        for (ssize_t n = 0; (n = ::read(ends[0], buf, sizeof(buf))) > 0;)
+            lines += static_cast<size_t>(std::count(buf, buf + n, '\n'));
+        return lines;
+    });
+    {
+        LineWriter writer(ends[1]);
+        for (int i = 0; i < 1000; ++i)
+            writer.write("line\n");
+    }
+    close(ends[1]);
+    cr_expect_eq(read.get(), 1000U);
+    close(ends[0]);
+}
+
+namespace {
+
+/** A store whose replies the test gives. */
+struct FakeStore {
+    std::vector<std::string> calls;
+    std::function<void(StoreReply<SharedItems>)> items;
+    std::function<void(StoreReply<LeaseGrant>)> lease;
+    std::function<void(StoreReply<StoreDone>)> done;
+    TimePoint now { std::chrono::seconds(10) };
+    Log log { "test", LogLevel::Error, 0 };
+
+    SharedStore store()
+    {
+        SharedStore out;
+        out.list = [this](const std::string&, auto reply) {
+            calls.emplace_back("list");
+            items = std::move(reply);
+        };
+        out.watch = [this](const std::string&, StoreVersion after, Milliseconds, auto reply) {
+            calls.push_back("watch " + std::to_string(static_cast<uint64_t>(after)));
+            items = std::move(reply);
+        };
+        out.grantLease = [this](Milliseconds, auto reply) {
+            calls.emplace_back("lease");
+            lease = std::move(reply);
+        };
+        out.keepLease = [this](StoreLease, auto reply) {
+            calls.emplace_back("keep");
+            done = std::move(reply);
+        };
+        out.endLease = [this](StoreLease) { calls.emplace_back("end"); };
+        out.put = [this](const std::string&, const std::string&, StoreLease, auto reply) {
+            calls.emplace_back("put");
+            done = std::move(reply);
+        };
+        return out;
+    }
+};
+
+SharedItems itemsOf(uint64_t version, std::vector<SharedItem> items)
+{
+    return { std::move(items), StoreVersion(version) };
+}
+
+} // namespace
+
+Test(Follower, listsAgainWhereTheHistoryHasGone)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    size_t changes = 0;
+    Follower follower("p/", store, fake.log, {}, { [&](const auto&) { ++changes; }, [&] { return fake.now; } });
+    follower.tick();
+    fake.items(itemsOf(5, { { "p/a", "1", StoreVersion(5), false } }));
+    cr_expect_eq(fake.calls.back(), "watch 5");
+    fake.items(itemsOf(7, { { "p/b", "2", StoreVersion(6), false }, { "p/a", "", StoreVersion(7), true } }));
+    cr_expect_eq(fake.calls.back(), "watch 7");
+    cr_expect_eq(follower.items().size(), 1U);
+    cr_expect_eq(follower.items().at("p/b"), "2");
+    fake.items(itemsOf(6, {}));
+    cr_expect_eq(fake.calls.back(), "watch 7", "it never goes back");
+    fake.items(SharedStoreError::HistoryGone);
+    follower.tick();
+    cr_expect_eq(fake.calls.back(), "list");
+    fake.items(itemsOf(9, {}));
+    cr_expect(follower.items().empty(), "what the gap removed is gone");
+    cr_expect_eq(changes, 3U);
+}
+
+Test(Follower, pausesAfterFailures)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    Follower follower("p/", store, fake.log, {}, { [](const auto&) {}, [&] { return fake.now; } });
+    follower.tick();
+    fake.items(SharedStoreError::Unavailable);
+    cr_expect_not(follower.isConnected());
+    follower.tick();
+    cr_expect_eq(fake.calls.size(), 1U, "not at once");
+    fake.now += Milliseconds(400);
+    follower.tick();
+    cr_expect_eq(fake.calls.size(), 2U);
+    fake.items(itemsOf(1, {}));
+    cr_expect(follower.isConnected());
+}
+
+Test(Registration, comesBackAfterItsLeaseHasEnded)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    Registration registration("k", "v", store, fake.log, {}, [&] { return fake.now; });
+    registration.tick();
+    fake.lease(LeaseGrant { StoreLease(1), Milliseconds(6000) });
+    fake.done(StoreDone {});
+    fake.now += Milliseconds(2000);
+    registration.tick();
+    cr_expect_eq(fake.calls.back(), "keep");
+    fake.done(SharedStoreError::LeaseEnded);
+    registration.tick();
+    cr_expect_eq(fake.calls.back(), "lease", "at once");
+    fake.lease(SharedStoreError::Unavailable);
+    fake.now += Milliseconds(300);
+    registration.tick();
+    fake.lease(LeaseGrant { StoreLease(2), Milliseconds(6000) });
+    fake.done(StoreDone {});
+    registration.missing();
+    registration.tick();
+    cr_expect_eq(fake.calls.back(), "lease", "an item taken away is written again");
+}
+
+Test(Dialer, dialsAgainAndForgets)
+{
+    uint32_t dialled = 0;
+    std::vector<LinkId> closed;
+    DialerLimits limits;
+    Dialer dialer(
+        limits, [&](const std::string&) { return LinkId(++dialled); }, [&](LinkId link) { closed.push_back(link); });
+    TimePoint now { std::chrono::seconds(100) };
+    dialer.addAddresses({ "a:1" }, now);
+    dialer.tick(now);
+    cr_assert_eq(dialled, 1U);
+    cr_expect_not(dialer.welcomed(LinkId(9)));
+    now += limits.welcomeTimeout + Milliseconds(1);
+    dialer.tick(now);
+    cr_expect_eq(closed.size(), 1U, "nobody welcomed it");
+    dialer.closed(LinkId(1), now);
+    dialer.tick(now);
+    cr_expect_eq(dialled, 1U, "not at once");
+    now += Milliseconds(200);
+    dialer.tick(now);
+    cr_expect_eq(dialled, 2U);
+    cr_expect(dialer.welcomed(LinkId(2)));
+    now += 2 * limits.forgetAfter;
+    dialer.tick(now);
+    cr_expect_eq(dialer.addresses().size(), 1U, "a link in use stays");
+    dialer.closed(LinkId(2), now);
+    now += limits.forgetAfter + Milliseconds(1);
+    dialer.tick(now);
+    cr_expect(dialer.addresses().empty());
+}
+
+struct RouteRow {
+    char host[24];
+    char path[24];
+    int route; ///< -1 for none.
+};
+
+ParameterizedTestParameters(RouteTable, findsTheLongestPrefix)
+{
+    static RouteRow rows[] = { { "a.example", "/x/1", 0 }, { "A.Example:80", "/x/1", 0 }, { "a.example", "/x/y/1", 1 },
+        { "b.example", "/x/1", -1 }, { "a.example", "/", -1 }, { "a.example", "/z/1", 2 }, { "other", "/z/1", 2 } };
+    return cr_make_param_array(RouteRow, rows, sizeof(rows) / sizeof(RouteRow));
+}
+
+ParameterizedTest(RouteRow* row, RouteTable, findsTheLongestPrefix)
+{
+    RouteTable table;
+    for (const auto& [host, prefix] :
+        { std::pair("a.example", "/x/"), std::pair("a.example", "/x/y/"), std::pair("", "/z/") })
+        table.routes.push_back({ host, prefix, {} });
+    const auto* found = table.find(row->host, row->path);
+    cr_expect_eq(found == nullptr ? -1 : found - table.routes.data(), row->route, "%s%s", row->host, row->path);
+}
