--- a/include/sequoia/CommandLine.h
+++ b/include/sequoia/CommandLine.h
@@ -38,8 +38,8 @@
 
 /** Blocks the stop signals in this thread and those that it starts. Call it first. */
 void blockStopSignals();
-/** Waits for SIGTERM or SIGINT; calls `reload` for each SIGHUP. */
-int waitForStopSignal(const std::function<void()>& reload = {});
+/** Waits for SIGTERM or SIGINT; calls `reload` for each SIGHUP, and now and then without one. */
+int waitForStopSignal(const std::function<void(const char* cause)>& reload = {});
 
 /** Returned by main. */
 constexpr int toInt(ExitCode code) { return static_cast<int>(code); }
--- /dev/null
+++ b/include/sequoia/SettingsFile.h
@@ -0,0 +1,100 @@
+/** @file SettingsFile.h Reads a settings file again when it has changed, and says what takes effect. */
+#pragma once
+
+#include <sequoia/CommandLine.h>
+#include <sequoia/Log.h>
+
+#include <algorithm>
+#include <boost/leaf/handle_errors.hpp>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <fstream>
+#include <sstream>
+
+namespace sequoia {
+
+/** Keys whose values differ. */
+template <typename T>
+std::vector<std::string> changedSettings(const std::vector<SettingRow<T>>& rows, const T& before, const T& after)
+{
+    std::vector<std::string> keys;
+    for (const auto& row : rows) {
+        const bool isChanged = std::visit([&](auto field) { return before.*field != after.*field; }, row.field);
+        if (isChanged)
+            keys.emplace_back(row.key);
+    }
+    return keys;
+}
+
+/** A settings file that is in use. Belongs to one thread. */
+template <typename T> class SettingsFile {
+public:
+    /** `live` are the keys that take effect while the process runs. */
+    SettingsFile(
+        const std::vector<SettingRow<T>>& rows, DaemonOptions options, T current, std::vector<std::string> live)
+        : m_rows(rows)
+        , m_options(std::move(options))
+        , m_current(std::move(current))
+        , m_live(std::move(live))
+        , m_text(read())
+    {
+    }
+
+    /**
+     * Reads the file again if its text has changed. Gives the new settings if they are good and some live ones differ;
+     * bad ones are logged with file, line and key, and the old ones stay.
+     */
+    std::optional<T> reload(Log& log, const char* cause)
+    {
+        auto text = read();
+        if (text == m_text)
+            return std::nullopt;
+        m_text = std::move(text);
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::optional<T>> {
+                BOOST_LEAF_AUTO(settings, loadSettings(m_rows, m_options.settingsFile, m_options.overrides));
+                return take(std::move(settings), log, cause);
+            },
+            [&](const SettingsError& error) {
+                for (const auto& problem : error.problems)
+                    log.event(
+                        LogLevel::Error, "settings-refused", { { "cause", cause }, { "problem", toString(problem) } });
+                return std::optional<T>();
+            },
+            [&] {
+                log.event(LogLevel::Error, "settings-refused", { { "cause", cause }, { "problem", "unreadable" } });
+                return std::optional<T>();
+            });
+    }
+
+private:
+    std::optional<T> take(T settings, Log& log, const char* cause)
+    {
+        std::vector<std::string> taken;
+        std::vector<std::string> later;
+        for (const auto& key : changedSettings(m_rows, m_current, settings)) {
+            const bool isLive = std::find(m_live.begin(), m_live.end(), key) != m_live.end();
+            (isLive ? taken : later).push_back(key);
+        }
+        log.event(LogLevel::Info, "settings-read",
+            { { "cause", cause }, { "taken", fmt::format("{}", fmt::join(taken, ",")) },
+                { "after_restart", fmt::format("{}", fmt::join(later, ",")) } });
+        m_current = settings;
+        return taken.empty() ? std::nullopt : std::optional(std::move(settings));
+    }
+
+    std::string read() const
+    {
+        std::stringstream text;
+        text << std::ifstream(m_options.settingsFile).rdbuf();
+        return text.str();
+    }
+
+    const std::vector<SettingRow<T>>& m_rows;
+    DaemonOptions m_options;
+    T m_current;
+    std::vector<std::string> m_live;
+    std::string m_text;
+};
+
+} // namespace sequoia
--- a/src/CommandLine.cpp
+++ b/src/CommandLine.cpp
@@ -100,16 +100,17 @@
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
-int waitForStopSignal(const std::function<void()>& reload)
+int waitForStopSignal(const std::function<void(const char* cause)>& reload)
 {
+    constexpr timespec lookPeriod { 1, 0 }; // Settings files may change without a signal.
     const auto set = stopSignals();
-    int signal = 0;
-    do {
-        sigwait(&set, &signal);
-        if (signal == SIGHUP && reload)
-            reload();
-    } while (signal == SIGHUP);
-    return signal;
+    for (;;) {
+        const int signal = reload ? sigtimedwait(&set, nullptr, &lookPeriod) : sigwaitinfo(&set, nullptr);
+        if (signal == SIGTERM || signal == SIGINT)
+            return signal;
+        if (reload)
+            reload(signal == SIGHUP ? "signal" : "file");
+    }
 }
 
 } // namespace sequoia
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -6,11 +6,13 @@
 #include <sequoia/LineWriter.h>
 #include <sequoia/Registration.h>
 #include <sequoia/RouteTable.h>
+#include <sequoia/SettingsFile.h>
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <fcntl.h>
+#include <fstream>
 #include <future>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -397,6 +399,34 @@
     cr_expect(dialer.addresses().empty());
 }
 
+Test(SettingsFile, takesGoodChangesAndKeepsTheOldOnesOtherwise)
+{
+    std::string path = "/tmp/sequoia-settings-XXXXXX";
+    close(mkstemp(path.data()));
+    const auto write = [&](const std::string& text) { std::ofstream(path) << text; };
+    write("name = \"e\"\nlog_level = \"info\"\n");
+    const auto& rows = roomEntrySettingRows();
+    DaemonOptions options;
+    options.settingsFile = path;
+    const auto first = loadOrReport(rows, options);
+    cr_assert(first.has_value());
+    std::vector<std::string> lines;
+    Log log("test", LogLevel::Info, 0, [&](std::string line) { lines.push_back(std::move(line)); });
+    SettingsFile<RoomEntrySettings> file(rows, options, *first, { "log_level" });
+    cr_expect_not(file.reload(log, "file").has_value(), "nothing has changed");
+    write("name = \"e\"\nlog_level = \"loud\"\n");
+    cr_expect_not(file.reload(log, "file").has_value());
+    cr_assert_eq(lines.size(), 1U);
+    cr_expect(lines[0].find(path + ":2: log_level") != std::string::npos, "%s", lines[0].c_str());
+    write("name = \"e\"\nlog_level = \"debug\"\nmax_open_jobs = 7\n");
+    const auto changed = file.reload(log, "signal");
+    cr_assert(changed.has_value());
+    cr_expect_eq(changed->log_level, "debug");
+    cr_expect(
+        lines[1].find("taken=log_level after_restart=max_open_jobs") != std::string::npos, "%s", lines[1].c_str());
+    unlink(path.c_str());
+}
+
 struct RouteRow {
     char host[24];
     char path[24];
