--- a/include/sequoia/Work.h
+++ b/include/sequoia/Work.h
@@ -60,7 +60,6 @@
     uint32_t maxFailures = 1; ///< The job fails with this many failed runs of one task.
     double stretch = 1; ///< The latency objective is this many times the longest chain of estimates, and `objective`.
     Milliseconds objective { 0 };
-    Milliseconds timeout { 0 }; ///< Longest time to an answer; zero for none.
 };
 
 enum class WorkStatus : uint8_t {
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -44,7 +44,7 @@
     auto& job = m_jobs[id];
     job.waiters.push_back(waiter);
     job.arrival = now;
-    job.deadline = now + (route.timeout.count() > 0 ? std::min(budget, route.timeout) : budget);
+    job.deadline = now + budget;
     job.route = std::move(route);
     job.spec = std::move(spec);
     if (const auto past = m_pastRuns.find(id); past != m_pastRuns.end())
@@ -371,6 +371,7 @@
     m_effects.record(isOrdinary ? LogLevel::Info : LogLevel::Warning, "job-answered",
         { { "job", id }, { "route", job.route.name }, { "status", std::string(toString(answer.status)) },
             { "reason", std::string(answer.reason) }, { "age_ms", msOf(now - job.arrival) },
+            { "budget_ms", msOf(job.deadline - job.arrival) },
             { "queued_ms", job.orders > 0 ? msOf(job.firstOrder - job.arrival) : msOf(now - job.arrival) },
             { "tasks_left", static_cast<int64_t>(job.tasksLeft) }, { "orders", job.orders },
             { "refused", job.refusals }, { "failed_runs", job.failures },
