A run that takes too long is stopped only for another server, with twice the time after each stop; platform tests

Cause: tests/PlatformTest aStoppingEntryAnswersWhatItHasTaken, which failed first: a job of 800 ms that declared 50 ms was stopped and started over until its caller left. Now each stop of a task doubles the time allowed, nothing is stopped without another server to go to, and stuck runs that end count for the learnt speed (jobsEndWithEstimatesTenTimesTooShort). tests/PlatformTest runs the platform's entry and agent as processes between stand-ins of store and server (12 tests).

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -20,7 +20,9 @@
     Milliseconds idleBeat { 500 }; ///< Longest quiet time on a link without.
     Milliseconds runLapse { 1250 }; ///< Runs at an agent that is out of reach this long are over; see RunGateLimits.
     Milliseconds demandPeriod { 40 }; ///< Waiting work is told to an agent this often.
-    Milliseconds settleTime { 1500 }; ///< After the first command; agents are found meanwhile, and nothing is refused for load.
+    Milliseconds settleTime {
+        1500
+    }; ///< After the first command; agents are found meanwhile, and nothing is refused for load.
     Milliseconds summaryPeriod { 5000 }; ///< The state is logged this often.
     size_t maxOpenJobs = 4000;
     size_t maxQueuedTasks = 40000;
@@ -135,6 +137,7 @@
         size_t agent = 0; ///< Where its latest run was ordered.
         TimePoint ordered {};
         bool isStopping = false;
+        uint32_t stops = 0; ///< Runs stopped because they took too long; each doubles the time allowed.
         std::vector<size_t> avoided; ///< Agents where a run failed, was lost or got stuck.
     };
 
@@ -203,6 +206,8 @@
     void tickLinks(TimePoint now);
     void tickQueue(TimePoint now);
     void tickStragglers(TimePoint now);
+    /** Whether a run has taken too long, and another server could still do it in time. */
+    bool isStuck(const Job& job, size_t step, const Task& task, TimePoint now) const;
     void recordSummary(TimePoint now);
     template <typename Message> void send(RoomAgent& agent, Message message, TimePoint now)
     {
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -482,28 +482,43 @@
         finish(id, { m_jobs.at(id).orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, "deadline", {} }, now);
 }
 
+bool Dispatcher::isStuck(const Job& job, size_t step, const Task& task, TimePoint now) const
+{
+    const auto estimate = job.spec.steps[step].estimate;
+    if (task.state != TaskState::Ordered || task.isStopping || estimate.count() == 0)
+        return false;
+    const auto& agent = m_agents[task.agent];
+    // Estimates may be far too short: each stop doubles the time allowed, so that every task gets to its end.
+    constexpr uint32_t mostDoublings = 8;
+    const double patience = m_limits.stragglerFactor * (1U << std::min(task.stops, mostDoublings));
+    const auto allowed = estimate * std::max(agent.slowness, 1.0) * patience + m_limits.stragglerMargin;
+    if (now - task.ordered < allowed || !agent.isLinked || now + estimate + m_policy.overhead >= job.deadline)
+        return false;
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        const auto& other = m_agents[i];
+        const bool isUsable
+            = other.isLinked && other.state != wire::GateState::Closed && other.service == job.route.service;
+        const bool isAvoided = std::find(task.avoided.begin(), task.avoided.end(), i) != task.avoided.end();
+        if (i != task.agent && isUsable && !isAvoided)
+            return true;
+    }
+    return false;
+}
+
 void Dispatcher::tickStragglers(TimePoint now)
 {
     for (auto& [id, job] : m_jobs) {
         for (size_t i = 0; i < job.steps.size(); ++i) {
-            const auto estimate = job.spec.steps[i].estimate;
-            if (estimate.count() == 0)
-                continue;
             for (size_t n = 0; n < job.steps[i].tasks.size(); ++n) {
                 auto& task = job.steps[i].tasks[n];
-                if (task.state != TaskState::Ordered || task.isStopping)
-                    continue;
-                const auto& agent = m_agents[task.agent];
-                const auto expected
-                    = estimate * std::max(agent.slowness, 1.0) * m_limits.stragglerFactor + m_limits.stragglerMargin;
-                const bool isWorthRepeating = now + estimate + m_policy.overhead < job.deadline;
-                if (now - task.ordered < expected || !isWorthRepeating || !agent.isLinked)
+                if (!isStuck(job, i, task, now))
                     continue;
                 task.isStopping = true;
+                ++task.stops;
                 task.avoided.push_back(task.agent);
                 ++m_counters.stragglers;
                 const RunId run { { id, StepIndex(i), TaskIndex(static_cast<uint16_t>(n)) }, task.run };
-                recordRun(LogLevel::Warning, "run-stuck", job, run, agent, "", msOf(now - task.ordered));
+                recordRun(LogLevel::Warning, "run-stuck", job, run, m_agents[task.agent], "", msOf(now - task.ordered));
                 sendStop(task.agent, { run }, now);
             }
         }
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -449,7 +449,7 @@
 
 void RunGate::learnSpeed(const Run& run, TimePoint now)
 {
-    if (run.estimate.count() == 0 || run.isStuck)
+    if (run.estimate.count() == 0)
         return;
     constexpr double leastWeight = 0.05;
     constexpr double most = 8; // One run that was held up must not count for many.
--- /dev/null
+++ b/tests/PlatformTest.cpp
@@ -0,0 +1,428 @@
+/** @file PlatformTest.cpp The platform's entry and agent as real processes between stand-ins of the store and a server.
+ */
+#include <Codec.h>
+
+#include <sequoia/AsyncHttp.h>
+#include <sequoia/HttpService.h>
+
+#include <arpa/inet.h>
+#include <boost/asio/steady_timer.hpp>
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+#include <csignal>
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <future>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <spawn.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+using namespace sequoia;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr Milliseconds callTimeout { 5000 };
+
+/** A port that stays reserved: bound, but not listening, so that only a process told of it can listen there. */
+class ReservedAddress {
+public:
+    ReservedAddress()
+        : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const int yes = 1;
+        setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+        sockaddr_in at {};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        cr_assert_eq(bind(m_socket, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
+        socklen_t size = sizeof(at);
+        getsockname(m_socket, reinterpret_cast<sockaddr*>(&at), &size);
+        port = ntohs(at.sin_port);
+        text = fmt::format("127.0.0.1:{}", port);
+    }
+    ~ReservedAddress() { close(m_socket); }
+    ReservedAddress(const ReservedAddress&) = delete;
+    ReservedAddress& operator=(const ReservedAddress&) = delete;
+
+    uint16_t port = 0;
+    std::string text;
+
+private:
+    int m_socket;
+};
+
+/** A program that ends with the test. */
+class Program {
+public:
+    Program(const std::string& name, const std::vector<std::string>& settings)
+    {
+        std::vector<std::string> words { std::string(SEQUOIA_BIN) + "/" + name };
+        for (const auto& setting : settings) {
+            words.emplace_back("--set");
+            words.push_back(setting);
+        }
+        std::vector<char*> argv;
+        for (auto& word : words)
+            argv.push_back(word.data());
+        argv.push_back(nullptr);
+        posix_spawn_file_actions_t actions;
+        posix_spawn_file_actions_init(&actions);
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
+        cr_assert_eq(posix_spawn(&m_pid, argv[0], &actions, nullptr, argv.data(), environ), 0);
+        posix_spawn_file_actions_destroy(&actions);
+    }
+    ~Program()
+    {
+        if (m_pid > 0)
+            end(SIGKILL);
+    }
+    Program(const Program&) = delete;
+    Program& operator=(const Program&) = delete;
+
+    void signal(int number) const { kill(m_pid, number); }
+    /** Ends the process and gives its wait status. */
+    int end(int number)
+    {
+        kill(m_pid, number);
+        int status = 0;
+        waitpid(std::exchange(m_pid, 0), &status, 0);
+        return status;
+    }
+
+private:
+    pid_t m_pid = 0;
+};
+
+/** Stand-ins of the store and of a backend server, by the platform's published messages. */
+class Standins {
+public:
+    Standins()
+        : m_store(loop, {}, [this](const HttpCall& call, const HttpExchangePtr& exchange) { store(call, exchange); })
+        , m_server(loop, {}, [this](const HttpCall& call, const HttpExchangePtr& exchange) { server(call, exchange); })
+    {
+        storeAddress = m_store.listen("127.0.0.1:0");
+        serverAddress = m_server.listen("127.0.0.1:0");
+        loop.start();
+    }
+    ~Standins() { loop.stop(); }
+    Standins(const Standins&) = delete;
+    Standins& operator=(const Standins&) = delete;
+
+    HttpLoop loop;
+    std::string storeAddress;
+    std::string serverAddress;
+    std::atomic<int> runMs { 50 };
+    std::atomic<int> unansweredStarts { 0 }; ///< So many starts run, but get no answer.
+    std::atomic<bool> isStoreDown { false };
+    std::atomic<int> starts { 0 };
+    std::atomic<int> doubled { 0 }; ///< Starts of a task that runs already.
+    std::atomic<int> most { 0 }; ///< Most processors in use.
+
+private:
+    struct Run {
+        int cpu = 0;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    static void reply(const HttpExchangePtr& exchange, const Json& body, int status = 200)
+    {
+        exchange->reply({ status, body.dump(), "application/json", {} });
+    }
+
+    void after(Milliseconds time, std::function<void()> what)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(loop.context(), time);
+        timer->async_wait([timer, what = std::move(what)](const auto&) { what(); });
+    }
+
+    void store(const HttpCall& call, const HttpExchangePtr& exchange)
+    {
+        if (isStoreDown)
+            return reply(exchange, Json::object(), 503);
+        if (call.target.starts_with("/sequoiafold/kv-range")) {
+            auto items = Json::array();
+            if (call.target.find("config") != std::string::npos) {
+                const Json configuration { { "version", 3 },
+                    { "routes",
+                        Json::array({ { { "name", "r" }, { "host", "h.example" }, { "prefix", "/p/" }, { "slo_ms", 60 },
+                            { "service", "s" }, { "max_attempts", 4 }, { "stretch", 1.6 } } }) } };
+                // The codec writes values as the store keeps them.
+                const auto put = Json::parse(platform::encodePut("op/config", configuration.dump(), StoreLease(0)));
+                items.push_back({ { "key", "op/config" }, { "value", put["writes"][0]["value"] }, { "revision", 5 } });
+            }
+            return reply(exchange, { { "items", items }, { "truncated", false }, { "current_rev", 5 } });
+        }
+        if (call.target.starts_with("/sequoiafold/kv-watch")) {
+            after(Milliseconds(300), [exchange] {
+                reply(exchange, { { "events", Json::array() }, { "current_rev", 5 } });
+            });
+            return;
+        }
+        reply(exchange, { { "lease", 1 }, { "ttl_ms", 6000 }, { "revision", 6 } });
+    }
+
+    Json state(uint64_t seen)
+    {
+        while (!m_ended.empty() && m_ended.front()[0].get<uint64_t>() <= seen)
+            m_ended.erase(m_ended.begin());
+        auto running = Json::array();
+        for (const auto& [task, run] : m_runs)
+            running.push_back({ task.first, task.second, "", 100 });
+        return { { "clock_ms", toMilliseconds(Clock::now().time_since_epoch()).count() }, { "born", 1 },
+            { "running", running }, { "ended", m_ended } };
+    }
+
+    void end(const std::pair<std::string, int>& id, const char* how)
+    {
+        if (m_runs.erase(id) == 0)
+            return;
+        m_ended.push_back({ ++m_lastEnd, id.first, id.second, how, "" });
+        if (m_look)
+            reply(std::exchange(m_look, nullptr), state(m_lookSeen));
+    }
+
+    void server(const HttpCall& call, const HttpExchangePtr& exchange)
+    {
+        const auto body = Json::parse(call.body);
+        if (call.target == "/sequoiafold/hold") {
+            m_lookSeen = body.value("seen_upto", uint64_t(0));
+            m_look = exchange;
+            const auto answer = [this, exchange] {
+                if (m_look == exchange)
+                    reply(std::exchange(m_look, nullptr), state(m_lookSeen));
+            };
+            if (!m_ended.empty() && m_ended.back()[0].get<uint64_t>() > m_lookSeen)
+                answer();
+            else
+                after(Milliseconds(body.value("wait_ms", 0)), answer);
+            return;
+        }
+        const std::pair id { body["task"].get<std::string>(), body["run"].get<int>() };
+        if (call.target == "/sequoiafold/run-stop") {
+            m_fenced.insert(id);
+            after(Milliseconds(20), [this, id] { end(id, "stopped"); });
+            return reply(exchange, { { "clock_ms", 1 } });
+        }
+        if (m_fenced.contains(id))
+            return reply(exchange, { { "clock_ms", 1 }, { "reason", "old" } }, 409);
+        for (const auto& [other, run] : m_runs)
+            doubled += other.first == id.first ? 1 : 0;
+        ++starts;
+        m_runs[id] = { 1000, nullptr };
+        most = std::max(most.load(), static_cast<int>(m_runs.size()) * 1000);
+        after(Milliseconds(runMs), [this, id] { end(id, "done"); });
+        if (unansweredStarts > 0) {
+            --unansweredStarts;
+            m_silent.push_back(exchange);
+            return;
+        }
+        reply(exchange, { { "clock_ms", toMilliseconds(Clock::now().time_since_epoch()).count() } });
+    }
+
+    AsyncHttpServer m_store;
+    AsyncHttpServer m_server;
+    std::map<std::pair<std::string, int>, Run> m_runs;
+    std::set<std::pair<std::string, int>> m_fenced;
+    std::vector<Json> m_ended;
+    uint64_t m_lastEnd = 0;
+    HttpExchangePtr m_look;
+    uint64_t m_lookSeen = 0;
+    std::vector<HttpExchangePtr> m_silent;
+};
+
+/** One entry, one agent, the stand-ins, and a caller. */
+class Deployment {
+public:
+    Deployment()
+    {
+        startAgent();
+        startEntry();
+        m_pings = std::thread([this] {
+            AsyncHttpClient client(platform.loop, m_pingAddress.text, 2);
+            for (uint64_t sequence = 1; !m_isDone; ++sequence) {
+                const Json ping { { "service", "s" }, { "address", platform.serverAddress }, { "state", "ready" },
+                    { "capacity", { { "cpu", 8000 }, { "mem_mb", 1000 }, { "gpu", 0 } } }, { "labels", { "a" } },
+                    { "born", 1 }, { "seq", sequence } };
+                client.call({ "PUT", "/sequoiafold/instances/i-1", ping.dump(), {} }, Milliseconds(200), [](auto) {});
+                std::this_thread::sleep_for(Milliseconds(50));
+            }
+        });
+        m_client.emplace(platform.loop, m_callersAddress.text, 64);
+        waitReady();
+    }
+    ~Deployment()
+    {
+        m_isDone = true;
+        m_pings.join();
+        agent.reset();
+        entry.reset();
+    }
+    Deployment(const Deployment&) = delete;
+    Deployment& operator=(const Deployment&) = delete;
+
+    void startEntry()
+    {
+        entry.emplace("sequoia-platform-entry",
+            std::vector<std::string> { "name=entry1", "callers_address=" + m_callersAddress.text,
+                "readiness_address=" + m_readinessAddress.text, "peers_address=" + m_peersAddress.text,
+                "link_address=" + m_linkAddress.text, "store_address=" + platform.storeAddress, "rotation_ms=200" });
+    }
+    void startAgent()
+    {
+        agent.emplace("sequoia-platform-agent",
+            std::vector<std::string> { "name=agent1", "pings_address=" + m_pingAddress.text,
+                "server_address=" + platform.serverAddress, "store_address=" + platform.storeAddress,
+                "seeds=" + m_peersAddress.text, fmt::format("link_port={}", m_linkAddress.port) });
+    }
+
+    /** Waits until the entry says that it can serve. */
+    void waitReady()
+    {
+        AsyncHttpClient readiness(platform.loop, m_readinessAddress.text, 1);
+        for (const auto until = Clock::now() + std::chrono::seconds(20); Clock::now() < until;) {
+            std::promise<int> status;
+            readiness.call({ "GET", "/ready", "", {} }, Milliseconds(500), [&](const HttpResult& result) {
+                const auto* reply = std::get_if<HttpReply>(&result);
+                status.set_value(reply == nullptr ? 0 : reply->status);
+            });
+            if (status.get_future().get() == 200)
+                return;
+            std::this_thread::sleep_for(Milliseconds(20));
+        }
+        cr_assert_fail("the entry is not ready in 20 s");
+    }
+
+    std::future<HttpResult> send(const std::string& method, const std::string& path, const std::string& body)
+    {
+        auto done = std::make_shared<std::promise<HttpResult>>();
+        m_client->call({ method, path, body, { { "Host", "h.example" }, { "Deadline-Ms", "4000" } } }, callTimeout,
+            [done](HttpResult result) { done->set_value(std::move(result)); });
+        return done->get_future();
+    }
+
+    static std::string job(int tasks)
+    {
+        return fmt::format(
+            R"({{"spec":"x","best_effort":true,"steps":[{{"count":{},"cpu":1000,"mem_mb":10,"estimate_ms":50}}]}})",
+            tasks);
+    }
+
+    Standins platform;
+    std::optional<Program> entry;
+    std::optional<Program> agent;
+
+private:
+    ReservedAddress m_callersAddress;
+    ReservedAddress m_readinessAddress;
+    ReservedAddress m_peersAddress;
+    ReservedAddress m_linkAddress;
+    ReservedAddress m_pingAddress;
+    std::optional<AsyncHttpClient> m_client;
+    std::atomic<bool> m_isDone { false };
+    std::thread m_pings;
+};
+
+int statusOf(const HttpResult& result)
+{
+    const auto* reply = std::get_if<HttpReply>(&result);
+    return reply == nullptr ? 0 : reply->status;
+}
+
+std::string bodyOf(const HttpResult& result)
+{
+    const auto* reply = std::get_if<HttpReply>(&result);
+    return reply == nullptr ? "" : reply->body;
+}
+
+} // namespace
+
+Test(Platform, servesJobsWithinTheServersRoom, .timeout = 60)
+{
+    Deployment deployment;
+    std::vector<std::future<HttpResult>> answers;
+    for (int i = 0; i < 20; ++i)
+        answers.push_back(deployment.send("POST", fmt::format("/p/{:016x}", i), Deployment::job(3)));
+    for (auto& answer : answers) {
+        const auto result = answer.get();
+        cr_expect_eq(statusOf(result), 200, "%s", bodyOf(result).c_str());
+        cr_expect_eq(bodyOf(result), "{\"state\":\"succeeded\"}");
+    }
+    cr_expect_eq(deployment.platform.starts, 60);
+    cr_expect_leq(deployment.platform.most, 8000);
+}
+
+struct RequestRow {
+    char name[32];
+    char method[8];
+    char path[32];
+    char body[64];
+    int status;
+};
+
+ParameterizedTestParameters(Platform, answersEachRequest)
+{
+    static RequestRow rows[] = {
+        { "no such route", "POST", "/q/0000000000000001", "{}", 404 },
+        { "no job id", "POST", "/p/1", "{}", 400 },
+        { "no JSON", "POST", "/p/0000000000000001", "x", 400 },
+        { "a job that must be kept", "POST", "/p/0000000000000001", "{\"steps\":[{}]}", 503 },
+        { "an unknown job", "GET", "/p/0000000000000001", "", 410 },
+        { "cancelling an unknown job", "DELETE", "/p/0000000000000001", "", 410 },
+        { "waiting jobs", "GET", "/p/", "", 200 },
+        { "another method", "PATCH", "/p/0000000000000001", "", 405 },
+    };
+    return cr_make_param_array(RequestRow, rows, sizeof(rows) / sizeof(RequestRow));
+}
+
+ParameterizedTest(RequestRow* row, Platform, answersEachRequest, .timeout = 60)
+{
+    Deployment deployment;
+    const auto result = deployment.send(row->method, row->path, row->body).get();
+    cr_expect_eq(statusOf(result), row->status, "%s: %d %s", row->name, statusOf(result), bodyOf(result).c_str());
+}
+
+Test(Platform, unansweredStartsNeitherLoseNorDoubleATask, .timeout = 60)
+{
+    Deployment deployment;
+    deployment.platform.unansweredStarts = 3;
+    deployment.platform.runMs = 200;
+    const auto result = deployment.send("POST", "/p/00000000000000aa", Deployment::job(4)).get();
+    cr_expect_eq(statusOf(result), 200, "%s", bodyOf(result).c_str());
+    cr_expect_eq(deployment.platform.doubled, 0);
+}
+
+Test(Platform, aStoppingEntryAnswersWhatItHasTaken, .timeout = 60)
+{
+    Deployment deployment;
+    deployment.platform.runMs = 800;
+    auto answer = deployment.send("POST", "/p/00000000000000ab", Deployment::job(2));
+    while (deployment.platform.starts < 2)
+        std::this_thread::sleep_for(Milliseconds(5));
+    auto ended = std::async(std::launch::async, [&] { return deployment.entry->end(SIGTERM); });
+    const auto result = answer.get();
+    cr_expect_eq(statusOf(result), 200, "%s", bodyOf(result).c_str());
+    cr_expect_eq(ended.get(), 0, "it ends by itself with exit code 0");
+}
+
+Test(Platform, aRestartedAgentAndAStoreOutageAreOvercome, .timeout = 90)
+{
+    Deployment deployment;
+    deployment.platform.isStoreDown = true;
+    deployment.agent->end(SIGKILL);
+    deployment.startAgent();
+    HttpResult result;
+    // Until the new agent is linked, jobs are refused as not run.
+    for (int i = 0; i < 200 && statusOf(result) != 200; ++i) {
+        result = deployment.send("POST", fmt::format("/p/{:016x}", 0x100 + i), Deployment::job(2)).get();
+        cr_expect(
+            statusOf(result) == 200 || statusOf(result) == 503, "%d %s", statusOf(result), bodyOf(result).c_str());
+    }
+    cr_expect_eq(statusOf(result), 200, "%s", bodyOf(result).c_str());
+    cr_expect_eq(deployment.platform.doubled, 0);
+}
--- a/tests/RoomPolicyTest.cpp
+++ b/tests/RoomPolicyTest.cpp
@@ -241,3 +241,14 @@
             static_cast<int>(seed), report.worstSize());
     }
 }
+
+/** Jobs end whatever their estimates say: a run that takes longer than expected is not stopped again and again. */
+Test(RoomPlay, jobsEndWithEstimatesTenTimesTooShort, .timeout = 60)
+{
+    auto scenario = mingaScenario("estimates ten times too short");
+    scenario.load = 0.7;
+    scenario.estimateFactor = 0.1;
+    const auto report = play(scenario);
+    cr_expect(report.violations.empty());
+    cr_expect_geq(report.servedShare(), 0.95, "served %f, worth %f", report.servedShare(), report.worth());
+}
--- a/tests/RoomWorld.cpp
+++ b/tests/RoomWorld.cpp
@@ -568,7 +568,7 @@
         }
         constexpr double estimateError = 0.4;
         const double error = 1 + std::uniform_real_distribution<>(-estimateError, estimateError)(m_random);
-        job.estimate = Milliseconds(std::max<int64_t>(std::llround(work * error), 1));
+        job.estimate = Milliseconds(std::max<int64_t>(std::llround(work * error * m_scenario.estimateFactor), 1));
         job.room
             = { std::llround(std::max(kind.cpu * (1 + std::normal_distribution<>(0, 0.2)(m_random)), kind.cpu / 4)), 64,
                   0 };
--- a/tests/RoomWorld.h
+++ b/tests/RoomWorld.h
@@ -60,6 +60,7 @@
     Milliseconds objective { 60 };
     Microseconds linkDelay { 1500 }; ///< One way, with processing.
     Microseconds serverDelay { 1000 };
+    double estimateFactor = 1; ///< All estimates are off by this as well.
     double lateOrders = 0; ///< Share of starts and stops that are carried out 2 to 12 s later, without an answer.
     double lostReplies = 0; ///< Share of starts that are carried out without an answer.
     std::vector<Burst> bursts;
