A stopping entry refuses new jobs after the balancer's rotation and answers every open one before it ends

Change: after the rotation new jobs get 503 with Retry-After, at 5.25 s the open ones are answered. Test: aStoppingEntryRefusesWhatItCannotEndAndAnswersTheRest.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -101,6 +101,10 @@
     /** The caller of a job has gone; without other callers the job ends. */
     void callerGone(WorkId job, WaiterId waiter, TimePoint now);
 
+    /** Refuses new jobs from now on; the open ones go on. */
+    void stop() { m_isStopping = true; }
+    /** Answers every open job, since the process ends. */
+    void endAll(TimePoint now);
     /** Whether a job has no answer yet. */
     bool isOpen(WorkId job) const { return m_jobs.contains(job); }
     /** Ends a job for its caller; false if there is none. */
@@ -237,6 +241,7 @@
     TimePoint m_settledAt {}; ///< When the agents count as known.
     size_t m_queuedTasks = 0;
     size_t m_entries = 1;
+    bool m_isStopping = false;
     uint64_t m_salt = 0;
 };
 
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -69,6 +69,8 @@
     const auto refuse = [&](std::string_view reason, Milliseconds retryAfter) {
         finish(id, { WorkStatus::NotRun, reason, retryAfter }, now);
     };
+    if (m_isStopping)
+        return refuse("stopping", retryUnavailable);
     if (m_jobs.size() > m_limits.maxOpenJobs || m_queuedTasks + job.tasksLeft > m_limits.maxQueuedTasks)
         return refuse("queue-full", retryUnavailable);
     const auto work = queuedWork(job, now);
@@ -105,6 +107,14 @@
     return true;
 }
 
+void Dispatcher::endAll(TimePoint now)
+{
+    while (!m_jobs.empty()) {
+        const auto& [id, job] = *m_jobs.begin();
+        finish(id, { job.orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, "stopping", retryUnavailable }, now);
+    }
+}
+
 size_t Dispatcher::waitingJobs(const std::string& route) const
 {
     return static_cast<size_t>(std::count_if(m_jobs.begin(), m_jobs.end(),
--- a/src/SettingsTables.cpp
+++ b/src/SettingsTables.cpp
@@ -150,7 +150,8 @@
         number<S>("max_body_bytes", &S::max_body_bytes, mebibyte, 1024, 64 * mebibyte, "Largest request body."),
         number<S>("rotation_ms", &S::rotation_ms, 2300, 0, 60000,
             "Time from a stop signal until the balancer sends no new connections, ms."),
-        number<S>("stop_timeout_ms", &S::stop_timeout_ms, 5500, 0, hour, "Longest graceful stop, ms."),
+        number<S>("stop_timeout_ms", &S::stop_timeout_ms, 5250, 0, hour,
+            "Longest graceful stop, ms; below the time after which the platform kills."),
         text<S>("log_level", &S::log_level, "info", levels, "Least severe event that is printed."),
     };
     return rows;
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -271,7 +271,8 @@
         entry.emplace("sequoia-platform-entry",
             std::vector<std::string> { "name=entry1", "callers_address=" + m_callersAddress.text,
                 "readiness_address=" + m_readinessAddress.text, "peers_address=" + m_peersAddress.text,
-                "link_address=" + m_linkAddress.text, "store_address=" + platform.storeAddress, "rotation_ms=200" });
+                "link_address=" + m_linkAddress.text, "store_address=" + platform.storeAddress, "rotation_ms=200",
+                "stop_timeout_ms=2500" });
     }
     void startAgent()
     {
@@ -410,6 +411,23 @@
     cr_expect_eq(ended.get(), 0, "it ends by itself with exit code 0");
 }
 
+Test(Platform, aStoppingEntryRefusesWhatItCannotEndAndAnswersTheRest, .timeout = 60)
+{
+    Deployment deployment;
+    deployment.platform.runMs = 30000;
+    auto endless = deployment.send("POST", "/p/00000000000000ac", Deployment::job(1));
+    while (deployment.platform.starts < 1)
+        std::this_thread::sleep_for(Milliseconds(5));
+    auto ended = std::async(std::launch::async, [&] { return deployment.entry->end(SIGTERM); });
+    std::this_thread::sleep_for(Milliseconds(600)); // Past the balancer's rotation, which is 200 ms here.
+    const auto late = deployment.send("POST", "/p/00000000000000ad", Deployment::job(1)).get();
+    cr_expect_eq(statusOf(late), 503, "%d %s", statusOf(late), bodyOf(late).c_str());
+    const auto result = endless.get();
+    cr_expect_eq(statusOf(result), 504, "%d %s", statusOf(result), bodyOf(result).c_str());
+    cr_expect_eq(ended.get(), 0);
+    cr_expect_eq(deployment.platform.starts, 1, "what was refused never ran");
+}
+
 Test(Platform, aRestartedAgentAndAStoreOutageAreOvercome, .timeout = 90)
 {
     Deployment deployment;
