--- a/include/sequoia/AsyncHttp.h
+++ b/include/sequoia/AsyncHttp.h
@@ -87,7 +87,7 @@
 public:
     using Handler = std::function<void(HttpCall, HttpExchangePtr)>;
 
-    AsyncHttpServer(HttpLoop& loop, AsyncHttpLimits limits, Handler handler);
+    AsyncHttpServer(HttpLoop& loop, const AsyncHttpLimits& limits, Handler handler);
     ~AsyncHttpServer();
     AsyncHttpServer(const AsyncHttpServer&) = delete;
     AsyncHttpServer& operator=(const AsyncHttpServer&) = delete;
--- a/include/sequoia/LineWriter.h
+++ b/include/sequoia/LineWriter.h
@@ -28,7 +28,7 @@
     LineWriter& operator=(const LineWriter&) = delete;
 
     /** Takes one line with its line break. */
-    void write(std::string line);
+    void write(const std::string& line);
     /** Lines dropped since the start. */
     uint64_t dropped() const;
 
--- a/include/sequoia/Log.h
+++ b/include/sequoia/Log.h
@@ -61,7 +61,7 @@
 };
 
 /** Takes whole lines; must not block. */
-using LineSink = std::function<void(std::string)>;
+using LineSink = std::function<void(const std::string&)>;
 
 /** Event output of one process. Thread-safe. */
 class Log {
--- a/src/AsyncHttp.cpp
+++ b/src/AsyncHttp.cpp
@@ -140,7 +140,7 @@
 /** Shared by a server and its connections. */
 class AsyncHttpServerState : public std::enable_shared_from_this<AsyncHttpServerState> {
 public:
-    AsyncHttpServerState(asio::io_context& context, AsyncHttpLimits limits, AsyncHttpServer::Handler handler)
+    AsyncHttpServerState(asio::io_context& context, const AsyncHttpLimits& limits, AsyncHttpServer::Handler handler)
         : m_context(context)
         , m_limits(limits)
         , m_handler(std::move(handler))
@@ -290,7 +290,7 @@
     bool m_isClosing = false;
 };
 
-AsyncHttpServer::AsyncHttpServer(HttpLoop& loop, AsyncHttpLimits limits, Handler handler)
+AsyncHttpServer::AsyncHttpServer(HttpLoop& loop, const AsyncHttpLimits& limits, Handler handler)
     : m_state(std::make_shared<AsyncHttpServerState>(loop.context(), limits, std::move(handler)))
 {
 }
--- a/src/ControlThread.cpp
+++ b/src/ControlThread.cpp
@@ -16,20 +16,20 @@
 
 ControlThread::ControlThread(caf::actor_system& system, Milliseconds period, ControlHooks hooks)
     : m_system(system)
+    , m_actor(system.spawn<caf::detached>(
+          [period, hooks = std::move(hooks)](caf::event_based_actor* self) -> caf::behavior {
+              self->send(self, control::TickNow {});
+              return { [hooks](ControlWork& work) {
+                          work.run();
+                          hooks.afterEach();
+                      },
+                  [self, period, hooks](control::TickNow) {
+                      hooks.tick();
+                      hooks.afterEach();
+                      self->delayed_send(self, period, control::TickNow {});
+                  } };
+          }))
 {
-    m_actor = system.spawn<caf::detached>(
-        [period, hooks = std::move(hooks)](caf::event_based_actor* self) -> caf::behavior {
-            self->send(self, control::TickNow {});
-            return { [hooks](ControlWork& work) {
-                        work.run();
-                        hooks.afterEach();
-                    },
-                [self, period, hooks](control::TickNow) {
-                    hooks.tick();
-                    hooks.afterEach();
-                    self->delayed_send(self, period, control::TickNow {});
-                } };
-        });
 }
 
 ControlThread::~ControlThread() { stop(); }
--- a/src/LineWriter.cpp
+++ b/src/LineWriter.cpp
@@ -26,7 +26,7 @@
     m_thread.join();
 }
 
-void LineWriter::write(std::string line)
+void LineWriter::write(const std::string& line)
 {
     bool wasEmpty = false;
     {
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -173,7 +173,7 @@
     // is a single run anyway.
     constexpr size_t mostHalvings = 16;
     const auto failures = m_health.health() == Health::Trial ? 0 : m_health.failures();
-    usable.cpu >>= std::min(failures > 0 ? failures - 1 : 0, mostHalvings);
+    usable.cpu >>= static_cast<int64_t>(std::min(failures > 0 ? failures - 1 : 0, mostHalvings));
     return usable - m_used;
 }
 
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -411,7 +411,7 @@
     const auto first = loadOrReport(rows, options);
     cr_assert(first.has_value());
     std::vector<std::string> lines;
-    Log log("test", LogLevel::Info, 0, [&](std::string line) { lines.push_back(std::move(line)); });
+    Log log("test", LogLevel::Info, 0, [&](const std::string& line) { lines.push_back(line); });
     SettingsFile<RoomEntrySettings> file(rows, options, *first, { "log_level" });
     cr_expect_not(file.reload(log, "file").has_value(), "nothing has changed");
     write("name = \"e\"\nlog_level = \"loud\"\n");
