Drop state that nothing read, and one copy of who takes runs and of the health key

Read over the whole change: RunGate's report time and ping bound, Job::outstanding and largerOf were never read; the check whether an agent takes runs of a service stood three times, the label search twice, the key of the health gate twice.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -5,6 +5,7 @@
 #include <sequoia/RoomPolicy.h>
 #include <sequoia/Work.h>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -80,6 +81,16 @@
     TimePoint lostAt {}; ///< When the link ended.
     TimePoint nextDemand {};
     std::unordered_set<RunId> runs; ///< Ordered, end not heard of.
+
+    /** Whether it takes runs of a service now. */
+    bool takesRunsOf(const std::string& name) const
+    {
+        return isLinked && state != wire::GateState::Closed && service == name;
+    }
+    bool hasLabel(const std::string& label) const
+    {
+        return std::find(labels.begin(), labels.end(), label) != labels.end();
+    }
 };
 
 /** Behaviour that the dispatcher gets from its owner. */
@@ -169,7 +180,6 @@
         std::vector<Step> steps;
         std::vector<Milliseconds> chains; ///< By step: longest chain of estimates from its start to the end of the job.
         size_t tasksLeft = 0;
-        size_t outstanding = 0; ///< Ordered runs whose end has not been heard of.
         uint32_t orders = 0;
         uint32_t refusals = 0;
         uint32_t failures = 0;
--- a/include/sequoia/Room.h
+++ b/include/sequoia/Room.h
@@ -44,8 +44,6 @@
 
 /** How many times `part` can be taken from `whole`; at most `most`. */
 int64_t timesFitting(const Room& part, const Room& whole, int64_t most);
-/** The larger of the two in each dimension. */
-Room largerOf(const Room& a, const Room& b);
 /** The smaller of the two in each dimension. */
 Room smallerOf(const Room& a, const Room& b);
 /** Writes `cpu/memory/accelerators` for logs. */
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -26,7 +26,6 @@
     Milliseconds keptRoom { 20 }; ///< Room is kept for an entry that waits for this time.
     Milliseconds updatePeriod { 40 }; ///< An entry hears of changed room at most this often.
     Milliseconds resultMemory { 10000 }; ///< Ends of runs are remembered for entries that link again.
-    Milliseconds pingSilence { 6000 }; ///< A server that has not announced itself for this time is gone.
     Milliseconds longestLease { 1050 }; ///< No lease of an earlier process lives longer; from the deployment.
     Milliseconds wakeGap { 400 }; ///< A pause of the process this long means that it was suspended.
     Milliseconds summaryPeriod { 5000 }; ///< The state is logged this often.
@@ -235,6 +234,8 @@
     void tickStops(TimePoint now);
     void tickHealth(TimePoint now);
     void recordSummary(TimePoint now);
+    /** Key under which the health gate counts failures of a job. */
+    static JobKey healthKey(const RunId& id);
     std::optional<LinkId> linkOf(Incarnation entry) const;
     void recordRun(
         LogLevel level, std::string_view kind, const RunId& id, const Run& run, std::string reason, TimePoint now);
@@ -252,7 +253,6 @@
     RunGateCounters m_counters;
     std::optional<ServerReport> m_server;
     int64_t m_born = 0; ///< Life of the server that runs belong to; 0 until it is known.
-    TimePoint m_reported {}; ///< Last report of the server.
     bool m_isGone = false; ///< Nobody listens at its address.
     bool m_isDraining = false; ///< This agent is.
     bool m_isSettled = false;
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -242,12 +242,8 @@
     const auto& avoided = job.steps[step].tasks[job.steps[step].ready.back()].avoided;
     for (size_t i = 0; i < m_agents.size(); ++i) {
         const auto& agent = m_agents[i];
-        if (!agent.isLinked || agent.state == wire::GateState::Closed || agent.service != job.route.service)
-            continue;
-        const auto hasLabel = [&](const std::string& label) {
-            return label.empty() || std::find(agent.labels.begin(), agent.labels.end(), label) != agent.labels.end();
-        };
-        if (!hasLabel(spec.requiredLabel))
+        const bool isLabelled = spec.requiredLabel.empty() || agent.hasLabel(spec.requiredLabel);
+        if (!agent.takesRunsOf(job.route.service) || !isLabelled)
             continue;
         all.push_back(i);
         if (std::find(avoided.begin(), avoided.end(), i) == avoided.end())
@@ -265,8 +261,7 @@
     candidates.reserve(eligible.size());
     for (const auto i : eligible) {
         const auto& agent = m_agents[i];
-        const bool isNear = spec.preferredLabel.empty()
-            || std::find(agent.labels.begin(), agent.labels.end(), spec.preferredLabel) != agent.labels.end();
+        const bool isNear = spec.preferredLabel.empty() || agent.hasLabel(spec.preferredLabel);
         const bool isTrial = agent.state == wire::GateState::Trial;
         const int64_t trials = agent.runs.empty() ? 1 : 0;
         candidates.push_back(
@@ -307,7 +302,6 @@
     if (job.orders == 0)
         job.firstOrder = now;
     ++job.orders;
-    ++job.outstanding;
     ++m_counters.orders;
 
     wire::RunOrderT message;
@@ -342,8 +336,7 @@
     const auto period = m_limits.demandPeriod
         * std::max<int64_t>(1, static_cast<int64_t>((m_agents.size() + agentsAtBasePeriod - 1) / agentsAtBasePeriod));
     for (auto& agent : m_agents) {
-        if (!agent.isLinked || agent.state == wire::GateState::Closed || agent.service != first.route.service
-            || now < agent.nextDemand)
+        if (!agent.takesRunsOf(first.route.service) || now < agent.nextDemand)
             continue;
         agent.nextDemand = now + period;
         wire::DemandT message;
@@ -505,11 +498,8 @@
     if (now - task.ordered < allowed || !agent.isLinked || now + estimate + m_policy.overhead >= job.deadline)
         return false;
     for (size_t i = 0; i < m_agents.size(); ++i) {
-        const auto& other = m_agents[i];
-        const bool isUsable
-            = other.isLinked && other.state != wire::GateState::Closed && other.service == job.route.service;
         const bool isAvoided = std::find(task.avoided.begin(), task.avoided.end(), i) != task.avoided.end();
-        if (i != task.agent && isUsable && !isAvoided)
+        if (i != task.agent && !isAvoided && m_agents[i].takesRunsOf(job.route.service))
             return true;
     }
     return false;
@@ -579,7 +569,6 @@
         return;
     const auto& agent = m_agents[at];
     const auto since = msOf(now - task.ordered);
-    --job.outstanding;
     switch (result.outcome) {
     case wire::RunOutcome::Done:
         taskDone(job, raw(id.task.step), task, now);
--- a/src/Room.cpp
+++ b/src/Room.cpp
@@ -26,11 +26,6 @@
     return timesFitting(part.accelerators, whole.accelerators, most);
 }
 
-Room largerOf(const Room& a, const Room& b)
-{
-    return { std::max(a.cpu, b.cpu), std::max(a.memory, b.memory), std::max(a.accelerators, b.accelerators) };
-}
-
 Room smallerOf(const Room& a, const Room& b)
 {
     return { std::min(a.cpu, b.cpu), std::min(a.memory, b.memory), std::min(a.accelerators, b.accelerators) };
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -8,9 +8,6 @@
 
 namespace {
 
-    /** JobKey under which the health gate counts failures of a job. */
-    JobKey healthKey(const RunId& id) { return { Incarnation(0), SessionNumber(raw(id.task.job)), JobSequence(0) }; }
-
     wire::RunOutcome toOutcome(EndKind kind)
     {
         switch (kind) {
@@ -64,6 +61,11 @@
 {
 }
 
+JobKey RunGate::healthKey(const RunId& id)
+{
+    return { Incarnation(0), SessionNumber(raw(id.task.job)), JobSequence(0) };
+}
+
 std::vector<GateEffect> RunGate::takeEffects() { return m_effects.take(); }
 
 bool RunGate::isFresh(TimePoint now) const
@@ -130,7 +132,6 @@
                 { "total", toString(report.total) }, { "draining", report.isDraining ? "true" : "false" } });
     }
     m_server = report;
-    m_reported = now;
     m_isGone = false;
     if (isRestarted && report.born > m_born)
         newLife(report.born, now);
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -253,8 +253,7 @@
             continue;
         run.isStuck = true;
         recordRun(LogLevel::Info, "run-stuck", id, run, "", now);
-        const JobKey key { Incarnation(0), SessionNumber(raw(id.task.job)), JobSequence(0) };
-        m_health.failed(key, "runs are stuck", now);
+        m_health.failed(healthKey(id), "runs are stuck", now);
     }
     if (m_health.beginTrial(now))
         m_effects.record(LogLevel::Info, "quarantine-trial", { { "reason", m_health.reason() } });
