Run times and speeds are learned: expected times by route, slowness of a server by job, changes within three runs

All runs of a job share that error, so one wide job moved an agent's slowness as eight samples do: servers of slowness 1.7 were believed at 2.5 to 3.3, of 1.2 at 0.98 to 1.78, and seven runs of one job were stopped as stuck on seven healthy servers at once. Change: EstimateModel (regression by route; the mean of all stays at that of the estimates, or it and the speeds drift together), SpeedModel (logarithms, one sample a job, present and usual slowness), stuck runs are judged by what the job's other tasks show.

--- a/bench/RoomBench.cpp
+++ b/bench/RoomBench.cpp
@@ -1,7 +1,11 @@
 /** @file RoomBench.cpp Plays heavy loads against placing, ordering and refusing, and prints what callers got. */
 #include <RoomWorld.h>
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/thread_pool.hpp>
+#include <boost/program_options.hpp>
 #include <fmt/format.h>
+#include <iostream>
 
 namespace {
 
@@ -23,6 +27,9 @@
         auto burst = make("burst 1.8 of all");
         burst.bursts = { { "", 1.8, Milliseconds(6000), Milliseconds(4000) } };
         out.push_back(burst);
+        auto power = make("all lose power");
+        power.powerLoss = Milliseconds(10000);
+        out.push_back(power);
         auto crash = make("2 of 11 crash, dark");
         crash.faults = { { ServerTrouble::Dark, { 0, 4 }, Milliseconds(6000), Milliseconds(5000) } };
         out.push_back(crash);
@@ -46,27 +53,122 @@
     return out;
 }
 
+/** The same load and faults for one entry that knows everything at once, as a bound of what any policy could do. */
+Scenario withPerfectView(Scenario scenario)
+{
+    scenario.name += " (perfect view)";
+    scenario.entries = 1;
+    scenario.linkDelay = Microseconds(1);
+    scenario.serverDelay = Microseconds(2);
+    scenario.estimateSpread = 0;
+    return scenario;
+}
+
+/** Means over seeds; violations are kept one by one. */
+struct Summary {
+    size_t plays = 0;
+    double worth = 0;
+    double worstWindows = 0;
+    double worstKind = 0;
+    double served = 0;
+    double worstSize = 0;
+    double stranded = 0;
+    double refusedOrders = 0;
+    double messages = 0;
+    double wasted = 0;
+    std::map<std::string, KindResult> kinds;
+    std::vector<std::string> violations;
+
+    void add(const Report& report)
+    {
+        const auto orders = static_cast<double>(std::max<uint64_t>(report.orders, 1));
+        ++plays;
+        worth += report.worth();
+        worstWindows += report.worstWindows();
+        worstKind += report.worstKind();
+        served += report.servedShare();
+        worstSize += report.worstSize();
+        stranded += report.strandedShare;
+        refusedOrders += static_cast<double>(report.refusedOrders) / orders;
+        messages += static_cast<double>(report.messages) / orders;
+        wasted += static_cast<double>(report.wastedRuns);
+        for (const auto& [name, kind] : report.kinds) {
+            kinds[name].inAim += kind.inAim;
+            kinds[name].late += kind.late;
+            kinds[name].refused += kind.refused;
+            kinds[name].failed += kind.failed;
+            kinds[name].gaveUp += kind.gaveUp;
+        }
+        violations.insert(violations.end(), report.violations.begin(), report.violations.end());
+    }
+};
+
+void print(const std::string& name, const Summary& sum)
+{
+    const auto mean = [&](double total) { return total / static_cast<double>(sum.plays); };
+    fmt::print("{:<28}{:>7.3f}{:>7.3f}{:>7.3f}{:>7.3f}{:>7.2f}{:>7.3f}{:>7.3f}{:>8.2f}{:>8.0f}", name, mean(sum.worth),
+        mean(sum.worstWindows), mean(sum.worstKind), mean(sum.served), mean(sum.worstSize), mean(sum.stranded),
+        mean(sum.refusedOrders), mean(sum.messages), mean(sum.wasted));
+    for (const auto& [kindName, kind] : sum.kinds)
+        fmt::print("  {} {}/{}/{}/{}/{}", kindName, kind.inAim, kind.late, kind.refused, kind.failed, kind.gaveUp);
+    fmt::print("\n");
+    constexpr size_t mostPrinted = 3;
+    for (size_t i = 0; i < std::min(sum.violations.size(), mostPrinted); ++i)
+        fmt::print("    VIOLATION {}\n", sum.violations[i]);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
-    const std::string only = argc > 1 ? argv[1] : "";
+    namespace options = boost::program_options;
+    options::options_description described(
+        "room-bench: what callers get under heavy loads and faults, in simulated time");
+    described.add_options()("help", "show this text")(
+        "filter", options::value<std::string>()->default_value(""), "only scenarios whose name contains this")(
+        "seeds", options::value<uint64_t>()->default_value(4), "plays of each scenario, with seeds from 1")(
+        "threads", options::value<size_t>()->default_value(3), "plays beside one another")(
+        "perfect-view", "beside each scenario, the same for one entry that knows everything");
+    options::variables_map given;
+    try {
+        options::store(options::parse_command_line(argc, argv, described), given);
+    } catch (const options::error& error) {
+        fmt::print(stderr, "{}\n", error.what());
+        return 2;
+    }
+    if (given.contains("help")) {
+        std::cout << described;
+        return 0;
+    }
+    std::vector<Scenario> chosen;
+    for (auto& scenario : scenarios()) {
+        if (scenario.name.find(given["filter"].as<std::string>()) != std::string::npos)
+            chosen.push_back(std::move(scenario));
+        else
+            continue;
+        if (given.contains("perfect-view"))
+            chosen.push_back(withPerfectView(chosen.back()));
+    }
+    const auto seeds = given["seeds"].as<uint64_t>();
+    std::vector<Report> reports(chosen.size() * seeds);
+    boost::asio::thread_pool pool(given["threads"].as<size_t>());
+    for (size_t i = 0; i < reports.size(); ++i) {
+        boost::asio::post(pool, [&, i] {
+            auto scenario = chosen[i / seeds];
+            scenario.seed = i % seeds + 1;
+            reports[i] = play(scenario);
+        });
+    }
+    pool.join();
     fmt::print("{:<28}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>8}{:>8}  by kind: in aim/late/refused/failed/given up\n",
         "scenario", "worth", "worst", "kind", "served", "size", "strand", "refus", "msg/run", "waste");
-    for (const auto& scenario : scenarios()) {
-        if (scenario.name.find(only) == std::string::npos)
-            continue;
-        const auto report = play(scenario);
-        const auto orders = static_cast<double>(std::max<uint64_t>(report.orders, 1));
-        fmt::print("{:<28}{:>7.3f}{:>7.3f}{:>7.3f}{:>7.3f}{:>7.2f}{:>7.3f}{:>7.3f}{:>8.2f}{:>8}", scenario.name,
-            report.worth(), report.worstWindows(), report.worstKind(), report.servedShare(), report.worstSize(),
-            report.strandedShare, static_cast<double>(report.refusedOrders) / orders,
-            static_cast<double>(report.messages) / orders, report.wastedRuns);
-        for (const auto& [name, kind] : report.kinds)
-            fmt::print("  {} {}/{}/{}/{}/{}", name, kind.inAim, kind.late, kind.refused, kind.failed, kind.gaveUp);
-        fmt::print("\n");
-        for (size_t i = 0; i < std::min<size_t>(report.violations.size(), 3); ++i)
-            fmt::print("    VIOLATION {}\n", report.violations[i]);
+    bool isClean = true;
+    for (size_t i = 0; i < chosen.size(); ++i) {
+        Summary sum;
+        for (uint64_t seed = 0; seed < seeds; ++seed)
+            sum.add(reports[i * seeds + seed]);
+        print(chosen[i].name, sum);
+        isClean = isClean && sum.violations.empty();
     }
-    return 0;
+    return isClean ? 0 : 1;
 }
--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sequoia/Effects.h>
+#include <sequoia/EstimateModel.h>
 #include <sequoia/RoomPolicy.h>
 #include <sequoia/Work.h>
 
@@ -79,6 +80,7 @@
     TimePoint lastHeard {};
     TimePoint lastSent {};
     TimePoint lostAt {}; ///< When the link ended.
+    TimePoint lastDone {}; ///< When a run there last succeeded.
     TimePoint nextDemand {};
     std::unordered_set<RunId> runs; ///< Ordered, end not heard of.
 
@@ -160,6 +162,9 @@
         std::vector<Task> tasks;
         std::vector<uint32_t> ready; ///< Positions of ready tasks.
         size_t done = 0;
+        Milliseconds expected { 0 }; ///< Run time of a task at slowness 1; zero if unknown.
+        Microseconds longestRan { 0 }; ///< Of the tasks that are done, brought to slowness 1.
+        Microseconds sumRan { 0 };
     };
 
     /** Order of jobs: those with runs, those that can meet their objective, the rest; then by latest start. */
@@ -178,7 +183,7 @@
         TimePoint arrival {};
         TimePoint deadline {}; ///< Its callers leave.
         std::vector<Step> steps;
-        std::vector<Milliseconds> chains; ///< By step: longest chain of estimates from its start to the end of the job.
+        std::vector<Milliseconds> chains; ///< By step: longest chain of expected times from its start to the job's end.
         size_t tasksLeft = 0;
         uint32_t orders = 0;
         uint32_t refusals = 0;
@@ -207,7 +212,9 @@
     void onReport(size_t agent, const wire::RoomReportT& report, TimePoint now);
     void onResult(size_t agent, const wire::RunResultT& result, TimePoint now);
     void runEnded(Job& job, const RunId& id, size_t agent, const wire::RunResultT& result, TimePoint now);
-    void taskDone(Job& job, size_t step, Task& task, TimePoint now);
+    void taskDone(Job& job, size_t step, Task& task, Microseconds ran, TimePoint now);
+    /** Tells the model of run times what the tasks of a job took. */
+    void learnTimes(const Job& job);
     void tryAgain(Job& job, const RunId& id, Task& task, TimePoint now);
     void finish(WorkId id, WorkAnswer answer, TimePoint now);
     /** Runs of a job that have not ended, with their agents, times and estimates, for the log. */
@@ -220,6 +227,8 @@
     void tickLinks(TimePoint now);
     void tickQueue(TimePoint now);
     void tickStragglers(TimePoint now);
+    /** Longest time that a task of a step has shown to take at slowness 1, as far as other servers tell. */
+    Microseconds shownTime(const Job& job, size_t step, const Task& task, TimePoint now) const;
     /** Whether a run has taken too long, and another server could still do it in time. */
     bool isStuck(const Job& job, size_t step, const Task& task, TimePoint now) const;
     void recordSummary(TimePoint now);
@@ -235,6 +244,7 @@
     DispatcherHooks m_hooks;
     EffectListOf<DispatchEffect> m_effects;
     DispatcherCounters m_counters;
+    EstimateModel m_estimates;
     std::unordered_map<WorkId, Job> m_jobs;
     std::set<QueueKey> m_queue; ///< Jobs with ready tasks.
     std::vector<RoomAgent> m_agents; ///< Positions are never reused.
--- a/include/sequoia/RoomPolicy.h
+++ b/include/sequoia/RoomPolicy.h
@@ -24,6 +24,7 @@
     Room room; ///< What each task takes.
     int64_t count = 1; ///< Waiting tasks.
     Milliseconds estimate { 0 };
+    double spread = 0.4; ///< Deviation of the logarithm of run time over estimate.
     Milliseconds waited { 0 }; ///< Since the job arrived, less what its earlier steps took.
     double stretch = 1; ///< With `objective`, the latency objective of the route.
     Milliseconds objective { 0 };
@@ -42,9 +43,9 @@
     double farFactor = 1.5; ///< Run time of a task whose data is in another rack; from the deployment.
     Milliseconds overhead { 10 }; ///< Messages and processing of a start and its answer.
     double lateFactor = 3; ///< An answer later than this many times the objective is worth nothing; from the pages.
-    double tooShort
-        = 1.9; ///< True run time over the estimate at most: estimates are 40% off, tasks of a job differ by 15%.
-    double tooLong = 1.4; ///< Estimate over the true run time at most.
+    double longerDeviations = 1.6; ///< Run times this many deviations above the estimate are allowed for.
+    double slownessMargin = 1.1; ///< A server may be this much slower than believed.
+    double shorterDeviations = 0.85; ///< And this many below it.
     double holdShare
         = 0.15; ///< Part of the spare time that may be spent on waiting for a server that is surely in time.
 };
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -4,6 +4,7 @@
 
 #include <sequoia/AgentCore.h>
 #include <sequoia/Room.h>
+#include <sequoia/SpeedModel.h>
 #include <sequoia/Work.h>
 
 #include <map>
@@ -155,7 +156,8 @@
     size_t runs() const { return m_runs.size(); }
     Room used() const { return m_used; }
     Room total() const { return m_server ? m_server->total : Room(); }
-    double slowness() const { return m_slowness; }
+    /** Run time over the expected time. */
+    double slowness(TimePoint now) const { return m_speed.slowness(now); }
     wire::GateState state(TimePoint now) const;
     std::string closedReason(TimePoint now) const;
     const HealthGate& health() const { return m_health; }
@@ -226,7 +228,7 @@
     void sendReport(LinkId link, TimePoint now);
     void sendReports(TimePoint now);
     void sendUpdate(LinkId link, EntryLink& entry, TimePoint now);
-    void learnSpeed(const Run& run, TimePoint now);
+    void learnSpeed(const RunId& id, const Run& run, TimePoint now);
     void newLife(int64_t born, TimePoint now);
     void look(Milliseconds wait, TimePoint now);
     void tickLinks(TimePoint now);
@@ -263,8 +265,7 @@
     Room m_used;
     std::map<LinkId, EntryLink> m_links;
     std::map<Incarnation, TimePoint> m_lostOwners; ///< Entries with runs and without a link, and since when.
-    double m_slowness = 1.0;
-    uint32_t m_samples = 0;
+    SpeedModel m_speed;
     uint64_t m_lookNumber = 0;
     std::set<uint64_t> m_openLooks; ///< Sent, not answered.
     bool m_isLookLost = false; ///< The last look had no answer: leases are not renewed until one has.
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -56,8 +56,9 @@
     for (size_t i = n; i-- > 0;) {
         const auto& step = job.spec.steps[i];
         job.steps[i].tasks.resize(step.count);
+        job.steps[i].expected = m_estimates.expected(job.route.name, step.estimate);
         job.tasksLeft += step.count;
-        job.chains[i] += step.estimate;
+        job.chains[i] += job.steps[i].expected;
         for (const auto before : step.after)
             job.chains[before] = std::max(job.chains[before], job.chains[i]);
     }
@@ -150,7 +151,7 @@
         for (size_t i = 0; i < job.steps.size(); ++i) {
             const auto& step = job.spec.steps[i];
             load.aheadCpuMs += static_cast<double>(job.steps[i].ready.size()) * static_cast<double>(step.room.cpu)
-                * static_cast<double>(step.estimate.count());
+                * static_cast<double>(job.steps[i].expected.count());
         }
     }
     for (const auto& agent : m_agents) {
@@ -272,6 +273,7 @@
     // A task that failed elsewhere avoids servers that its fellows need not avoid, so it is placed alone.
     request.count = step.tasks[step.ready.back()].avoided.empty() ? static_cast<int64_t>(step.ready.size()) : 1;
     request.estimate = job.chains[index];
+    request.spread = m_estimates.spread(job.route.name);
     request.waited = toMilliseconds(now - job.arrival);
     request.stretch = job.route.stretch;
     request.objective = job.route.objective;
@@ -293,6 +295,7 @@
     auto& agent = m_agents[at];
     auto& task = job.steps[index].tasks[position];
     const auto& spec = job.spec.steps[index];
+    const auto& step = job.steps[index];
     task.state = TaskState::Ordered;
     task.run = std::max(RunNumber(raw(task.run) + 1), job.firstRun);
     task.agent = at;
@@ -309,7 +312,7 @@
     message.agent_incarnation = raw(agent.incarnation);
     message.room = std::make_unique<wire::Room>(toWire(spec.room));
     message.payload = job.spec.payload;
-    message.estimate_ms = static_cast<uint32_t>(spec.estimate.count());
+    message.estimate_ms = static_cast<uint32_t>(step.expected.count());
     message.remaining_ms = static_cast<uint32_t>(std::max<int64_t>(msOf(job.deadline - now), 0));
     message.max_per_server = spec.maxPerServer;
     agent.free -= spec.room;
@@ -384,6 +387,7 @@
         m_effects.add(AnswerCaller { waiter, id, answer });
     if (job.orders > 0)
         stopRuns(job, now);
+    learnTimes(job);
     m_jobs.erase(id);
 }
 
@@ -399,7 +403,7 @@
                 continue;
             ++n;
             out += fmt::format("{}{}.{}@{}:{}ms/{}ms", out.empty() ? "" : ",", i, k, m_agents[task.agent].name,
-                msOf(now - task.ordered), job.spec.steps[i].estimate.count());
+                msOf(now - task.ordered), job.steps[i].expected.count());
         }
     }
     return out;
@@ -485,11 +489,27 @@
         finish(id, { m_jobs.at(id).orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, "deadline", {} }, now);
 }
 
+Microseconds Dispatcher::shownTime(const Job& job, size_t index, const Task& task, TimePoint now) const
+{
+    // Tasks of a step take about as long as each other: if they take long on several servers, the estimate is wrong.
+    const auto& step = job.steps[index];
+    auto longest = step.longestRan;
+    for (const auto& other : step.tasks) {
+        if (other.state != TaskState::Ordered || other.agent == task.agent)
+            continue;
+        const auto& agent = m_agents[other.agent];
+        if (agent.lastDone <= other.ordered)
+            continue; // That server may hang as well.
+        longest = std::max(longest, toMicroseconds((now - other.ordered) / std::max(agent.slowness, 1.0)));
+    }
+    return longest;
+}
+
 bool Dispatcher::isStuck(const Job& job, size_t step, const Task& task, TimePoint now) const
 {
-    const auto estimate = job.spec.steps[step].estimate;
-    if (task.state != TaskState::Ordered || task.isStopping || estimate.count() == 0)
+    if (task.state != TaskState::Ordered || task.isStopping || job.steps[step].expected.count() == 0)
         return false;
+    const auto estimate = std::max(Microseconds(job.steps[step].expected), shownTime(job, step, task, now));
     const auto& agent = m_agents[task.agent];
     // Estimates may be far too short: each stop doubles the time allowed, so that every task gets to its end.
     constexpr uint32_t mostDoublings = 8;
@@ -525,11 +545,23 @@
     }
 }
 
-void Dispatcher::taskDone(Job& job, size_t index, Task& task, TimePoint now)
+void Dispatcher::learnTimes(const Job& job)
+{
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        const auto& step = job.steps[i];
+        if (step.done > 0)
+            m_estimates.learn(job.route.name, job.spec.steps[i].estimate, step.sumRan / step.done);
+    }
+}
+
+void Dispatcher::taskDone(Job& job, size_t index, Task& task, Microseconds ran, TimePoint now)
 {
     task.state = TaskState::Done;
     auto& step = job.steps[index];
     ++step.done;
+    ran = toMicroseconds(ran / m_agents[task.agent].slowness);
+    step.sumRan += ran;
+    step.longestRan = std::max(step.longestRan, ran);
     if (--job.tasksLeft == 0) {
         finish(job.spec.id, { WorkStatus::Succeeded, "done", {} }, now);
         return;
@@ -571,7 +603,8 @@
     const auto since = msOf(now - task.ordered);
     switch (result.outcome) {
     case wire::RunOutcome::Done:
-        taskDone(job, raw(id.task.step), task, now);
+        m_agents[at].lastDone = now;
+        taskDone(job, raw(id.task.step), task, Microseconds(result.run_us), now);
         return;
     case wire::RunOutcome::Failed:
         ++job.failures;
--- a/src/RoomPolicy.cpp
+++ b/src/RoomPolicy.cpp
@@ -39,14 +39,16 @@
     const auto slowness = slownessFor(candidate, limits);
     const auto work = FloatMs(request.estimate);
     const auto nominal = spareTime(work, slowness, request, limits);
-    const auto longer = spareTime(work * limits.tooShort, slowness, request, limits);
-    const auto shorter = spareTime(work / limits.tooLong, slowness, request, limits);
+    const auto leastWork = work * std::exp(-limits.shorterDeviations * request.spread);
+    const auto mostWork = work * std::exp(limits.longerDeviations * request.spread);
+    const auto longer = spareTime(mostWork, slowness * limits.slownessMargin, request, limits);
+    const auto shorter = spareTime(leastWork, slowness * limits.slownessMargin, request, limits);
     if (std::min({ nominal, longer, shorter }).count() >= 0)
         return Fit::Safe;
     if (nominal.count() >= 0)
         return Fit::Likely;
     const auto useful = FloatMs(request.remaining - limits.overhead);
-    return work / limits.tooLong * slowness <= useful ? Fit::Late : Fit::Hopeless;
+    return leastWork * slowness <= useful ? Fit::Late : Fit::Hopeless;
 }
 
 std::optional<RoomChoice> choosePlace(
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -160,7 +160,7 @@
     m_born = born;
     m_seenUpTo = 0;
     m_strangers.clear();
-    m_samples = 0; // The new life may be of another kind.
+    m_speed.reset(); // The new life may be of another kind.
     if (!isFirst)
         endAll("server-restarted", now);
 }
@@ -397,7 +397,7 @@
         if (it == m_runs.end())
             continue;
         if (end.kind == EndKind::Done) {
-            learnSpeed(it->second, now);
+            learnSpeed(end.id, it->second, now);
             m_effects.record(LogLevel::Debug, "run-done",
                 { { "job", end.id.task.job }, { "task", toString(end.id.task) },
                     { "estimate_ms", it->second.estimate.count() },
@@ -448,18 +448,10 @@
     }
 }
 
-void RunGate::learnSpeed(const Run& run, TimePoint now)
+void RunGate::learnSpeed(const RunId& id, const Run& run, TimePoint now)
 {
-    if (run.estimate.count() == 0)
-        return;
-    constexpr double leastWeight = 0.05;
-    constexpr double most = 8; // One run that was held up must not count for many.
-    using FloatMs = std::chrono::duration<double, std::milli>;
     const auto begin = run.started == TimePoint() ? run.ordered : run.started;
-    const double ratio = std::min(FloatMs(now - begin) / FloatMs(run.estimate), most);
-    const double weight = std::max(1.0 / (1.0 + m_samples), leastWeight);
-    m_slowness += (ratio - m_slowness) * weight;
-    ++m_samples;
+    m_speed.learn(id.task.job, run.estimate, toMicroseconds(now - begin), now);
 }
 
 void RunGate::endRun(
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -62,7 +62,7 @@
     link.lastUpdate = now;
     result.free = std::make_unique<wire::Room>(toWire(link.lastFree));
     result.orders_seen = link.ordersSeen;
-    result.slowness = static_cast<float>(m_slowness);
+    result.slowness = static_cast<float>(slowness(now));
     send(id, std::move(result), now);
 }
 
@@ -73,7 +73,7 @@
     link.lastUpdate = now;
     update.free = std::make_unique<wire::Room>(toWire(link.lastFree));
     update.orders_seen = link.ordersSeen;
-    update.slowness = static_cast<float>(m_slowness);
+    update.slowness = static_cast<float>(slowness(now));
     send(id, std::move(update), now);
 }
 
@@ -92,7 +92,7 @@
     link.lastUpdate = now;
     report.free = std::make_unique<wire::Room>(toWire(link.lastFree));
     report.orders_seen = link.ordersSeen;
-    report.slowness = static_cast<float>(m_slowness);
+    report.slowness = static_cast<float>(slowness(now));
     send(id, std::move(report), now);
 }
 
@@ -179,7 +179,7 @@
     m_effects.record(LogLevel::Info, "gate-summary",
         { { "state", wire::EnumNameGateState(state(now)) }, { "reason", closedReason(now) },
             { "total", toString(total()) }, { "used", toString(m_used) }, { "runs", n(m_runs.size()) },
-            { "entries", n(m_links.size()) }, { "slowness_percent", static_cast<int64_t>(m_slowness * percent) },
+            { "entries", n(m_links.size()) }, { "slowness_percent", static_cast<int64_t>(slowness(now) * percent) },
             { "orders", n(m_counters.orders) }, { "refused", n(m_counters.refused) }, { "done", n(m_counters.done) },
             { "failed", n(m_counters.failed) }, { "lost", n(m_counters.lost) } });
 }
@@ -248,11 +248,12 @@
         if (run.state != RunState::Running || run.isStuck || run.estimate.count() == 0)
             continue;
         const auto expected
-            = toMicroseconds(run.estimate * stuckFactor * std::max(m_slowness, 1.0)) + Microseconds(stuckMargin);
+            = toMicroseconds(run.estimate * stuckFactor * std::max(slowness(now), 1.0)) + Microseconds(stuckMargin);
         if (now - run.ordered <= expected)
             continue;
         run.isStuck = true;
         recordRun(LogLevel::Info, "run-stuck", id, run, "", now);
+        learnSpeed(id, run, now);
         m_health.failed(healthKey(id), "runs are stuck", now);
     }
     if (m_health.beginTrial(now))
--- /dev/null
+++ b/src/SpeedModel.cpp
@@ -0,0 +1,62 @@
+/** @file SpeedModel.cpp Averages of run time over expected time. */
+#include <sequoia/SpeedModel.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sequoia {
+
+using FloatMs = std::chrono::duration<double, std::milli>;
+
+SpeedModel::SpeedModel(SpeedModelLimits limits)
+    : m_limits(limits)
+{
+}
+
+void SpeedModel::reset() { *this = SpeedModel(m_limits); }
+
+double SpeedModel::present(TimePoint now) const
+{
+    const auto idle = FloatMs(now - m_lastSample - m_limits.staleAfter);
+    if (m_samples == 0 || idle.count() <= 0)
+        return m_present;
+    const double left = std::exp2(-idle / FloatMs(m_limits.halfLife));
+    return m_usual + (m_present - m_usual) * left;
+}
+
+double SpeedModel::slowness(TimePoint now) const { return std::exp(present(now)); }
+
+void SpeedModel::learn(WorkId job, Milliseconds expected, Microseconds ran, TimePoint now)
+{
+    if (expected.count() == 0 || std::find(m_recent.begin(), m_recent.end(), job) != m_recent.end())
+        return;
+    m_recent.at(m_next++ % m_recent.size()) = job;
+    const double bound = std::log(m_limits.most);
+    const double sample = std::clamp(std::log(FloatMs(ran) / FloatMs(expected)), -bound, bound);
+
+    m_present = present(now);
+    const double difference = sample - m_present;
+    const bool isFar = std::abs(difference) > std::log(m_limits.changeFactor);
+    const bool isSlow = difference > 0;
+    if (!isFar || isSlow != m_isStreakSlow) {
+        m_streak = 0;
+        m_streakSum = 0;
+    }
+    m_isStreakSlow = isSlow;
+    m_streak += isFar ? 1 : 0;
+    m_streakSum += isFar ? sample : 0;
+
+    const double prior = std::pow(m_limits.sampleSpread / m_limits.priorSpread, 2);
+    const auto weight = [&](uint32_t samples, double least) { return std::max(1 / (samples + prior), least); };
+    m_present += difference * weight(++m_presentSamples, m_limits.leastWeight);
+    m_usual += (sample - m_usual) * weight(++m_samples, m_limits.usualWeight);
+    m_lastSample = now;
+    if (m_streak < m_limits.changeSamples)
+        return;
+    m_present = m_streakSum / m_streak;
+    m_presentSamples = m_streak;
+    m_streak = 0;
+    m_streakSum = 0;
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/tests/LearningTest.cpp
@@ -0,0 +1,168 @@
+/** @file LearningTest.cpp What is learned from run times: how estimates are off, and how slow a server is. */
+#include <sequoia/EstimateModel.h>
+#include <sequoia/SpeedModel.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+#include <cmath>
+#include <random>
+
+using namespace sequoia;
+
+namespace {
+
+constexpr TimePoint start { std::chrono::seconds(100) };
+
+/** Jobs whose work is around `mean` and whose estimates are off by a factor of their own. */
+struct Jobs {
+    double mean = 200;
+    double workSpread = 0.4;
+    double estimateSpread = 0.4;
+    double estimateFactor = 1;
+    std::mt19937_64 random { 1 };
+
+    struct Job {
+        Milliseconds estimate {};
+        Microseconds work {};
+    };
+    Job next()
+    {
+        const double work = mean * std::exp(std::normal_distribution<>(0, workSpread)(random));
+        const double estimate = work * estimateFactor * std::exp(std::normal_distribution<>(0, estimateSpread)(random));
+        return { Milliseconds(std::max<int64_t>(std::llround(estimate), 1)), Microseconds(std::llround(work * 1000)) };
+    }
+};
+
+/** Mean of the squared logarithm of true over expected time. */
+double squaredError(const EstimateModel& model, Jobs jobs)
+{
+    constexpr int n = 2000;
+    double sum = 0;
+    for (int i = 0; i < n; ++i) {
+        const auto job = jobs.next();
+        const double expected = static_cast<double>(model.expected("route", job.estimate).count());
+        sum += std::pow(std::log(static_cast<double>(job.work.count()) / 1000 / expected), 2);
+    }
+    return sum / n;
+}
+
+} // namespace
+
+struct EstimateRow {
+    char name[40];
+    double workSpread;
+    double estimateSpread;
+    double mostError; ///< Deviation that the best prediction leaves, and a tenth.
+};
+
+ParameterizedTestParameters(EstimateModel, expectsBetweenTheEstimateAndTheUsual)
+{
+    static EstimateRow rows[] = {
+        { "as off as the jobs differ", 0.4, 0.4, 0.283 * 1.1 },
+        { "exact estimates", 0.4, 0.01, 0.06 },
+        { "estimates that say little", 0.2, 0.8, 0.194 * 1.1 },
+        { "jobs that are all alike", 0.01, 0.4, 0.06 },
+    };
+    return cr_make_param_array(EstimateRow, rows, sizeof(rows) / sizeof(EstimateRow));
+}
+
+ParameterizedTest(EstimateRow* row, EstimateModel, expectsBetweenTheEstimateAndTheUsual)
+{
+    Jobs jobs { .workSpread = row->workSpread, .estimateSpread = row->estimateSpread };
+    EstimateModel model;
+    for (int i = 0; i < 600; ++i) {
+        const auto job = jobs.next();
+        model.learn("route", job.estimate, job.work);
+    }
+    cr_expect_leq(std::sqrt(squaredError(model, jobs)), row->mostError, "%s: deviation %f", row->name,
+        std::sqrt(squaredError(model, jobs)));
+}
+
+Test(EstimateModel, takesEstimatesAsDeclaredUntilItKnowsMore)
+{
+    EstimateModel model;
+    cr_expect_eq(model.expected("route", Milliseconds(300)).count(), 300);
+    cr_expect_eq(model.expected("route", Milliseconds(0)).count(), 0);
+    model.learn("route", Milliseconds(300), Microseconds(3000000));
+    cr_expect_lt(model.expected("route", Milliseconds(300)).count(), 600, "one job is no proof");
+}
+
+Test(EstimateModel, routesAreLearnedApartAndTheMeanOfAllStays)
+{
+    // Estimates of one route are four times too short, those of the other four times too long.
+    Jobs shortOnes { .estimateFactor = 0.25 };
+    Jobs longOnes { .estimateFactor = 4 };
+    EstimateModel model;
+    for (int i = 0; i < 600; ++i) {
+        const auto a = shortOnes.next();
+        const auto b = longOnes.next();
+        model.learn("short", a.estimate, a.work);
+        model.learn("long", b.estimate, b.work);
+    }
+    const auto a = static_cast<double>(model.expected("short", Milliseconds(50)).count());
+    const auto b = static_cast<double>(model.expected("long", Milliseconds(800)).count());
+    cr_expect_float_eq(a / b, 1, 0.2, "both take 200 ms: %f and %f", a, b);
+    cr_expect_float_eq(a / 200, 1, 0.2, "%f", a);
+}
+
+Test(EstimateModel, jobsWithoutEstimateGetTheUsualTime)
+{
+    EstimateModel model;
+    for (int i = 0; i < 50; ++i)
+        model.learn("route", Milliseconds(0), Microseconds(70000));
+    cr_expect_float_eq(static_cast<double>(model.expected("route", Milliseconds(0)).count()), 70, 2);
+}
+
+struct SpeedRow {
+    char name[48];
+    double before; ///< Slowness for a long time.
+    double after; ///< Slowness then.
+    int samples; ///< Samples after the change.
+    int idleMs; ///< Time without samples at the end.
+    double least;
+    double most;
+};
+
+ParameterizedTestParameters(SpeedModel, followsWhatRunsShow)
+{
+    static SpeedRow rows[] = {
+        { "steady", 1.7, 1.7, 0, 0, 1.45, 1.95 },
+        { "becomes slow", 1.0, 6.5, 8, 0, 4.0, 9.0 },
+        { "one odd run changes little", 1.0, 20.0, 1, 0, 0.8, 1.4 },
+        { "becomes fast again", 6.5, 1.0, 8, 0, 0.7, 1.6 },
+        { "slow for a short time, then without work", 1.0, 6.5, 8, 8000, 0.7, 1.8 },
+        { "always slow, then without work", 1.7, 1.7, 0, 20000, 1.45, 1.95 },
+    };
+    return cr_make_param_array(SpeedRow, rows, sizeof(rows) / sizeof(SpeedRow));
+}
+
+ParameterizedTest(SpeedRow* row, SpeedModel, followsWhatRunsShow)
+{
+    std::mt19937_64 random(3);
+    SpeedModel model;
+    auto now = start;
+    uint64_t job = 0;
+    const auto run = [&](double slowness) {
+        now += Milliseconds(20);
+        const double ms = 100 * slowness * std::exp(std::normal_distribution<>(0, 0.28)(random));
+        model.learn(WorkId(++job), Milliseconds(100), Microseconds(std::llround(ms * 1000)), now);
+    };
+    for (int i = 0; i < 200; ++i)
+        run(row->before);
+    for (int i = 0; i < row->samples; ++i)
+        run(row->after);
+    now += Milliseconds(row->idleMs);
+    cr_expect_geq(model.slowness(now), row->least, "%s: %f", row->name, model.slowness(now));
+    cr_expect_leq(model.slowness(now), row->most, "%s: %f", row->name, model.slowness(now));
+}
+
+Test(SpeedModel, ofEachJobOneRunCounts)
+{
+    SpeedModel model;
+    for (int i = 0; i < 100; ++i)
+        model.learn(WorkId(1), Milliseconds(100), Microseconds(800000), start);
+    cr_expect_leq(model.slowness(start), 8.0 * 0.8, "a wide job is one sample: %f", model.slowness(start));
+    model.reset();
+    cr_expect_float_eq(model.slowness(start), 1, 1e-9);
+}
--- a/tests/RoomWorld.cpp
+++ b/tests/RoomWorld.cpp
@@ -12,6 +12,9 @@
 
     using FloatMs = std::chrono::duration<double, std::milli>;
 
+    constexpr double lateFactor = 3; // An answer later than this many times the objective is worth nothing.
+    constexpr Milliseconds resendPause { 1300 }; // Of a caller whose connection broke, from the pages.
+
     const TimePoint worldStart { std::chrono::seconds(1000) };
 
     TimePoint at(Milliseconds ms) { return worldStart + ms; }
@@ -53,6 +56,7 @@
         std::vector<Milliseconds> work; ///< By task, at speed 1.
         Room room;
         Milliseconds estimate {};
+        FloatMs aim {}; ///< Latency objective, from the true work.
         bool isPoison = false;
         bool isAnswered = false;
         double worth = 0;
@@ -133,7 +137,8 @@
                 const Room total { static_cast<int64_t>(static_cast<double>(scenario.serverCpu) * size), 1 << 20, 0 };
                 m_servers.push_back(
                     std::make_unique<Server>(*this, i, total, scenario.slowness[i % scenario.slowness.size()]));
-                m_gates.push_back(std::make_unique<RunGate>(Incarnation(100 + i), tuning.gate));
+                m_gates.push_back(std::make_unique<RunGate>(Incarnation(++m_lastGate), tuning.gate));
+                m_gateIncarnations.push_back(m_lastGate);
             }
             m_entries.resize(scenario.entries);
             m_incarnations.resize(scenario.entries);
@@ -168,7 +173,11 @@
 
     private:
         void startEntry(size_t i);
-        void killEntry(size_t i);
+        void killEntry(size_t i, Milliseconds downTime);
+        void killGate(size_t i, Milliseconds downTime);
+        void losePower();
+        void sendAgain(WorkId id, size_t entry);
+        void announce(size_t i);
         void link(size_t entry, size_t agent);
         void closeLink(LinkId id, bool byEntry);
         void toAgent(LinkId id, std::shared_ptr<wire::BodyUnion> body);
@@ -192,6 +201,8 @@
         std::vector<std::unique_ptr<RunGate>> m_gates;
         std::vector<std::unique_ptr<Dispatcher>> m_entries;
         std::vector<uint64_t> m_incarnations;
+        std::vector<uint64_t> m_gateIncarnations;
+        uint64_t m_lastGate = 100;
         std::vector<bool> m_isCut;
         std::map<LinkId, Connection> m_connections;
         uint32_t m_lastLink = 0;
@@ -307,7 +318,7 @@
         m_entries[i]->setEntries(m_scenario.entries);
     }
 
-    void World::killEntry(size_t i)
+    void World::killEntry(size_t i, Milliseconds downTime)
     {
         for (auto& [id, connection] : m_connections) {
             if (connection.entry == i && connection.isOpen)
@@ -317,16 +328,43 @@
         for (const auto& [waiter, entry] : m_waiters) {
             if (entry != i)
                 continue;
-            // The caller's connection breaks; it sends the job again to another entry.
-            const auto id = WorkId(raw(waiter));
-            const auto other = (i + 1) % m_scenario.entries;
-            agenda.add(agenda.now() + Milliseconds(1300), [this, id, other] {
-                if (!job(id).isAnswered)
-                    submit(id, other);
-            });
+            // The caller's connection breaks.
+            sendAgain(WorkId(raw(waiter)), (i + 1) % m_scenario.entries);
         }
         std::erase_if(m_waiters, [&](const auto& waiter) { return waiter.second == i; });
-        agenda.add(agenda.now() + Milliseconds(1000), [this, i] { startEntry(i); });
+        agenda.add(agenda.now() + downTime, [this, i] { startEntry(i); });
+    }
+
+    void World::sendAgain(WorkId id, size_t entry)
+    {
+        agenda.add(agenda.now() + resendPause, [this, id, entry] {
+            if (!job(id).isAnswered)
+                submit(id, entry);
+        });
+    }
+
+    void World::killGate(size_t i, Milliseconds downTime)
+    {
+        for (auto& [id, connection] : m_connections) {
+            if (connection.agent == i && connection.isOpen)
+                closeLink(id, false);
+        }
+        m_gates[i].reset();
+        agenda.add(agenda.now() + downTime, [this, i] {
+            m_gates[i] = std::make_unique<RunGate>(Incarnation(++m_lastGate), m_tuning.gate);
+            m_gateIncarnations[i] = m_lastGate;
+            announce(i);
+        });
+    }
+
+    void World::losePower()
+    {
+        constexpr int mostDelayMs = 150; // Machines don't come back at the same moment.
+        std::uniform_int_distribution<> delay(0, mostDelayMs);
+        for (size_t i = 0; i < m_entries.size(); ++i)
+            killEntry(i, m_scenario.powerLossLength + Milliseconds(delay(m_random)));
+        for (size_t i = 0; i < m_gates.size(); ++i)
+            killGate(i, m_scenario.powerLossLength + Milliseconds(delay(m_random)));
     }
 
     void World::link(size_t entry, size_t agent)
@@ -338,7 +376,7 @@
         welcome.incarnation = m_incarnations[entry];
         wire::HelloT hello;
         hello.agent = fmt::format("agent{}", agent);
-        hello.incarnation = 100 + agent;
+        hello.incarnation = m_gateIncarnations[agent];
         m_entries[entry]->agentLinked(id, hello, agenda.now());
         m_gates[agent]->entryLinked(id, welcome, agenda.now());
     }
@@ -353,7 +391,11 @@
         if (byEntry && m_isCut[connection.entry])
             return; // The agent notices by the silence.
         if (byEntry)
-            agenda.add(delay, [this, id] { m_gates[m_connections.at(id).agent]->linkClosed(id, agenda.now()); });
+            agenda.add(delay, [this, id] {
+                auto& gate = m_gates[m_connections.at(id).agent];
+                if (gate)
+                    gate->linkClosed(id, agenda.now());
+            });
         else if (!m_isCut[connection.entry]) {
             agenda.add(delay, [this, id] {
                 auto& entry = m_entries[m_connections.at(id).entry];
@@ -370,9 +412,9 @@
         if (!connection.isOpen || m_isCut[connection.entry])
             return;
         agenda.add(agenda.now() + m_scenario.linkDelay, [this, id, body] {
-            if (!m_connections.at(id).isOpen)
-                return;
             const auto agent = m_connections.at(id).agent;
+            if (!m_connections.at(id).isOpen || !m_gates[agent])
+                return;
             m_gates[agent]->receive(id, *body, agenda.now());
             settleGate(agent);
         });
@@ -409,6 +451,8 @@
 
     void World::settleGate(size_t i)
     {
+        if (!m_gates[i])
+            return;
         for (auto& effect : m_gates[i]->takeEffects()) {
             if (auto* send = std::get_if<SendMessage>(&effect))
                 toEntry(send->link, std::make_shared<wire::BodyUnion>(std::move(send->body)));
@@ -427,7 +471,9 @@
     {
         const auto lease = agenda.now() + action.lease;
         const auto answer = [this, i, id = action.id](StartOutcome outcome, Microseconds delay) {
-            agenda.add(agenda.now() + delay, [this, i, id, outcome] {
+            agenda.add(agenda.now() + delay, [this, i, id, outcome, life = m_gateIncarnations[i]] {
+                if (!m_gates[i] || m_gateIncarnations[i] != life)
+                    return;
                 m_gates[i]->startAnswered(id, outcome, agenda.now());
                 settleGate(i);
             });
@@ -460,7 +506,9 @@
     void World::stopRun(size_t i, const StopRun& action)
     {
         const auto answer = [this, i, id = action.id](bool isAnswered, Microseconds delay) {
-            agenda.add(agenda.now() + delay, [this, i, id, isAnswered] {
+            agenda.add(agenda.now() + delay, [this, i, id, isAnswered, life = m_gateIncarnations[i]] {
+                if (!m_gates[i] || m_gateIncarnations[i] != life)
+                    return;
                 m_gates[i]->stopAnswered(id, isAnswered, agenda.now());
                 settleGate(i);
             });
@@ -484,8 +532,11 @@
     void World::look(size_t i, const LookAtServer& action)
     {
         const auto number = action.number;
-        const auto result = [this, i, number](LookOutcome outcome, const Listing& listing, Microseconds delay) {
-            agenda.add(agenda.now() + delay, [this, i, number, outcome, listing] {
+        const auto result = [this, i, number, life = m_gateIncarnations[i]](
+                                LookOutcome outcome, const Listing& listing, Microseconds delay) {
+            agenda.add(agenda.now() + delay, [this, i, number, outcome, listing, life] {
+                if (!m_gates[i] || m_gateIncarnations[i] != life)
+                    return;
                 m_gates[i]->looked(number, outcome, listing, agenda.now());
                 settleGate(i);
             });
@@ -512,10 +563,10 @@
             server.onEnd = [this, finish] { agenda.add(agenda.now() + m_scenario.serverDelay / 2, finish); };
     }
 
-    void World::ping(size_t i)
+    void World::announce(size_t i)
     {
         const auto& server = *m_servers[i];
-        if (server.isUp()) {
+        if (server.isUp() && m_gates[i]) {
             ServerReport report;
             report.instance = fmt::format("i-{}", i);
             report.born = server.born();
@@ -525,6 +576,11 @@
             m_gates[i]->announced(report, agenda.now());
             settleGate(i);
         }
+    }
+
+    void World::ping(size_t i)
+    {
+        announce(i);
         agenda.add(agenda.now() + Milliseconds(1500), [this, i] { ping(i); });
     }
 
@@ -566,9 +622,9 @@
             job.work.emplace_back(std::max<int64_t>(std::llround(work * uneven), 1));
             longest = std::max(longest, job.work.back());
         }
-        constexpr double estimateError = 0.4;
-        const double error = 1 + std::uniform_real_distribution<>(-estimateError, estimateError)(m_random);
+        const double error = std::exp(std::normal_distribution<>(0, m_scenario.estimateSpread)(m_random));
         job.estimate = Milliseconds(std::max<int64_t>(std::llround(work * error * m_scenario.estimateFactor), 1));
+        job.aim = longest * m_scenario.stretch + m_scenario.objective;
         job.room
             = { std::llround(std::max(kind.cpu * (1 + std::normal_distribution<>(0, 0.2)(m_random)), kind.cpu / 4)), 64,
                   0 };
@@ -585,12 +641,15 @@
 
     void World::submit(WorkId id, size_t entry)
     {
-        if (!m_entries[entry])
-            return;
         const auto& truth = m_jobs.at(id);
-        const auto left = toMilliseconds(truth.sent + m_scenario.callerPatience - agenda.now());
+        const auto patience = m_scenario.callerPatience + toMilliseconds(truth.aim * lateFactor);
+        const auto left = toMilliseconds(truth.sent + patience - agenda.now());
         if (left.count() <= 0)
             return;
+        if (!m_entries[entry]) {
+            sendAgain(id, (entry + 1) % m_scenario.entries);
+            return;
+        }
         WorkSpec spec;
         spec.id = id;
         StepSpec step;
@@ -625,17 +684,14 @@
             return;
         auto& result = m_report.kinds[m_scenario.kinds[job.kind].name];
         const auto age = FloatMs(agenda.now() - job.sent);
-        const auto longest = FloatMs(*std::max_element(job.work.begin(), job.work.end()));
-        const auto aim = longest * m_scenario.stretch + m_scenario.objective;
         constexpr double lateWorth = 0.2;
-        constexpr double lateFactor = 3;
         const bool isRight
             = answer.status == WorkStatus::Succeeded || (answer.status == WorkStatus::Failed && job.isPoison);
         double earned = 0;
-        if (isRight && age <= aim) {
+        if (isRight && age <= job.aim) {
             ++result.inAim;
             earned = job.worth;
-        } else if (isRight && age <= aim * lateFactor) {
+        } else if (isRight && age <= job.aim * lateFactor) {
             ++result.late;
             earned = job.worth * lateWorth;
         } else if (answer.status == WorkStatus::NotRun) {
@@ -677,8 +733,10 @@
             auto turn = std::make_shared<std::function<void()>>();
             *turn = [this, i, turn, tick] {
                 m_servers[i]->lapse();
-                m_gates[i]->tick(agenda.now());
-                settleGate(i);
+                if (m_gates[i]) {
+                    m_gates[i]->tick(agenda.now());
+                    settleGate(i);
+                }
                 agenda.add(agenda.now() + tick, *turn);
             };
             agenda.add(worldStart + Milliseconds(i % 20), *turn);
@@ -701,7 +759,8 @@
                 for (size_t a = 0; a < m_gates.size(); ++a) {
                     const bool isLinked = std::any_of(m_connections.begin(), m_connections.end(),
                         [&](const auto& c) { return c.second.isOpen && c.second.entry == e && c.second.agent == a; });
-                    if (!isLinked && m_entries[e] && !m_isCut[e])
+                    const bool isReady = m_entries[e] && m_gates[a] && m_gates[a]->isSettled();
+                    if (!isLinked && isReady && !m_isCut[e])
                         link(e, a);
                 }
             }
@@ -732,7 +791,9 @@
             }
         }
         for (const auto& [entry, when] : m_scenario.entryKills)
-            agenda.add(at(when), [this, entry = entry] { killEntry(entry); });
+            agenda.add(at(when), [this, entry = entry] { killEntry(entry, Milliseconds(1000)); });
+        if (m_scenario.powerLoss)
+            agenda.add(at(*m_scenario.powerLoss), [this] { losePower(); });
         for (const auto& [entry, when] : m_scenario.entryCuts) {
             agenda.add(at(when), [this, entry = entry] { m_isCut[entry] = true; });
             agenda.add(at(when + Milliseconds(3000)), [this, entry = entry] { m_isCut[entry] = false; });
@@ -745,7 +806,7 @@
             m_report.refusedOrders += entry->counters().refusedOrders;
         }
         for (const auto& gate : m_gates)
-            m_report.wastedRuns += gate->counters().stopped + gate->counters().lost;
+            m_report.wastedRuns += gate ? gate->counters().stopped + gate->counters().lost : 0;
         m_report.strandedShare = m_strandedSamples > 0 ? m_stranded / static_cast<double>(m_strandedSamples) : 0;
         for (size_t k = 0; k < m_scenario.kinds.size(); ++k) {
             std::vector<const TrueJob*> ofKind;
--- a/tests/RoomWorld.h
+++ b/tests/RoomWorld.h
@@ -55,11 +55,12 @@
     std::vector<LoadKind> kinds;
     double load = 1; ///< Factor on all rates.
     Milliseconds length { 20000 };
-    Milliseconds callerPatience { 2400 }; ///< Median of the days played.
+    Milliseconds callerPatience { 1500 }; ///< Added to three times the objective of a job, as on the days played.
     double stretch = 1.6;
     Milliseconds objective { 60 };
     Microseconds linkDelay { 1500 }; ///< One way, with processing.
     Microseconds serverDelay { 1000 };
+    double estimateSpread = 0.4; ///< Deviation of the logarithm of estimates over work, as on the days played.
     double estimateFactor = 1; ///< All estimates are off by this as well.
     double lateOrders = 0; ///< Share of starts and stops that are carried out 2 to 12 s later, without an answer.
     double lostReplies = 0; ///< Share of starts that are carried out without an answer.
@@ -67,6 +68,8 @@
     std::vector<ServerFault> faults;
     std::vector<std::pair<size_t, Milliseconds>> entryKills; ///< The entry restarts 1 s later; callers send again.
     std::vector<std::pair<size_t, Milliseconds>> entryCuts; ///< Silent from all agents for 3 s.
+    std::optional<Milliseconds> powerLoss; ///< All entries and agents stop, and start again after `powerLossLength`.
+    Milliseconds powerLossLength { 1700 };
 };
 
 /** What callers of one kind got. */
