--- /dev/null
+++ b/include/sequoia/CallerPatience.h
@@ -0,0 +1,45 @@
+/** @file CallerPatience.h Tells how long a caller has waited before this request, from how long it still waits. */
+#pragma once
+
+#include <sequoia/Learned.h>
+#include <sequoia/Time.h>
+
+#include <map>
+#include <string>
+
+namespace sequoia {
+
+/** Figures of the model. */
+struct CallerPatienceLimits {
+    double deviations = 3.5; ///< A time so far below the usual one, in the logarithm, is none of a first request.
+    double priorSpread = 0.3; ///< Deviation of the logarithm of times until more is known.
+    double priorRequests = 10; ///< Weight of that belief.
+    double memory = 100; ///< Requests over which the usual time of a route is averaged.
+    double shareMemory = 1000; ///< Requests over which the share of short ones is averaged.
+    double mostShort = 0.1; ///< Where more requests than this share are short, short times are usual and tell nothing.
+    size_t maxRoutes = 1024; ///< Routes beyond this many are not learned.
+};
+
+/**
+ * After an entry has died, or all of them, callers send again what they had sent before, and all at once. Such a
+ * request looks like a new one but for its deadline, which is nearer than that of the route's other requests. What a
+ * caller has lost of the usual time is taken as the time that it has waited already.
+ */
+class CallerPatience {
+public:
+    explicit CallerPatience(CallerPatienceLimits limits = {});
+
+    /** Takes note of a request whose caller waits for `budget`; gives the least time that it has waited before. */
+    Milliseconds waitedBefore(const std::string& route, Milliseconds budget);
+
+    /** Adds what is known to `out`. */
+    void tell(Learned& out) const { out.patience = m_routes; }
+    /** Takes what an earlier process or another one has learned, for routes that are not known here. */
+    void recall(const Learned& learned);
+
+private:
+    CallerPatienceLimits m_limits;
+    std::map<std::string, LearnedPatience> m_routes;
+};
+
+} // namespace sequoia
--- a/include/sequoia/Dialer.h
+++ b/include/sequoia/Dialer.h
@@ -15,7 +15,11 @@
 struct DialerLimits {
     Milliseconds firstPause { 100 }; ///< Before an address is dialled again.
     Milliseconds longestPause { 2000 };
-    Milliseconds welcomeTimeout { 2000 }; ///< A link that is not welcomed in this time is closed.
+    double pauseGrowth = 2; ///< Of each pause over the one before.
+    Milliseconds firstWelcomeTimeout {
+        2000
+    }; ///< A link that is not welcomed in this time is closed; doubles with each.
+    Milliseconds welcomeTimeout { 2000 }; ///< The longest such time.
     Milliseconds forgetAfter { 30000 }; ///< An address that was not named or linked for this time is forgotten.
 };
 
@@ -44,8 +48,11 @@
         TimePoint since {}; ///< When the link was dialled or ended.
         TimePoint named {}; ///< When the address was last named, or its link ended.
         Milliseconds pause {};
+        Milliseconds welcomeTimeout {};
     };
 
+    Target freshTarget(TimePoint since, TimePoint named) const;
+
     DialerLimits m_limits;
     std::function<LinkId(const std::string&)> m_dial;
     std::function<void(LinkId)> m_close;
--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -1,8 +1,10 @@
 /** @file Dispatcher.h The deterministic state of an entry that places jobs by room: jobs, queue, agents, runs. */
 #pragma once
 
+#include <sequoia/CallerPatience.h>
 #include <sequoia/Effects.h>
 #include <sequoia/EstimateModel.h>
+#include <sequoia/LoadModel.h>
 #include <sequoia/RoomPolicy.h>
 #include <sequoia/Work.h>
 
@@ -76,6 +78,9 @@
     uint32_t ordersSent = 0; ///< On this link.
     std::deque<std::pair<uint32_t, Room>> unseenOrders; ///< Orders that `free` does not allow for at the agent yet.
     double slowness = 1.0;
+    double slownessSpread = 0; ///< Deviation of the logarithm of the slowness from the truth.
+    int64_t serverLife = 0; ///< Start of the backend server's life, ms since 1970.
+    uint32_t samples = 0; ///< Jobs behind the slowness.
     TimePoint reported {}; ///< When `free` was last heard.
     TimePoint lastHeard {};
     TimePoint lastSent {};
@@ -133,6 +138,12 @@
 
     /** Entries that share the agents with this one, for estimates of its part. */
     void setEntries(size_t entries) { m_entries = std::max<size_t>(entries, 1); }
+    /** What traffic has taught this entry. */
+    Learned learned() const;
+    /** Takes what was learned before this process started, or by other entries. */
+    void recall(const Learned& learned);
+    /** What is known of the speed of an agent's server. */
+    LearnedSpeed speedOf(const std::string& agent) const;
     /** Time passes: silence, lapses, stragglers, jobs that have become worthless. */
     void tick(TimePoint now);
 
@@ -167,7 +178,8 @@
         Microseconds sumRan { 0 };
     };
 
-    /** Order of jobs: those with runs, those that can meet their objective, the rest; then by latest start. */
+    /** Order of jobs: those with runs, those that can meet their objective, late ones, stale ones; then by latest
+     * start. */
     struct QueueKey {
         uint8_t band = 0;
         uint32_t priority = 0;
@@ -180,11 +192,13 @@
         WorkSpec spec;
         RoutePolicy route;
         std::vector<WaiterId> waiters;
-        TimePoint arrival {};
+        TimePoint arrival {}; ///< Of its first request, as far as that is known.
+        Milliseconds waitedBefore { 0 }; ///< Part of its age that its caller is taken to have waited before.
         TimePoint deadline {}; ///< Its callers leave.
         std::vector<Step> steps;
         std::vector<Milliseconds> chains; ///< By step: longest chain of expected times from its start to the job's end.
         size_t tasksLeft = 0;
+        bool isLate = false; ///< It waits behind all that can be in time.
         uint32_t orders = 0;
         uint32_t refusals = 0;
         uint32_t failures = 0;
@@ -196,7 +210,15 @@
     std::optional<size_t> agentOf(LinkId link) const;
     Job* findJob(WorkId id);
     QueuedWork queuedWork(const Job& job, TimePoint now) const;
+    /** Work of the tasks of a job that wait. */
+    static double waitingWork(const Job& job);
+    /** What an entry knows of its load, but for what goes before a given job. */
+    LoadView loadView(TimePoint now) const;
     LoadView loadBefore(const QueueKey& key, TimePoint now) const;
+    /** Moves jobs back that can no longer be in time, and refuses those that have become worthless. */
+    void reviewQueue(TimePoint now);
+    /** Slowness of the agents that take work, weighted by their room. */
+    double slownessOnTheWhole() const;
     QueueKey keyOf(const Job& job, TimePoint now) const;
     void makeReady(Job& job, size_t step);
     void requeue(Job& job, TimePoint now);
@@ -207,7 +229,8 @@
     std::vector<size_t> eligibleAgents(const Job& job, size_t step) const;
     static int64_t mostOfStepAt(const Job& job, size_t step, size_t agent);
     void order(Job& job, size_t step, uint32_t index, size_t agent, TimePoint now);
-    static void setRoom(RoomAgent& agent, const wire::Room* free, uint32_t ordersSeen, float slowness, TimePoint now);
+    /** Takes what a message tells of room and speed. */
+    template <typename Message> static void setRoom(RoomAgent& agent, const Message& message, TimePoint now);
     void askForRoom(TimePoint now);
     void onReport(size_t agent, const wire::RoomReportT& report, TimePoint now);
     void onResult(size_t agent, const wire::RunResultT& result, TimePoint now);
@@ -245,6 +268,10 @@
     EffectListOf<DispatchEffect> m_effects;
     DispatcherCounters m_counters;
     EstimateModel m_estimates;
+    LoadModel m_load;
+    CallerPatience m_patience;
+    std::map<std::string, LearnedSpeed> m_recalledSpeeds; ///< By agent, from before this process.
+    double m_slowness = 1; ///< Of the agents on the whole, by their room.
     std::unordered_map<WorkId, Job> m_jobs;
     std::set<QueueKey> m_queue; ///< Jobs with ready tasks.
     std::vector<RoomAgent> m_agents; ///< Positions are never reused.
--- a/include/sequoia/EstimateModel.h
+++ b/include/sequoia/EstimateModel.h
@@ -1,10 +1,11 @@
 /** @file EstimateModel.h Learns how run times relate to declared estimates, by route. */
 #pragma once
 
+#include <sequoia/Learned.h>
 #include <sequoia/Time.h>
 
+#include <map>
 #include <string>
-#include <unordered_map>
 
 namespace sequoia {
 
@@ -34,25 +35,20 @@
     /** A task with this estimate has run `ran`, brought to slowness 1. One task of a job is enough. */
     void learn(const std::string& route, Milliseconds estimate, Microseconds ran);
 
+    /** Adds what is known to `out`. */
+    void tell(Learned& out) const;
+    /** Takes what an earlier process or another one has learned, for routes that are not known here. */
+    void recall(const Learned& learned);
+
 private:
-    /** Weighted sums over jobs; x is the logarithm of the estimate, y that of the run time. */
-    struct Route {
-        double weight = 0;
-        double meanX = 0;
-        double meanY = 0;
-        double sumXX = 0; ///< Of squared differences from the mean.
-        double sumXY = 0;
-        double sumResidual = 0; ///< Of squared differences from the expected time.
-    };
-
-    double slopeOf(const Route& route) const;
-    double expectedLog(const Route& route, double x) const;
+    double slopeOf(const LearnedTimes& route) const;
+    double expectedLog(const LearnedTimes& route, double x) const;
     /** Jobs that declare nothing are kept apart, as they say nothing of estimates. */
-    const Route* find(const std::string& route, Milliseconds estimate) const;
+    const LearnedTimes* find(const std::string& route, Milliseconds estimate) const;
 
     EstimateModelLimits m_limits;
-    std::unordered_map<std::string, Route> m_declared;
-    std::unordered_map<std::string, Route> m_undeclared;
+    std::map<std::string, LearnedTimes> m_declared;
+    std::map<std::string, LearnedTimes> m_undeclared;
     double m_offset = 0; ///< Mean over all declared jobs of y - x.
     double m_offsetWeight = 0;
 };
--- a/include/sequoia/Registration.h
+++ b/include/sequoia/Registration.h
@@ -22,6 +22,8 @@
         std::function<TimePoint()> now);
 
     void tick();
+    /** Changes the item; it is written at the next tick. */
+    void setValue(std::string value);
     /** The item was seen to be missing although its lease has not been seen to end. */
     void missing();
     /** Takes the item away. */
@@ -38,6 +40,7 @@
     std::function<TimePoint()> m_now;
     std::optional<StoreLease> m_lease;
     bool m_isWritten = false;
+    bool m_wasWritten = false; ///< Once at least.
     bool m_isCalling = false;
     bool m_isEnded = false;
     bool m_isLost = false;
--- a/include/sequoia/RoomPolicy.h
+++ b/include/sequoia/RoomPolicy.h
@@ -14,9 +14,11 @@
 struct RoomCandidate {
     Room free;
     double slowness = 1.0; ///< Run time over the estimate, smoothed.
+    double slownessSpread = 0; ///< Deviation of the logarithm of the slowness from the truth.
     bool isNear = true; ///< The data is near, or the task names no place.
     int64_t mostHere = 1; ///< Most tasks of the step that it may still take.
     bool isTrial = false; ///< It takes one task to show that it is good again.
+    Room total;
 };
 
 /** Tasks of one step that wait for room. */
@@ -44,8 +46,11 @@
     Milliseconds overhead { 10 }; ///< Messages and processing of a start and its answer.
     double lateFactor = 3; ///< An answer later than this many times the objective is worth nothing; from the pages.
     double longerDeviations = 1.6; ///< Run times this many deviations above the estimate are allowed for.
-    double slownessMargin = 1.1; ///< A server may be this much slower than believed.
+    double slownessDeviations = 1.3; ///< A server may be slower than believed by so many deviations.
+    double leastSlownessMargin = 1.05; ///< And is by this factor.
     double shorterDeviations = 0.85; ///< And this many below it.
+    double reservedShare = 0.2; ///< Part of a fast server's room that is left for tasks that need one.
+    double lateOvertaking = 0.8; ///< Part of the present arrivals that is expected to go on overtaking late jobs.
     double holdShare
         = 0.15; ///< Part of the spare time that may be spent on waiting for a server that is surely in time.
 };
@@ -63,9 +68,10 @@
 
 /**
  * Chooses a server for some of the waiting tasks; empty if they should wait.
- * Of the servers that are surely in time the slowest is taken, so that the fast ones are left for long tasks; of equal
- * ones the one that takes most tasks of the job, so that a failing server spoils few jobs. If all that are surely in
- * time are full, the task waits for one during a part of its spare time, and then takes the fastest.
+ * Of the servers that are surely in time the fastest is taken that keeps a reserve of room for tasks that need a fast
+ * one; without such a reserve, the slowest. Of equal ones it is the one that takes most tasks of the job, so that a
+ * failing server spoils few jobs. If all that are surely in time are full, the task waits for one during a part of its
+ * spare time, and then takes the fastest.
  */
 std::optional<RoomChoice> choosePlace(
     const std::vector<RoomCandidate>& candidates, const RoomRequest& request, const RoomPolicyLimits& limits);
@@ -79,6 +85,7 @@
     Milliseconds objective { 0 };
     Milliseconds age { 0 }; ///< Since its arrival.
     Milliseconds remaining { 0 }; ///< Until its caller leaves.
+    double slowness = 1; ///< Of the servers on the whole.
 };
 
 /** Time in which the job must start to meet its objective; negative if it can't. */
@@ -86,21 +93,37 @@
 /** Time in which the job must start to be worth anything; negative if it can't. */
 Milliseconds slackToWorthless(const QueuedWork& work, const RoomPolicyLimits& limits);
 
-/** Load as an entry knows it. */
+/** Time in which the job must start to end before its caller leaves; negative if it can't. */
+Milliseconds slackToLeave(const QueuedWork& work, const RoomPolicyLimits& limits);
+
+/** Load as an entry knows it. Work is in thousandths of a core times milliseconds at slowness 1. */
 struct LoadView {
-    double aheadCpuMs = 0; ///< Estimated core-milliseconds of the work that goes first.
-    double cpuPerMs = 0; ///< Cores that work for this entry.
+    double ahead = 0; ///< Work that goes before the job.
+    double queued = 0; ///< All work that waits.
+    double capacity = 0; ///< Work per millisecond that the servers do for this entry.
+    double overtaking = 0; ///< Work per millisecond that comes and goes before the job.
+    double arriving = 0; ///< All work per millisecond that comes.
     bool isComplete = true; ///< False while agents are still being found, as after a start.
 };
 
-/** Whether a new job is queued. */
+/** What becomes of a job that waits. */
+enum class Prospect : uint8_t {
+    InTime,
+    Late, ///< It can be done when nothing that can be in time waits.
+    Worthless
+};
+
+/** What a queue promises a job. */
 struct Admission {
-    bool isAdmitted = true;
+    Prospect prospect = Prospect::InTime;
     Milliseconds predictedWait { 0 };
     Milliseconds retryAfter { 0 }; ///< When the queue will have become short enough.
 };
 
-/** Refuses a job that would start too late to be worth anything. Answers bursts and lost servers. */
+/**
+ * Predicts what becomes of a job. Answers bursts and lost servers: jobs that can't be in time must not make others
+ * late, and jobs that would be worth nothing are refused at once.
+ */
 Admission admit(const QueuedWork& work, const LoadView& load, const RoomPolicyLimits& limits);
 
 using AdmitHook = std::function<Admission(const QueuedWork&, const LoadView&)>;
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -7,6 +7,7 @@
 #include <sequoia/SpeedModel.h>
 #include <sequoia/Work.h>
 
+#include <array>
 #include <map>
 #include <set>
 
@@ -182,6 +183,7 @@
         uint64_t mustBeListedFrom = 0; ///< A look of this number or a later one lists it, or it is over; 0 if unknown.
         TimePoint nextStop {};
         bool isListed = false; ///< It was seen running.
+        bool isSample = false; ///< Its run time tells the server's speed; one run of a job does.
         bool isStuck = false; ///< It has taken much longer than expected.
     };
 
@@ -200,6 +202,8 @@
         size_t runs = 0;
         uint32_t demandTasks = 0;
         Room demandRoom; ///< Smallest room that its waiting work can use.
+        uint8_t demandBand = 0; ///< Of its first waiting job.
+        uint32_t demandPriority = 0;
         TimePoint demandDue {}; ///< Latest start of its first waiting job.
         TimePoint demandUntil {};
         Room kept; ///< Room kept for it.
@@ -228,7 +232,9 @@
     void sendReport(LinkId link, TimePoint now);
     void sendReports(TimePoint now);
     void sendUpdate(LinkId link, EntryLink& entry, TimePoint now);
-    void learnSpeed(const RunId& id, const Run& run, TimePoint now);
+    /** Whether a run is the first one of its job that is ordered here. */
+    bool isNewSample(WorkId job);
+    void learnSpeed(Run& run, TimePoint now);
     void newLife(int64_t born, TimePoint now);
     void look(Milliseconds wait, TimePoint now);
     void tickLinks(TimePoint now);
@@ -266,6 +272,8 @@
     std::map<LinkId, EntryLink> m_links;
     std::map<Incarnation, TimePoint> m_lostOwners; ///< Entries with runs and without a link, and since when.
     SpeedModel m_speed;
+    std::array<WorkId, 8> m_sampledJobs {}; ///< Jobs of which a run was sampled, the latest ones.
+    size_t m_nextSampled = 0;
     uint64_t m_lookNumber = 0;
     std::set<uint64_t> m_openLooks; ///< Sent, not answered.
     bool m_isLookLost = false; ///< The last look had no answer: leases are not renewed until one has.
--- a/include/sequoia/SpeedModel.h
+++ b/include/sequoia/SpeedModel.h
@@ -1,10 +1,9 @@
 /** @file SpeedModel.h Learns how slow a backend server is from the run times of its tasks. */
 #pragma once
 
-#include <sequoia/Ids.h>
 #include <sequoia/Time.h>
 
-#include <array>
+#include <cstdint>
 
 namespace sequoia {
 
@@ -30,9 +29,14 @@
 public:
     explicit SpeedModel(SpeedModelLimits limits = {});
 
-    /** A run of a job has taken `ran`, or has not ended after that time. Of each job only the first run counts. */
-    void learn(WorkId job, Milliseconds expected, Microseconds ran, TimePoint now);
+    /** A run has taken `ran`, or has not ended after that time. Runs of one job are alike, so one of them is enough. */
+    void learn(Milliseconds expected, Microseconds ran, TimePoint now);
     double slowness(TimePoint now) const;
+    /** Deviation of the logarithm of the slowness from the truth. */
+    double spread() const;
+    /** Takes what was learned of the same server before, unless more is known here. */
+    void recall(double slowness, uint32_t samples);
+    uint32_t samples() const { return m_samples; }
     /** Another server, of which nothing is known, has taken its place. */
     void reset();
 
@@ -48,8 +52,6 @@
     double m_streakSum = 0;
     bool m_isStreakSlow = false;
     TimePoint m_lastSample {};
-    std::array<WorkId, 8> m_recent {}; ///< Jobs that have counted.
-    size_t m_next = 0;
 };
 
 } // namespace sequoia
--- /dev/null
+++ b/src/CallerPatience.cpp
@@ -0,0 +1,47 @@
+/** @file CallerPatience.cpp Usual waiting times by route. */
+#include <sequoia/CallerPatience.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sequoia {
+
+CallerPatience::CallerPatience(CallerPatienceLimits limits)
+    : m_limits(limits)
+{
+}
+
+void CallerPatience::recall(const Learned& learned)
+{
+    for (const auto& [name, patience] : learned.patience) {
+        if (m_routes.size() < m_limits.maxRoutes)
+            m_routes.try_emplace(name, patience);
+    }
+}
+
+Milliseconds CallerPatience::waitedBefore(const std::string& name, Milliseconds budget)
+{
+    if (m_routes.size() >= m_limits.maxRoutes && !m_routes.contains(name))
+        return Milliseconds(0);
+    auto& route = m_routes[name];
+    const double time = std::log(std::max(static_cast<double>(budget.count()), 1.0));
+    const double variance = (route.squares + m_limits.priorSpread * m_limits.priorSpread * m_limits.priorRequests)
+        / (route.requests + m_limits.priorRequests);
+    const double reach = m_limits.deviations * std::sqrt(variance);
+    const double least = route.mean - reach;
+    const bool isShort = route.requests > 0 && time < least;
+    route.shortShare += ((isShort ? 1.0 : 0.0) - route.shortShare) / m_limits.shareMemory;
+    if (isShort && route.shortShare <= m_limits.mostShort)
+        return Milliseconds(static_cast<int64_t>(std::exp(least))) - budget;
+    // The first requests after a start may be repeated ones: a much longer time replaces what they showed.
+    if (time > route.mean + reach)
+        route = { 0, 0, 0, route.shortShare };
+    const double keep = 1 - 1 / m_limits.memory;
+    route.requests = route.requests * keep + 1;
+    const double difference = time - route.mean;
+    route.mean += difference / route.requests;
+    route.squares = route.squares * keep + difference * (time - route.mean);
+    return Milliseconds(0);
+}
+
+} // namespace sequoia
--- a/src/Dialer.cpp
+++ b/src/Dialer.cpp
@@ -12,6 +12,11 @@
 {
 }
 
+Dialer::Target Dialer::freshTarget(TimePoint since, TimePoint named) const
+{
+    return { std::nullopt, false, since, named, m_limits.firstPause, m_limits.firstWelcomeTimeout };
+}
+
 void Dialer::setAddresses(const std::vector<std::string>& addresses, TimePoint now)
 {
     std::erase_if(m_targets, [&](const auto& target) {
@@ -23,10 +28,8 @@
 void Dialer::addAddresses(const std::vector<std::string>& addresses, TimePoint now)
 {
     for (const auto& address : addresses) {
-        const auto [it, isNew] = m_targets.try_emplace(address);
+        const auto [it, isNew] = m_targets.try_emplace(address, freshTarget({}, now));
         it->second.named = now;
-        if (isNew)
-            it->second.pause = m_limits.firstPause;
     }
 }
 
@@ -37,6 +40,7 @@
             continue;
         target.isWelcomed = true;
         target.pause = m_limits.firstPause;
+        target.welcomeTimeout = m_limits.firstWelcomeTimeout;
         return true;
     }
     return false;
@@ -45,8 +49,12 @@
 void Dialer::closed(LinkId link, TimePoint now)
 {
     for (auto& [address, target] : m_targets) {
-        if (target.link == link)
-            target = { std::nullopt, false, now, std::max(target.named, now), target.pause };
+        if (target.link != link)
+            continue;
+        target.link.reset();
+        target.isWelcomed = false;
+        target.since = now;
+        target.named = std::max(target.named, now);
     }
 }
 
@@ -64,13 +72,15 @@
         [&](const auto& target) { return !target.second.link && now - target.second.named > m_limits.forgetAfter; });
     for (auto& [address, target] : m_targets) {
         if (target.link) {
-            if (!target.isWelcomed && now - target.since > m_limits.welcomeTimeout)
+            if (!target.isWelcomed && now - target.since > target.welcomeTimeout) {
+                target.welcomeTimeout = std::min(target.welcomeTimeout * 2, m_limits.welcomeTimeout);
                 m_close(*target.link);
+            }
             continue;
         }
         if (now - target.since < target.pause)
             continue;
-        target.pause = std::min(target.pause * 2, m_limits.longestPause);
+        target.pause = std::min(toMilliseconds(target.pause * m_limits.pauseGrowth), m_limits.longestPause);
         target.since = now;
         target.link = m_dial(address);
     }
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -8,11 +8,18 @@
 
 namespace {
 
-    enum Band : uint8_t { HasRuns, MeetsObjective, Late };
+    enum Band : uint8_t {
+        HasRuns,
+        MeetsObjective,
+        Late,
+        Stale ///< Worth little, but its caller still waits.
+    };
 
     constexpr uint32_t runNumberJump = 16; // After a server said that a run number is too low for it.
     constexpr Milliseconds retryUnavailable { 1000 }; // Retry-After while no backend server is known.
 
+    using FloatMs = std::chrono::duration<double, std::milli>;
+
     int64_t msOf(Clock::duration d) { return toMilliseconds(d).count(); }
 
 } // namespace
@@ -43,9 +50,10 @@
     ++m_counters.jobs;
     auto& job = m_jobs[id];
     job.waiters.push_back(waiter);
-    job.arrival = now;
-    job.deadline = now + budget;
     job.route = std::move(route);
+    job.waitedBefore = m_patience.waitedBefore(job.route.name, budget);
+    job.arrival = now - job.waitedBefore;
+    job.deadline = now + budget;
     job.spec = std::move(spec);
     if (const auto past = m_pastRuns.find(id); past != m_pastRuns.end())
         job.firstRun = RunNumber(raw(past->second.highest) + 1);
@@ -74,15 +82,17 @@
         return refuse("stopping", retryUnavailable);
     if (m_jobs.size() > m_limits.maxOpenJobs || m_queuedTasks + job.tasksLeft > m_limits.maxQueuedTasks)
         return refuse("queue-full", retryUnavailable);
+    m_load.arrived(job.route.priority, waitingWork(job), now);
     const auto work = queuedWork(job, now);
     const auto admission = m_hooks.admit(work, loadBefore(keyOf(job, now), now));
-    if (!admission.isAdmitted) {
+    if (admission.prospect == Prospect::Worthless) {
         m_effects.record(LogLevel::Debug, "admission",
             { { "job", id }, { "wait_ms", admission.predictedWait.count() },
-                { "slack_ms", slackToWorthless(work, m_policy).count() },
+                { "slack_ms", slackToLeave(work, m_policy).count() },
                 { "queued_tasks", static_cast<int64_t>(m_queuedTasks) } });
         return refuse("overloaded", admission.retryAfter);
     }
+    job.isLate = admission.prospect == Prospect::Late;
     requeue(job, now);
     pump(now);
 }
@@ -130,35 +140,57 @@
             chain = std::max(chain, job.chains[i]);
     }
     return { chain, job.route.stretch, job.route.objective, toMilliseconds(now - job.arrival),
-        toMilliseconds(job.deadline - now) };
+        toMilliseconds(job.deadline - now), m_slowness };
 }
 
 Dispatcher::QueueKey Dispatcher::keyOf(const Job& job, TimePoint now) const
 {
-    const auto slack = slackToObjective(queuedWork(job, now), m_policy);
-    const auto band = job.orders > 0 ? HasRuns : slack.count() >= 0 ? MeetsObjective : Late;
-    return { band, band == MeetsObjective ? job.route.priority : 0, now + slack, job.spec.id };
+    const auto work = queuedWork(job, now);
+    const auto slack = slackToObjective(work, m_policy);
+    const QueueKey key { HasRuns, 0, now + slack, job.spec.id };
+    if (job.orders > 0 && !job.isLate)
+        return key;
+    if (!job.isLate && slack.count() >= 0)
+        return { MeetsObjective, job.route.priority, key.latestStart, key.job };
+    if (job.orders > 0)
+        return { Late, 0, TimePoint(), key.job };
+    return { slackToWorthless(work, m_policy).count() >= 0 ? Late : Stale, 0, key.latestStart, key.job };
 }
 
-LoadView Dispatcher::loadBefore(const QueueKey& key, TimePoint now) const
+double Dispatcher::waitingWork(const Job& job)
+{
+    double work = 0;
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        const auto& step = job.steps[i];
+        work += static_cast<double>(step.ready.size()) * static_cast<double>(job.spec.steps[i].room.cpu)
+            * static_cast<double>(step.expected.count());
+    }
+    return work;
+}
+
+LoadView Dispatcher::loadView(TimePoint now) const
 {
     LoadView load;
     load.isComplete = m_settledAt != TimePoint() && now >= m_settledAt;
-    for (const auto& ahead : m_queue) {
-        if (!(ahead < key))
-            break;
-        const auto& job = m_jobs.at(ahead.job);
-        for (size_t i = 0; i < job.steps.size(); ++i) {
-            const auto& step = job.spec.steps[i];
-            load.aheadCpuMs += static_cast<double>(job.steps[i].ready.size()) * static_cast<double>(step.room.cpu)
-                * static_cast<double>(job.steps[i].expected.count());
-        }
-    }
+    double all = 0;
     for (const auto& agent : m_agents) {
         if (agent.isLinked && agent.state != wire::GateState::Closed)
-            load.cpuPerMs += static_cast<double>(agent.total.cpu) / agent.slowness;
+            all += static_cast<double>(agent.total.cpu) / agent.slowness;
+    }
+    load.capacity = m_load.capacity(all / static_cast<double>(m_entries), now);
+    load.arriving = m_load.arriving(now);
+    return load;
+}
+
+LoadView Dispatcher::loadBefore(const QueueKey& key, TimePoint now) const
+{
+    auto load = loadView(now);
+    load.overtaking = m_load.arrivingBefore(key.priority, now);
+    for (const auto& other : m_queue) {
+        const auto work = waitingWork(m_jobs.at(other.job));
+        load.queued += work;
+        load.ahead += other < key ? work : 0;
     }
-    load.cpuPerMs /= static_cast<double>(m_entries);
     return load;
 }
 
@@ -205,6 +237,7 @@
         for (const auto& step : m_jobs.at(key.job).steps)
             m_queuedTasks += step.ready.size();
     }
+    m_load.setBacklogged(!m_queue.empty(), now);
     if (!m_queue.empty())
         askForRoom(now);
 }
@@ -265,8 +298,8 @@
         const bool isNear = spec.preferredLabel.empty() || agent.hasLabel(spec.preferredLabel);
         const bool isTrial = agent.state == wire::GateState::Trial;
         const int64_t trials = agent.runs.empty() ? 1 : 0;
-        candidates.push_back(
-            { agent.free, agent.slowness, isNear, isTrial ? trials : mostOfStepAt(job, index, i), isTrial });
+        candidates.push_back({ agent.free, agent.slowness, agent.slownessSpread, isNear,
+            isTrial ? trials : mostOfStepAt(job, index, i), isTrial, agent.total });
     }
     RoomRequest request;
     request.room = spec.room;
@@ -343,8 +376,13 @@
             continue;
         agent.nextDemand = now + period;
         wire::DemandT message;
-        message.tasks = static_cast<uint32_t>(m_queuedTasks);
+        size_t tasks = 0;
+        for (const auto& step : first.steps)
+            tasks += step.ready.size();
+        message.tasks = static_cast<uint32_t>(tasks);
         message.smallest = std::make_unique<wire::Room>(toWire(smallest.value_or(Room())));
+        message.band = m_queue.begin()->band;
+        message.priority = m_queue.begin()->priority;
         message.slack_ms = static_cast<int32_t>(msOf(m_queue.begin()->latestStart - now));
         message.valid_ms = static_cast<uint32_t>(2 * period.count());
         ++m_counters.demands;
@@ -377,7 +415,8 @@
     m_effects.record(isOrdinary ? LogLevel::Info : LogLevel::Warning, "job-answered",
         { { "job", id }, { "route", job.route.name }, { "status", std::string(toString(answer.status)) },
             { "reason", std::string(answer.reason) }, { "age_ms", msOf(now - job.arrival) },
-            { "budget_ms", msOf(job.deadline - job.arrival) },
+            { "waited_before_ms", job.waitedBefore.count() },
+            { "budget_ms", msOf(job.deadline - job.arrival - job.waitedBefore) },
             { "queued_ms", job.orders > 0 ? msOf(job.firstOrder - job.arrival) : msOf(now - job.arrival) },
             { "tasks_left", static_cast<int64_t>(job.tasksLeft) }, { "orders", job.orders },
             { "refused", job.refusals }, { "failed_runs", job.failures },
@@ -463,23 +502,54 @@
             { "updates", n(m_counters.updates) } });
 }
 
-void Dispatcher::tickQueue(TimePoint now)
+double Dispatcher::slownessOnTheWhole() const
+{
+    double room = 0;
+    double sum = 0;
+    for (const auto& agent : m_agents) {
+        if (!agent.isLinked || agent.state == wire::GateState::Closed)
+            continue;
+        room += static_cast<double>(agent.total.cpu);
+        sum += static_cast<double>(agent.total.cpu) * agent.slowness;
+    }
+    return room > 0 ? sum / room : 1;
+}
+
+void Dispatcher::reviewQueue(TimePoint now)
 {
-    std::vector<WorkId> worthless;
-    std::vector<WorkId> moved;
+    std::vector<std::pair<WorkId, Admission>> changed;
+    auto load = loadView(now);
+    for (const auto& key : m_queue)
+        load.queued += waitingWork(m_jobs.at(key.job));
     for (const auto& key : m_queue) {
         const auto& job = m_jobs.at(key.job);
         // A job with runs may still end in time, as its estimates may be too long: it goes on until its deadline.
-        if (job.orders == 0 && slackToWorthless(queuedWork(job, now), m_policy).count() < 0)
-            worthless.push_back(key.job);
-        else if (key.band == MeetsObjective && key.latestStart < now)
-            moved.push_back(key.job);
+        if (job.orders == 0) {
+            load.overtaking = key.band > MeetsObjective ? load.arriving : m_load.arrivingBefore(key.priority, now);
+            const auto admission = m_hooks.admit(queuedWork(job, now), load);
+            const bool isMoved = (admission.prospect == Prospect::Late) != job.isLate;
+            if (admission.prospect == Prospect::Worthless || isMoved || keyOf(job, now).band != key.band)
+                changed.emplace_back(key.job, admission);
+        }
+        load.ahead += waitingWork(job);
     }
-    for (const auto id : moved)
-        requeue(m_jobs.at(id), now);
     const bool hasAgents = linkedAgents() > 0;
-    for (const auto id : worthless)
-        finish(id, { WorkStatus::NotRun, hasAgents ? "waited-too-long" : "no-backend-server", retryUnavailable }, now);
+    for (const auto& [id, admission] : changed) {
+        auto& job = m_jobs.at(id);
+        if (admission.prospect != Prospect::Worthless) {
+            job.isLate = admission.prospect == Prospect::Late;
+            requeue(job, now);
+            continue;
+        }
+        finish(
+            id, { WorkStatus::NotRun, hasAgents ? "waited-too-long" : "no-backend-server", admission.retryAfter }, now);
+    }
+}
+
+void Dispatcher::tickQueue(TimePoint now)
+{
+    m_slowness = slownessOnTheWhole();
+    reviewQueue(now);
     std::vector<WorkId> expired;
     for (const auto& [id, job] : m_jobs) {
         if (job.deadline <= now)
@@ -560,6 +630,8 @@
     auto& step = job.steps[index];
     ++step.done;
     ran = toMicroseconds(ran / m_agents[task.agent].slowness);
+    const auto work = static_cast<double>(job.spec.steps[index].room.cpu) * FloatMs(ran).count();
+    m_load.finished(work, now);
     step.sumRan += ran;
     step.longestRan = std::max(step.longestRan, ran);
     if (--job.tasksLeft == 0) {
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -18,6 +18,39 @@
         std::count_if(m_agents.begin(), m_agents.end(), [](const RoomAgent& agent) { return agent.isLinked; }));
 }
 
+LearnedSpeed Dispatcher::speedOf(const std::string& name) const
+{
+    if (const auto it = m_agentByName.find(name); it != m_agentByName.end()) {
+        const auto& agent = m_agents[it->second];
+        if (agent.samples > 0)
+            return { agent.serverLife, agent.slowness, agent.samples };
+    }
+    const auto it = m_recalledSpeeds.find(name);
+    return it == m_recalledSpeeds.end() ? LearnedSpeed() : it->second;
+}
+
+Learned Dispatcher::learned() const
+{
+    Learned out;
+    m_estimates.tell(out);
+    m_patience.tell(out);
+    for (const auto& agent : m_agents) {
+        if (agent.samples > 0)
+            out.speeds[agent.name] = { agent.serverLife, agent.slowness, agent.samples };
+    }
+    return out;
+}
+
+void Dispatcher::recall(const Learned& learned)
+{
+    m_estimates.recall(learned);
+    m_patience.recall(learned);
+    m_recalledSpeeds = learned.speeds;
+    m_effects.record(LogLevel::Info, "learned-recalled",
+        { { "routes", static_cast<int64_t>(learned.declared.size()) },
+            { "agents", static_cast<int64_t>(learned.speeds.size()) } });
+}
+
 void Dispatcher::agentLinked(LinkId link, const wire::HelloT& hello, TimePoint now)
 {
     const auto [it, isNew] = m_agentByName.try_emplace(hello.agent, m_agents.size());
@@ -110,17 +143,19 @@
     }
 }
 
-void Dispatcher::setRoom(RoomAgent& agent, const wire::Room* free, uint32_t ordersSeen, float slowness, TimePoint now)
+template <typename Message> void Dispatcher::setRoom(RoomAgent& agent, const Message& message, TimePoint now)
 {
-    if (free == nullptr)
+    if (message.free == nullptr)
         return;
-    while (!agent.unseenOrders.empty() && agent.unseenOrders.front().first <= ordersSeen)
+    while (!agent.unseenOrders.empty() && agent.unseenOrders.front().first <= message.orders_seen)
         agent.unseenOrders.pop_front();
-    agent.free = fromWire(free);
+    agent.free = fromWire(message.free.get());
     for (const auto& [number, room] : agent.unseenOrders)
         agent.free -= room;
-    if (slowness > 0)
-        agent.slowness = slowness;
+    if (message.slowness > 0) {
+        agent.slowness = message.slowness;
+        agent.slownessSpread = message.slowness_spread;
+    }
     agent.reported = now;
 }
 
@@ -138,7 +173,7 @@
     case wire::Body::RoomUpdate: {
         const auto& update = *body.AsRoomUpdate();
         ++m_counters.updates;
-        setRoom(m_agents[*index], update.free.get(), update.orders_seen, update.slowness, now);
+        setRoom(m_agents[*index], update, now);
         break;
     }
     case wire::Body::RunResult:
@@ -158,7 +193,9 @@
     agent.labels = report.labels;
     agent.state = report.state;
     agent.total = fromWire(report.total.get());
-    setRoom(agent, report.free.get(), report.orders_seen, report.slowness, now);
+    agent.serverLife = report.server_life;
+    agent.samples = report.samples;
+    setRoom(agent, report, now);
     if (!isChanged)
         return;
     m_effects.record(LogLevel::Info, "agent-state",
@@ -170,7 +207,7 @@
 void Dispatcher::onResult(size_t index, const wire::RunResultT& result, TimePoint now)
 {
     auto& agent = m_agents[index];
-    setRoom(agent, result.free.get(), result.orders_seen, result.slowness, now);
+    setRoom(agent, result, now);
     if (result.id == nullptr || result.outcome == wire::RunOutcome::Running)
         return;
     const auto id = fromWire(*result.id);
--- a/src/EstimateModel.cpp
+++ b/src/EstimateModel.cpp
@@ -19,21 +19,21 @@
 {
 }
 
-const EstimateModel::Route* EstimateModel::find(const std::string& route, Milliseconds estimate) const
+const LearnedTimes* EstimateModel::find(const std::string& route, Milliseconds estimate) const
 {
     const auto& routes = estimate.count() > 0 ? m_declared : m_undeclared;
     const auto it = routes.find(route);
     return it == routes.end() ? nullptr : &it->second;
 }
 
-double EstimateModel::slopeOf(const Route& route) const
+double EstimateModel::slopeOf(const LearnedTimes& route) const
 {
     // The prior is that of estimates as right as the route's own spread allows: a slope of 1.
     const double prior = m_limits.priorJobs * m_limits.priorSpread * m_limits.priorSpread;
     return std::clamp((route.sumXY + prior) / (route.sumXX + prior), 0.0, 1.0);
 }
 
-double EstimateModel::expectedLog(const Route& route, double x) const
+double EstimateModel::expectedLog(const LearnedTimes& route, double x) const
 {
     const double trust = route.weight / (route.weight + m_limits.priorJobs);
     const double shift = (route.meanY - route.meanX - m_offset) * trust;
@@ -83,4 +83,24 @@
     m_offset += (y - x - m_offset) / m_offsetWeight;
 }
 
+void EstimateModel::tell(Learned& out) const
+{
+    out.declared = m_declared;
+    out.undeclared = m_undeclared;
+}
+
+void EstimateModel::recall(const Learned& learned)
+{
+    for (const auto& [name, times] : learned.declared) {
+        if (m_declared.size() >= m_limits.maxRoutes || !m_declared.try_emplace(name, times).second)
+            continue;
+        m_offset += (times.meanY - times.meanX - m_offset) * times.weight / (m_offsetWeight + times.weight);
+        m_offsetWeight += times.weight;
+    }
+    for (const auto& [name, times] : learned.undeclared) {
+        if (m_undeclared.size() < m_limits.maxRoutes)
+            m_undeclared.try_emplace(name, times);
+    }
+}
+
 } // namespace sequoia
--- /dev/null
+++ b/src/Learned.cpp
@@ -0,0 +1,66 @@
+/** @file Learned.cpp Text form and merging of what was learned. */
+#include <sequoia/Learned.h>
+
+#include <nlohmann/json.hpp>
+
+namespace sequoia {
+
+using Json = nlohmann::json;
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LearnedTimes, weight, meanX, meanY, sumXX, sumXY, sumResidual)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LearnedPatience, requests, mean, squares, shortShare)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LearnedSpeed, life, slowness, samples)
+
+namespace {
+
+    /** Takes the entries that are missing or for which `isBetter(other, own)` holds. */
+    template <typename T, typename IsBetter>
+    void mergeMaps(std::map<std::string, T>& own, const std::map<std::string, T>& others, IsBetter isBetter)
+    {
+        for (const auto& [key, other] : others) {
+            const auto [it, isNew] = own.try_emplace(key, other);
+            if (!isNew && isBetter(other, it->second))
+                it->second = other;
+        }
+    }
+
+} // namespace
+
+void Learned::merge(const Learned& other)
+{
+    const auto hasMoreJobs = [](const LearnedTimes& a, const LearnedTimes& b) { return a.weight > b.weight; };
+    mergeMaps(declared, other.declared, hasMoreJobs);
+    mergeMaps(undeclared, other.undeclared, hasMoreJobs);
+    mergeMaps(patience, other.patience,
+        [](const LearnedPatience& a, const LearnedPatience& b) { return a.requests > b.requests; });
+    mergeMaps(speeds, other.speeds, [](const LearnedSpeed& a, const LearnedSpeed& b) {
+        return std::pair(a.life, a.samples) > std::pair(b.life, b.samples);
+    });
+}
+
+std::string toText(const Learned& learned)
+{
+    return Json {
+        { "declared", learned.declared }, { "undeclared", learned.undeclared }, { "patience", learned.patience },
+        { "speeds", learned.speeds }
+    }.dump();
+}
+
+std::optional<Learned> parseLearned(const std::string& text)
+{
+    const auto json = Json::parse(text, nullptr, false);
+    if (!json.is_object())
+        return std::nullopt;
+    try {
+        Learned out;
+        json.at("declared").get_to(out.declared);
+        json.at("undeclared").get_to(out.undeclared);
+        json.at("patience").get_to(out.patience);
+        json.at("speeds").get_to(out.speeds);
+        return out;
+    } catch (const Json::exception&) {
+        return std::nullopt;
+    }
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/LoadModel.cpp
@@ -0,0 +1,66 @@
+/** @file LoadModel.cpp Averages of arriving and finished work. */
+#include <sequoia/LoadModel.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace sequoia {
+
+using FloatMs = std::chrono::duration<double, std::milli>;
+
+void WorkRate::add(double work, TimePoint now)
+{
+    m_sum = perMs(now) * FloatMs(m_memory).count() + work;
+    m_last = now;
+}
+
+double WorkRate::perMs(TimePoint now) const
+{
+    return m_sum / FloatMs(m_memory).count() * std::exp(-FloatMs(now - m_last) / FloatMs(m_memory));
+}
+
+LoadModel::LoadModel(LoadModelLimits limits)
+    : m_limits(limits)
+    , m_finished(limits.serviceMemory)
+{
+}
+
+void LoadModel::arrived(uint32_t priority, double work, TimePoint now)
+{
+    m_arrivals.try_emplace(priority, m_limits.arrivalMemory).first->second.add(work, now);
+}
+
+void LoadModel::finished(double work, TimePoint now) { m_finished.add(work, now); }
+
+void LoadModel::setBacklogged(bool isBacklogged, TimePoint now)
+{
+    if (isBacklogged && !m_isBacklogged)
+        m_backloggedSince = now;
+    m_isBacklogged = isBacklogged;
+}
+
+double LoadModel::arrivingBefore(uint32_t priority, TimePoint now) const
+{
+    double sum = 0;
+    for (const auto& [other, rate] : m_arrivals)
+        sum += other < priority ? rate.perMs(now) : 0;
+    return sum;
+}
+
+double LoadModel::arriving(TimePoint now) const
+{
+    double sum = 0;
+    for (const auto& [priority, rate] : m_arrivals)
+        sum += rate.perMs(now);
+    return sum;
+}
+
+double LoadModel::capacity(double share, TimePoint now) const
+{
+    if (!m_isBacklogged)
+        return share;
+    const double known = 1 - std::exp(-FloatMs(now - m_backloggedSince) / FloatMs(m_limits.serviceMemory));
+    return m_finished.perMs(now) * known + share * (1 - known);
+}
+
+} // namespace sequoia
--- a/src/Registration.cpp
+++ b/src/Registration.cpp
@@ -41,7 +41,11 @@
             }
             m_isWritten = true;
             m_next = m_now() + m_limits.keepPeriod;
-            m_log.event(LogLevel::Info, "registered", { { "key", m_key }, { "again", m_isLost ? "true" : "false" } });
+            if (!m_wasWritten || m_isLost) {
+                m_log.event(
+                    LogLevel::Info, "registered", { { "key", m_key }, { "again", m_isLost ? "true" : "false" } });
+            }
+            m_wasWritten = true;
             m_isLost = false;
         });
         return;
@@ -56,6 +60,15 @@
     });
 }
 
+void Registration::setValue(std::string value)
+{
+    if (value == m_value)
+        return;
+    m_value = std::move(value);
+    m_isWritten = false;
+    m_next = TimePoint();
+}
+
 void Registration::failed(SharedStoreError error, const char* call)
 {
     if (error == SharedStoreError::LeaseEnded) {
--- a/src/RoomPolicy.cpp
+++ b/src/RoomPolicy.cpp
@@ -39,10 +39,12 @@
     const auto slowness = slownessFor(candidate, limits);
     const auto work = FloatMs(request.estimate);
     const auto nominal = spareTime(work, slowness, request, limits);
+    const auto margin
+        = std::max(std::exp(limits.slownessDeviations * candidate.slownessSpread), limits.leastSlownessMargin);
     const auto leastWork = work * std::exp(-limits.shorterDeviations * request.spread);
     const auto mostWork = work * std::exp(limits.longerDeviations * request.spread);
-    const auto longer = spareTime(mostWork, slowness * limits.slownessMargin, request, limits);
-    const auto shorter = spareTime(leastWork, slowness * limits.slownessMargin, request, limits);
+    const auto longer = spareTime(mostWork, slowness * margin, request, limits);
+    const auto shorter = spareTime(leastWork, slowness * margin, request, limits);
     if (std::min({ nominal, longer, shorter }).count() >= 0)
         return Fit::Safe;
     if (nominal.count() >= 0)
@@ -56,7 +58,7 @@
 {
     auto best = Fit::Hopeless; // With or without room.
     std::optional<RoomChoice> safe;
-    std::tuple<bool, int64_t, int64_t, uint64_t> safeRank {};
+    std::tuple<bool, bool, int64_t, int64_t, uint64_t> safeRank {};
     std::optional<RoomChoice> other;
     std::tuple<Fit, double, int64_t> otherRank {};
     for (size_t i = 0; i < candidates.size(); ++i) {
@@ -70,7 +72,10 @@
         if (fit == Fit::Safe) {
             const uint64_t spread = (request.salt + i * 0x9E3779B97F4A7C15U) >> 40U;
             // A trial costs one task and may bring back a whole server.
-            const std::tuple rank { candidate.isTrial, speedClass(slowness), n, spread };
+            const auto left = static_cast<double>((candidate.free - request.room * n).cpu);
+            const bool keepsReserve = left >= limits.reservedShare * static_cast<double>(candidate.total.cpu);
+            const auto speed = speedClass(slowness);
+            const std::tuple rank { candidate.isTrial, keepsReserve, keepsReserve ? -speed : speed, n, spread };
             if (!safe || rank > safeRank) {
                 safe = { i, n };
                 safeRank = rank;
@@ -100,29 +105,48 @@
 Milliseconds slackToObjective(const QueuedWork& work, const RoomPolicyLimits& limits)
 {
     const auto allowed = FloatMs(work.chain) * work.stretch + work.objective;
-    return toMilliseconds(allowed - work.chain - work.age - limits.overhead);
+    return toMilliseconds(allowed - FloatMs(work.chain) * work.slowness - work.age - limits.overhead);
 }
 
 Milliseconds slackToWorthless(const QueuedWork& work, const RoomPolicyLimits& limits)
 {
     const auto allowed = (FloatMs(work.chain) * work.stretch + work.objective) * limits.lateFactor;
-    const auto byObjective = toMilliseconds(allowed - work.age);
-    return std::min(byObjective, work.remaining) - work.chain - limits.overhead;
+    const auto byObjective = allowed - FloatMs(work.age) - FloatMs(work.chain) * work.slowness - limits.overhead;
+    return std::min(toMilliseconds(byObjective), slackToLeave(work, limits));
 }
 
+Milliseconds slackToLeave(const QueuedWork& work, const RoomPolicyLimits& limits)
+{
+    return toMilliseconds(FloatMs(work.remaining) - FloatMs(work.chain) * work.slowness - limits.overhead);
+}
+
+namespace {
+
+    /** Time until work that waits is done, while other work overtakes it. */
+    Milliseconds waitFor(double work, double capacity, double overtaking)
+    {
+        constexpr double leastShare = 0.1; // Of the capacity; keeps the prediction finite.
+        constexpr double leastCapacity = 1;
+        constexpr double longestWaitMs = 60000;
+        const double left = std::max({ capacity - overtaking, capacity * leastShare, leastCapacity });
+        return Milliseconds(static_cast<int64_t>(std::min(work / left, longestWaitMs)));
+    }
+
+} // namespace
+
 Admission admit(const QueuedWork& work, const LoadView& load, const RoomPolicyLimits& limits)
 {
     Admission out;
-    if (load.aheadCpuMs <= 0 || !load.isComplete)
+    if (load.queued <= 0 || !load.isComplete)
+        return out;
+    out.predictedWait = waitFor(load.ahead, load.capacity, load.overtaking);
+    if (out.predictedWait <= slackToObjective(work, limits))
         return out;
-    constexpr double leastCpuPerMs = 0.001; // Keeps the prediction finite when nothing works.
-    constexpr double longestWaitMs = 60000;
-    const double wait = load.aheadCpuMs / std::max(load.cpuPerMs, leastCpuPerMs);
-    out.predictedWait = Milliseconds(static_cast<int64_t>(std::min(wait, longestWaitMs)));
-    const auto slack = slackToWorthless(work, limits);
-    out.isAdmitted = out.predictedWait <= slack;
-    if (!out.isAdmitted)
-        out.retryAfter = out.predictedWait - std::max(slack, Milliseconds(0));
+    out.predictedWait = waitFor(load.queued, load.capacity, load.arriving * limits.lateOvertaking);
+    const auto slack = std::max(slackToLeave(work, limits), Milliseconds(0));
+    out.prospect = out.predictedWait <= slack ? Prospect::Late : Prospect::Worthless;
+    if (out.prospect == Prospect::Worthless)
+        out.retryAfter = out.predictedWait - slack;
     return out;
 }
 
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -210,6 +210,8 @@
         auto& entry = it->second;
         entry.demandTasks = demand.tasks;
         entry.demandRoom = fromWire(demand.smallest.get());
+        entry.demandBand = demand.band;
+        entry.demandPriority = demand.priority;
         entry.demandDue = now + Milliseconds(demand.slack_ms);
         entry.demandUntil = now + Milliseconds(demand.valid_ms);
         offerFreed(std::nullopt, now);
@@ -276,6 +278,7 @@
     run.owner = link.entry;
     run.estimate = Milliseconds(order.estimate_ms);
     run.ordered = now;
+    run.isSample = isNewSample(id.task.job);
     m_used += room;
     ++link.runs;
     m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(m_limits.lease * (1 + m_limits.clockError)));
@@ -397,7 +400,7 @@
         if (it == m_runs.end())
             continue;
         if (end.kind == EndKind::Done) {
-            learnSpeed(end.id, it->second, now);
+            learnSpeed(it->second, now);
             m_effects.record(LogLevel::Debug, "run-done",
                 { { "job", end.id.task.job }, { "task", toString(end.id.task) },
                     { "estimate_ms", it->second.estimate.count() },
@@ -448,10 +451,21 @@
     }
 }
 
-void RunGate::learnSpeed(const RunId& id, const Run& run, TimePoint now)
+bool RunGate::isNewSample(WorkId job)
 {
+    // It is chosen when it is ordered: the first one to end would be the shortest.
+    if (std::find(m_sampledJobs.begin(), m_sampledJobs.end(), job) != m_sampledJobs.end())
+        return false;
+    m_sampledJobs.at(m_nextSampled++ % m_sampledJobs.size()) = job;
+    return true;
+}
+
+void RunGate::learnSpeed(Run& run, TimePoint now)
+{
+    if (!std::exchange(run.isSample, false))
+        return;
     const auto begin = run.started == TimePoint() ? run.ordered : run.started;
-    m_speed.learn(id.task.job, run.estimate, toMicroseconds(now - begin), now);
+    m_speed.learn(run.estimate, toMicroseconds(now - begin), now);
 }
 
 void RunGate::endRun(
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -30,6 +30,8 @@
     link.runs = static_cast<size_t>(
         std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& run) { return run.second.owner == entry; }));
     m_lostOwners.erase(entry);
+    if (welcome.server_life == m_born)
+        m_speed.recall(static_cast<double>(welcome.slowness), welcome.samples);
     m_effects.record(
         LogLevel::Info, "entry-linked", { { "entry", welcome.entry }, { "runs", static_cast<int64_t>(link.runs) } });
     sendReport(id, now);
@@ -63,6 +65,7 @@
     result.free = std::make_unique<wire::Room>(toWire(link.lastFree));
     result.orders_seen = link.ordersSeen;
     result.slowness = static_cast<float>(slowness(now));
+    result.slowness_spread = static_cast<float>(m_speed.spread());
     send(id, std::move(result), now);
 }
 
@@ -74,6 +77,7 @@
     update.free = std::make_unique<wire::Room>(toWire(link.lastFree));
     update.orders_seen = link.ordersSeen;
     update.slowness = static_cast<float>(slowness(now));
+    update.slowness_spread = static_cast<float>(m_speed.spread());
     send(id, std::move(update), now);
 }
 
@@ -93,6 +97,9 @@
     report.free = std::make_unique<wire::Room>(toWire(link.lastFree));
     report.orders_seen = link.ordersSeen;
     report.slowness = static_cast<float>(slowness(now));
+    report.slowness_spread = static_cast<float>(m_speed.spread());
+    report.server_life = m_born;
+    report.samples = m_speed.samples();
     send(id, std::move(report), now);
 }
 
@@ -113,6 +120,8 @@
 {
     if (state(now) != wire::GateState::Open)
         return;
+    const auto urgency
+        = [](const EntryLink& link) { return std::tuple(link.demandBand, link.demandPriority, link.demandDue); };
     const auto isWaiting = [&](const EntryLink& link) {
         return link.demandUntil > now && link.demandTasks > 0 && link.keptUntil <= now
             && link.demandRoom.fitsIn(freeFor(link, now));
@@ -124,14 +133,14 @@
             if (!isWaiting(it->second))
                 continue;
             ++waiting;
-            if (best == m_links.end() || it->second.demandDue < best->second.demandDue)
+            if (best == m_links.end() || urgency(it->second) < urgency(best->second))
                 best = it;
         }
         if (best == m_links.end())
             return;
         auto& link = best->second;
         const auto most = timesFitting(link.demandRoom, freeFor(link, now), link.demandTasks);
-        const auto n = std::max<int64_t>(most / waiting, 1);
+        const auto n = std::max<int64_t>(most, 1);
         link.kept = link.demandRoom * n;
         link.keptUntil = now + m_limits.keptRoom;
         link.demandTasks -= static_cast<uint32_t>(n);
@@ -253,7 +262,7 @@
             continue;
         run.isStuck = true;
         recordRun(LogLevel::Info, "run-stuck", id, run, "", now);
-        learnSpeed(id, run, now);
+        learnSpeed(run, now);
         m_health.failed(healthKey(id), "runs are stuck", now);
     }
     if (m_health.beginTrial(now))
--- a/src/SpeedModel.cpp
+++ b/src/SpeedModel.cpp
@@ -15,6 +15,14 @@
 
 void SpeedModel::reset() { *this = SpeedModel(m_limits); }
 
+void SpeedModel::recall(double slowness, uint32_t samples)
+{
+    if (samples <= m_samples || slowness <= 0)
+        return;
+    m_present = m_usual = std::log(slowness);
+    m_samples = m_presentSamples = samples;
+}
+
 double SpeedModel::present(TimePoint now) const
 {
     const auto idle = FloatMs(now - m_lastSample - m_limits.staleAfter);
@@ -26,11 +34,18 @@
 
 double SpeedModel::slowness(TimePoint now) const { return std::exp(present(now)); }
 
-void SpeedModel::learn(WorkId job, Milliseconds expected, Microseconds ran, TimePoint now)
+double SpeedModel::spread() const
+{
+    // An average with a constant weight w has the error of (2 - w) / w samples.
+    const double mostSamples = (2 - m_limits.leastWeight) / m_limits.leastWeight;
+    const double prior = std::pow(m_limits.sampleSpread / m_limits.priorSpread, 2);
+    return m_limits.sampleSpread / std::sqrt(std::min<double>(m_presentSamples, mostSamples) + prior);
+}
+
+void SpeedModel::learn(Milliseconds expected, Microseconds ran, TimePoint now)
 {
-    if (expected.count() == 0 || std::find(m_recent.begin(), m_recent.end(), job) != m_recent.end())
+    if (expected.count() == 0)
         return;
-    m_recent.at(m_next++ % m_recent.size()) = job;
     const double bound = std::log(m_limits.most);
     const double sample = std::clamp(std::log(FloatMs(ran) / FloatMs(expected)), -bound, bound);
 
--- a/tests/RoomWorld.cpp
+++ b/tests/RoomWorld.cpp
@@ -703,6 +703,8 @@
             ++result.gaveUp;
         }
         job.isServed = earned > 0;
+        if (job.isServed)
+            result.sumRatio += age / FloatMs(*std::max_element(job.work.begin(), job.work.end()));
         result.earned += earned;
         m_report.windowEarned[static_cast<size_t>(toMilliseconds(job.sent - worldStart).count() / 1000)] += earned;
     }
@@ -874,6 +876,17 @@
     return share(static_cast<double>(served), static_cast<double>(asked));
 }
 
+double Report::responseRatio() const
+{
+    double sum = 0;
+    size_t served = 0;
+    for (const auto& [name, kind] : kinds) {
+        sum += kind.sumRatio;
+        served += kind.inAim + kind.late;
+    }
+    return share(sum, static_cast<double>(served));
+}
+
 double Report::worstSize() const
 {
     double worst = 1;
--- a/tests/RoomWorld.h
+++ b/tests/RoomWorld.h
@@ -80,6 +80,7 @@
     size_t refused = 0;
     size_t failed = 0;
     size_t gaveUp = 0;
+    double sumRatio = 0; ///< Of response over the longest task's work, of jobs that were served.
     double owed = 0;
     double earned = 0;
     size_t largest = 0; ///< Jobs of the largest tenth.
@@ -102,6 +103,8 @@
     double worstWindows() const; ///< Share earned in the two worst spans of 3 s.
     double worstKind() const;
     double servedShare() const;
+    /** Mean response of served jobs over the work of their longest task. */
+    double responseRatio() const;
     /** Share served of the largest tenth of a kind over the share served of the kind. */
     double worstSize() const;
 };
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -467,6 +467,31 @@
     cr_expect_eq(bench.starts.size(), 2U);
 }
 
+/** Runs of one job are alike, and of several the shortest ends first: one of each job counts, whenever it ends. */
+Test(RunGate, aWideJobTellsTheSpeedOnce)
+{
+    Bench bench;
+    uint64_t ends = 0;
+    for (uint64_t job = 1; job <= 40; ++job) {
+        std::vector<RunId> ids;
+        for (uint16_t i = 0; i < 4; ++i) {
+            ids.push_back({ { WorkId(job), StepIndex(0), TaskIndex(i) }, RunNumber(1) });
+            bench.order(firstLink, ids.back(), 1000);
+            bench.answerStart(ids.back(), StartOutcome::Started);
+        }
+        // The one ordered first ends last, after twice the estimate.
+        bench.pass(Milliseconds(100), listingOf(ids));
+        for (size_t i = 3; i > 0; --i) {
+            const auto id = ids.back();
+            ids.pop_back();
+            bench.lookNow(listingOf(ids, { { ++ends, id, EndKind::Done } }));
+        }
+        bench.pass(Milliseconds(100), listingOf(ids));
+        bench.lookNow(listingOf({}, { { ++ends, ids.front(), EndKind::Done } }));
+    }
+    cr_expect_float_eq(bench.gate.slowness(bench.now), 2.0, 0.2, "%f", bench.gate.slowness(bench.now));
+}
+
 struct RefusedRow {
     char name[24];
     int outcome; ///< StartOutcome
