--- a/include/sequoia/ControlThread.h
+++ b/include/sequoia/ControlThread.h
@@ -4,9 +4,13 @@
 #include <sequoia/Time.h>
 
 #include <caf/all.hpp>
+#include <functional>
 
 namespace sequoia {
 
+/** Passes work to the control thread. */
+using PostHook = std::function<void(std::function<void()>)>;
+
 /** Work for the control thread. */
 struct ControlWork {
     std::function<void()> run;
--- /dev/null
+++ b/include/sequoia/Daemon.h
@@ -0,0 +1,86 @@
+/** @file Daemon.h What every daemon does around its process object: options, settings, signals, exit codes. */
+#pragma once
+
+#include <sequoia/AsyncHttp.h>
+#include <sequoia/CommandLine.h>
+#include <sequoia/EntryControl.h>
+#include <sequoia/HttpService.h>
+#include <sequoia/Link.h>
+#include <sequoia/SettingsFile.h>
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <iostream>
+
+namespace sequoia {
+
+/** A daemon's name, purpose and settings. */
+template <typename Settings> struct DaemonSpec {
+    std::string name;
+    std::string purpose; ///< One sentence for `--help`.
+    const std::vector<SettingRow<Settings>>& rows;
+    std::vector<std::string> live; ///< Settings that take effect while it runs.
+    std::string settingsVariable; ///< Environment variable that names the settings file; empty for none.
+    std::vector<std::string> addresses; ///< Settings that name addresses, for the message if one can't be used.
+};
+
+/** Something that runs until the daemon is told to stop. */
+template <typename Settings> class DaemonProcess {
+public:
+    virtual ~DaemonProcess() = default;
+    virtual void start() = 0;
+    /** Stops gracefully; returns once the process may end. */
+    virtual void stop() = 0;
+    /** Takes the live ones of changed settings. */
+    virtual void change(const Settings&) { }
+    virtual Log& log() = 0;
+};
+
+/** Reads the options and settings, runs the process until a stop signal, and gives the exit code. */
+template <typename Settings>
+int runDaemon(int argc, char** argv, const DaemonSpec<Settings>& spec,
+    const std::function<std::unique_ptr<DaemonProcess<Settings>>(caf::actor_system&, const Settings&)>& make)
+{
+    const auto parsed
+        = parseDaemonOptions(argc, argv, spec.purpose, [&] { return describeSettings(spec.rows, spec.name); });
+    if (const auto* code = std::get_if<ExitCode>(&parsed))
+        return toInt(*code);
+    auto options = std::get<DaemonOptions>(parsed);
+    const char* file = spec.settingsVariable.empty() ? nullptr : std::getenv(spec.settingsVariable.c_str());
+    if (file != nullptr && options.settingsFile.empty())
+        options.settingsFile = file;
+    const auto settings = loadOrReport(spec.rows, options);
+    if (!settings)
+        return toInt(ExitCode::BadSettings);
+    if (options.isCheckOnly) {
+        std::cout << "settings are good\n";
+        return toInt(ExitCode::Ok);
+    }
+    blockStopSignals();
+    QuietActorConfig config;
+    caf::actor_system system(config);
+    const auto cannotListen = [&] {
+        fmt::print(stderr, "one of {} is malformed or in use\n", fmt::join(spec.addresses, ", "));
+        return toInt(ExitCode::Failure);
+    };
+    try {
+        const auto process = make(system, *settings);
+        process->start();
+        SettingsFile<Settings> settingsFile(spec.rows, options, *settings, spec.live);
+        const auto reload = [&](const char* cause) {
+            if (const auto changed = settingsFile.reload(process->log(), cause))
+                process->change(*changed);
+        };
+        waitForStopSignal(spec.live.empty() ? std::function<void(const char*)>() : reload);
+        process->stop();
+    } catch (LinkError) {
+        return cannotListen();
+    } catch (HttpError) {
+        return cannotListen();
+    } catch (AsyncHttpError) {
+        return cannotListen();
+    }
+    return toInt(ExitCode::Ok);
+}
+
+} // namespace sequoia
--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -48,13 +48,11 @@
 /** Counters of a dispatcher. */
 struct DispatcherCounters {
     uint64_t jobs = 0;
-    uint64_t succeeded = 0;
-    uint64_t failed = 0;
-    uint64_t notRun = 0;
-    uint64_t givenUp = 0;
+    std::map<std::pair<WorkStatus, std::string_view>, uint64_t> answers; ///< By status and reason.
     uint64_t callersGone = 0;
+    uint64_t repeated = 0; ///< Jobs whose caller is taken to have waited before.
     uint64_t orders = 0; ///< Runs ordered.
-    uint64_t refusedOrders = 0;
+    std::map<wire::Refusal, uint64_t> refusals; ///< Orders that an agent refused.
     uint64_t failedRuns = 0;
     uint64_t lostRuns = 0; ///< Runs whose end was not seen.
     uint64_t stragglers = 0; ///< Runs stopped because they took too long.
@@ -62,6 +60,10 @@
     uint64_t updates = 0; ///< Reports of room that agents sent by themselves.
     uint64_t messagesSent = 0;
     uint64_t messagesReceived = 0;
+
+    /** Jobs with an answer of this status. */
+    uint64_t answered(WorkStatus status) const;
+    uint64_t refusedOrders() const;
 };
 
 /** An agent as this entry sees it. */
--- a/include/sequoia/LineWriter.h
+++ b/include/sequoia/LineWriter.h
@@ -31,6 +31,9 @@
     void write(const std::string& line);
     /** Lines dropped since the start. */
     uint64_t dropped() const;
+    /** Lines and bytes taken since the start. */
+    uint64_t lines() const;
+    uint64_t bytes() const;
 
 private:
     void run();
@@ -42,6 +45,8 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_wakeUp;
     std::string m_buffer;
+    uint64_t m_lines = 0;
+    uint64_t m_bytes = 0;
     uint64_t m_dropped = 0;
     uint64_t m_toldDropped = 0;
     bool m_isStopping = false;
--- /dev/null
+++ b/include/sequoia/RoomAgentProcess.h
@@ -0,0 +1,81 @@
+/** @file RoomAgentProcess.h sequoia-platform-agent without the platform: a run gate beside a backend server. */
+#pragma once
+
+#include <sequoia/ControlThread.h>
+#include <sequoia/Daemon.h>
+#include <sequoia/Dialer.h>
+#include <sequoia/EntryDirectory.h>
+#include <sequoia/LineWriter.h>
+#include <sequoia/LinkEffects.h>
+#include <sequoia/Metrics.h>
+#include <sequoia/ServerPort.h>
+#include <sequoia/SharedStore.h>
+
+namespace sequoia {
+
+/** What an agent needs of the place that it runs on. */
+struct RoomAgentPorts {
+    std::function<SharedStore(HttpLoop&, const std::string& address, Log&, PostHook)> connectStore;
+    std::function<ServerPort(HttpLoop&, const std::string& address, size_t maxConnections, Log&, ServerResults)>
+        connectServer;
+    /** Handler of the backend server's reports. */
+    std::function<AsyncHttpServer::Handler(Log&, ServerReports)> serverFront;
+};
+
+/** One agent with all its parts, in the order in which they depend on each other. */
+class RoomAgentProcess : public DaemonProcess<RoomAgentSettings> {
+public:
+    RoomAgentProcess(caf::actor_system& system, const RoomAgentSettings& settings, const RoomAgentPorts& ports);
+    ~RoomAgentProcess() override;
+    RoomAgentProcess(const RoomAgentProcess&) = delete;
+    RoomAgentProcess& operator=(const RoomAgentProcess&) = delete;
+
+    void start() override;
+    /** Takes no more runs, lets those that run end, then ends. */
+    void stop() override;
+    void change(const RoomAgentSettings& settings) override;
+    Log& log() override { return m_log; }
+
+private:
+    void post(std::function<void()> work) { m_control.post(std::move(work)); }
+    LinkHooks linkHooks();
+    ServerResults serverResults();
+    ServerReports serverReports();
+    void greet(LinkId link);
+    void received(LinkId link, const Frame& frame);
+    void tick();
+    /** Link addresses of the seeds, which name another port of the same VMs. */
+    void setSeeds(const std::vector<std::string>& seeds);
+    /** The seeds may all be outdated. */
+    void askStore(TimePoint now);
+
+    void perform();
+    void apply(StartRun& action) { m_server.start(action); }
+    void apply(StopRun& action) { m_server.stop(action); }
+    void apply(LookAtServer& action) { m_server.look(action); }
+    template <typename Action> void apply(Action& action) { m_effects.apply(action); }
+
+    void metrics(const HttpExchangePtr& exchange);
+    std::string metricsText() const;
+
+    const RoomAgentSettings& m_settings;
+    std::vector<std::string> m_seedLinks;
+    LineWriter m_output;
+    Log m_log;
+    Incarnation m_self;
+    RunGate m_core;
+    HttpLoop m_loop;
+    LinkHub m_links;
+    LinkEffects m_effects;
+    Dialer m_dialer;
+    AsyncHttpServer m_reports;
+    AsyncHttpServer m_metrics;
+    ServerPort m_server;
+    SharedStore m_store;
+    TimePoint m_nextStore {};
+    bool m_isAskingStore = false;
+    int m_ticks = 0;
+    ControlThread m_control; ///< Last, so that nothing it uses ends before it.
+};
+
+} // namespace sequoia
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <sequoia/AgentCore.h>
+#include <sequoia/Metrics.h>
 #include <sequoia/Room.h>
 #include <sequoia/SpeedModel.h>
 #include <sequoia/Work.h>
@@ -116,7 +117,7 @@
 /** Counters of a run gate. */
 struct RunGateCounters {
     uint64_t orders = 0;
-    uint64_t refused = 0;
+    std::map<wire::Refusal, uint64_t> refusals; ///< Orders refused at the gate.
     uint64_t done = 0;
     uint64_t failed = 0;
     uint64_t stopped = 0;
@@ -125,6 +126,15 @@
     uint64_t looks = 0;
     uint64_t lives = 0; ///< Lives of the server that were seen.
     uint64_t messagesSent = 0;
+
+    /** Orders refused, for any reason. */
+    uint64_t refused() const
+    {
+        uint64_t sum = 0;
+        for (const auto& [reason, count] : refusals)
+            sum += count;
+        return sum;
+    }
 };
 
 /**
@@ -163,6 +173,10 @@
     std::string closedReason(TimePoint now) const;
     const HealthGate& health() const { return m_health; }
     const RunGateCounters& counters() const { return m_counters; }
+    /** Times from orders to ends, by outcome. */
+    const TimeHistograms& runSeconds() const { return m_runSeconds; }
+    /** Times from orders to the server's replies. */
+    const TimeHistograms& startSeconds() const { return m_startSeconds; }
     std::vector<GateEffect> takeEffects();
 
 private:
@@ -259,6 +273,8 @@
     HealthGate m_health;
     EffectListOf<GateEffect> m_effects;
     RunGateCounters m_counters;
+    TimeHistograms m_runSeconds;
+    TimeHistograms m_startSeconds;
     std::optional<ServerReport> m_server;
     int64_t m_born = 0; ///< Life of the server that runs belong to; 0 until it is known.
     bool m_isGone = false; ///< Nobody listens at its address.
--- a/include/sequoia/SharedStore.h
+++ b/include/sequoia/SharedStore.h
@@ -51,6 +51,16 @@
 /** Nothing. */
 struct StoreDone { };
 
+/** Counts of calls, since each is paid for. */
+struct StoreCalls {
+    uint64_t lists = 0;
+    uint64_t watches = 0;
+    uint64_t leases = 0; ///< Granted.
+    uint64_t keeps = 0; ///< Leases renewed.
+    uint64_t writes = 0;
+    uint64_t failures = 0; ///< Calls without a good reply.
+};
+
 /** Calls of the store. Each calls `done` once, on the control thread. */
 struct SharedStore {
     std::function<void(std::string prefix, std::function<void(StoreReply<SharedItems>)> done)> list;
@@ -65,6 +75,7 @@
     std::function<void(
         std::string key, std::string value, StoreLease lease, std::function<void(StoreReply<StoreDone>)> done)>
         put;
+    std::function<StoreCalls()> calls; ///< May be called on any thread.
 };
 
 } // namespace sequoia
--- a/src/AgentMain.cpp
+++ b/src/AgentMain.cpp
@@ -3,12 +3,11 @@
 #include "HttpCommon.h"
 
 #include <sequoia/AgentControl.h>
-#include <sequoia/CommandLine.h>
+#include <sequoia/Daemon.h>
 #include <sequoia/EntryControl.h>
 #include <sequoia/Metrics.h>
 
 #include <fmt/format.h>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -53,7 +52,7 @@
     }
 
     /** One agent with all its parts. */
-    class AgentProcess {
+    class AgentProcess : public DaemonProcess<AgentSettings> {
     public:
         AgentProcess(caf::actor_system& system, const AgentSettings& settings)
             : m_settings(settings)
@@ -67,12 +66,26 @@
                       m_control->tell(BackendFinishedInput { task, std::move(result) });
                   })
             , m_links(linkHooks(), {}, m_log.clock())
+            , m_system(system)
+        {
+        }
+
+        ~AgentProcess() override
+        {
+            if (m_control)
+                m_control->stop();
+            m_links.shutdown();
+        }
+        AgentProcess(const AgentProcess&) = delete;
+        AgentProcess& operator=(const AgentProcess&) = delete;
+
+        void start() override
         {
             addHandlers();
-            const auto bound = m_http.start(settings.http_address);
-            m_control.emplace(system,
+            const auto bound = m_http.start(m_settings.http_address);
+            m_control.emplace(m_system,
                 AgentControlParts { m_core, m_links, m_log,
-                    hello(settings.advertise_http.empty() ? bound : settings.advertise_http), Clock::now,
+                    hello(m_settings.advertise_http.empty() ? bound : m_settings.advertise_http), Clock::now,
                     [this](CallBackend call) { m_pool.call(std::move(call)); } });
             m_isUp = true;
             m_discovery = std::thread([this] { runDiscovery(); });
@@ -80,16 +93,8 @@
                 { { "http", bound }, { "incarnation", fmt::format("{:016x}", raw(m_self)) } });
         }
 
-        ~AgentProcess()
-        {
-            m_control->stop();
-            m_links.shutdown();
-        }
-        AgentProcess(const AgentProcess&) = delete;
-        AgentProcess& operator=(const AgentProcess&) = delete;
-
         /** Takes no more work, lets running tasks end and their answers leave, then ends. */
-        void stop()
+        void stop() override
         {
             m_log.event(LogLevel::Info, "stopping", {});
             m_control->tell(DrainInput { true });
@@ -110,6 +115,8 @@
             m_log.event(LogLevel::Info, "stopped", { { "running", fmt::to_string(running) } });
         }
 
+        Log& log() override { return m_log; }
+
     private:
         LinkHooks linkHooks()
         {
@@ -290,6 +297,7 @@
         std::optional<AgentControl> m_control;
         BackendPool m_pool;
         LinkHub m_links;
+        caf::actor_system& m_system;
         std::atomic<bool> m_isUp { false };
         std::mutex m_mutex;
         std::condition_variable m_stopping;
@@ -298,36 +306,17 @@
         std::thread m_discovery;
     };
 
-    int run(int argc, char** argv)
-    {
-        const auto parsed = parseDaemonOptions(argc, argv,
-            "sequoia-agent: runs beside a backend server and starts tasks on it, each at most once.",
-            [] { return describeSettings(agentSettingRows(), "sequoia-agent"); });
-        if (const auto* code = std::get_if<ExitCode>(&parsed))
-            return toInt(*code);
-        const auto settings = loadOrReport(agentSettingRows(), std::get<DaemonOptions>(parsed));
-        if (!settings)
-            return toInt(ExitCode::BadSettings);
-        if (std::get<DaemonOptions>(parsed).isCheckOnly) {
-            std::cout << "settings are good\n";
-            return toInt(ExitCode::Ok);
-        }
-        blockStopSignals();
-        QuietActorConfig config;
-        caf::actor_system system(config);
-        try {
-            AgentProcess process(system, *settings);
-            waitForStopSignal();
-            process.stop();
-        } catch (HttpError) {
-            fmt::print(stderr, "http_address: cannot listen on {}\n", settings->http_address);
-            return toInt(ExitCode::Failure);
-        }
-        return toInt(ExitCode::Ok);
-    }
-
 } // namespace
 
 } // namespace sequoia
 
-int main(int argc, char** argv) { return sequoia::run(argc, argv); }
+int main(int argc, char** argv)
+{
+    using namespace sequoia;
+    const DaemonSpec<AgentSettings> spec { "sequoia-agent",
+        "sequoia-agent: runs beside a backend server and starts tasks on it, each at most once.", agentSettingRows(),
+        {}, "", { "http_address" } };
+    return runDaemon<AgentSettings>(argc, argv, spec, [](caf::actor_system& system, const AgentSettings& settings) {
+        return std::make_unique<AgentProcess>(system, settings);
+    });
+}
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -24,6 +24,22 @@
 
 } // namespace
 
+uint64_t DispatcherCounters::answered(WorkStatus status) const
+{
+    uint64_t sum = 0;
+    for (const auto& [key, count] : answers)
+        sum += key.first == status ? count : 0;
+    return sum;
+}
+
+uint64_t DispatcherCounters::refusedOrders() const
+{
+    uint64_t sum = 0;
+    for (const auto& [reason, count] : refusals)
+        sum += count;
+    return sum;
+}
+
 Dispatcher::Dispatcher(DispatcherLimits limits, RoomPolicyLimits policy, DispatcherHooks hooks)
     : m_limits(limits)
     , m_policy(policy)
@@ -53,6 +69,7 @@
     job.route = std::move(route);
     job.waitedBefore = m_patience.waitedBefore(job.route.name, budget);
     job.arrival = now - job.waitedBefore;
+    m_counters.repeated += job.waitedBefore.count() > 0 ? 1 : 0;
     job.deadline = now + budget;
     job.spec = std::move(spec);
     if (const auto past = m_pastRuns.find(id); past != m_pastRuns.end())
@@ -397,20 +414,7 @@
     for (auto& step : job.steps) {
         step.ready.clear();
     }
-    switch (answer.status) {
-    case WorkStatus::Succeeded:
-        ++m_counters.succeeded;
-        break;
-    case WorkStatus::Failed:
-        ++m_counters.failed;
-        break;
-    case WorkStatus::NotRun:
-        ++m_counters.notRun;
-        break;
-    case WorkStatus::GivenUp:
-        ++m_counters.givenUp;
-        break;
-    }
+    ++m_counters.answers[{ answer.status, answer.reason }];
     const bool isOrdinary = answer.status == WorkStatus::Succeeded;
     m_effects.record(isOrdinary ? LogLevel::Info : LogLevel::Warning, "job-answered",
         { { "job", id }, { "route", job.route.name }, { "status", std::string(toString(answer.status)) },
@@ -496,9 +500,10 @@
     const auto n = [](uint64_t count) { return static_cast<int64_t>(count); };
     m_effects.record(LogLevel::Info, "entry-summary",
         { { "open_jobs", n(m_jobs.size()) }, { "queued_tasks", n(m_queuedTasks) }, { "agents", n(linkedAgents()) },
-            { "entries", n(m_entries) }, { "jobs", n(m_counters.jobs) }, { "not_run", n(m_counters.notRun) },
-            { "given_up", n(m_counters.givenUp) }, { "orders", n(m_counters.orders) },
-            { "refused", n(m_counters.refusedOrders) }, { "demands", n(m_counters.demands) },
+            { "entries", n(m_entries) }, { "jobs", n(m_counters.jobs) },
+            { "not_run", n(m_counters.answered(WorkStatus::NotRun)) },
+            { "given_up", n(m_counters.answered(WorkStatus::GivenUp)) }, { "orders", n(m_counters.orders) },
+            { "refused", n(m_counters.refusedOrders()) }, { "demands", n(m_counters.demands) },
             { "updates", n(m_counters.updates) } });
 }
 
@@ -690,7 +695,7 @@
         break;
     case wire::RunOutcome::NotStarted:
         ++job.refusals;
-        ++m_counters.refusedOrders;
+        ++m_counters.refusals[result.refusal];
         recordRun(LogLevel::Debug, "run-refused", job, id, agent, wire::EnumNameRefusal(result.refusal), since);
         if (result.refusal == wire::Refusal::RunTooLow)
             task.run = RunNumber(raw(task.run) + runNumberJump);
--- a/src/EntryMain.cpp
+++ b/src/EntryMain.cpp
@@ -1,10 +1,9 @@
 /** @file EntryMain.cpp sequoia-entry: takes callers' jobs and dispatches their tasks to agents. */
 #include "EntryApi.h"
 
-#include <sequoia/CommandLine.h>
+#include <sequoia/Daemon.h>
 
 #include <fmt/format.h>
-#include <iostream>
 
 namespace sequoia {
 
@@ -44,7 +43,7 @@
     }
 
     /** One entry with all its parts, in the order in which they depend on each other. */
-    class EntryProcess {
+    class EntryProcess : public DaemonProcess<EntrySettings> {
     public:
         EntryProcess(caf::actor_system& system, const EntrySettings& settings)
             : m_settings(settings)
@@ -64,7 +63,7 @@
                 m_store.emplace(settings.store_address, storeTimeout);
         }
 
-        ~EntryProcess()
+        ~EntryProcess() override
         {
             caf::anon_send_exit(m_caller, caf::exit_reason::user_shutdown);
             m_control.stop();
@@ -73,7 +72,7 @@
         EntryProcess(const EntryProcess&) = delete;
         EntryProcess& operator=(const EntryProcess&) = delete;
 
-        void start()
+        void start() override
         {
             const auto linkPort = m_links.listen(m_settings.link_address);
             const auto linkHost = splitAddress(m_settings.link_address)->first;
@@ -98,7 +97,7 @@
         }
 
         /** Readiness goes first, open jobs end, then connections close. */
-        void stop()
+        void stop() override
         {
             m_log.event(LogLevel::Info, "stopping", {});
             m_api->beginStop();
@@ -116,6 +115,8 @@
             m_log.event(LogLevel::Info, "stopped", { { "idle", isIdle ? "true" : "false" } });
         }
 
+        Log& log() override { return m_log; }
+
     private:
         /** Actor that posts to agents, one after the other. */
         static caf::behavior relinkCaller(caf::event_based_actor*)
@@ -204,40 +205,17 @@
         std::optional<EntryApi> m_api;
     };
 
-    int run(int argc, char** argv)
-    {
-        const auto parsed = parseDaemonOptions(argc, argv,
-            "sequoia-entry: takes callers' jobs over HTTP and dispatches their tasks to agents.",
-            [] { return describeSettings(entrySettingRows(), "sequoia-entry"); });
-        if (const auto* code = std::get_if<ExitCode>(&parsed))
-            return toInt(*code);
-        const auto settings = loadOrReport(entrySettingRows(), std::get<DaemonOptions>(parsed));
-        if (!settings)
-            return toInt(ExitCode::BadSettings);
-        if (std::get<DaemonOptions>(parsed).isCheckOnly) {
-            std::cout << "settings are good\n";
-            return toInt(ExitCode::Ok);
-        }
-        blockStopSignals();
-        QuietActorConfig config;
-        caf::actor_system system(config);
-        try {
-            EntryProcess process(system, *settings);
-            process.start();
-            waitForStopSignal();
-            process.stop();
-        } catch (LinkError) {
-            fmt::print(stderr, "link_address: cannot listen on {}\n", settings->link_address);
-            return toInt(ExitCode::Failure);
-        } catch (HttpError) {
-            fmt::print(stderr, "http_address: cannot listen on {}\n", settings->http_address);
-            return toInt(ExitCode::Failure);
-        }
-        return toInt(ExitCode::Ok);
-    }
-
 } // namespace
 
 } // namespace sequoia
 
-int main(int argc, char** argv) { return sequoia::run(argc, argv); }
+int main(int argc, char** argv)
+{
+    using namespace sequoia;
+    const DaemonSpec<EntrySettings> spec { "sequoia-entry",
+        "sequoia-entry: takes callers' jobs over HTTP and dispatches their tasks to agents.", entrySettingRows(), {},
+        "", { "link_address", "http_address" } };
+    return runDaemon<EntrySettings>(argc, argv, spec, [](caf::actor_system& system, const EntrySettings& settings) {
+        return std::make_unique<EntryProcess>(system, settings);
+    });
+}
--- /dev/null
+++ b/src/LearnedKeeper.cpp
@@ -0,0 +1,64 @@
+/** @file LearnedKeeper.cpp One item for each entry, without a request of its own on the way of jobs. */
+#include <sequoia/LearnedKeeper.h>
+
+#include <algorithm>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr std::string_view learnedItemsPrefix = "sequoia/learned/";
+
+} // namespace
+
+LearnedKeeper::LearnedKeeper(
+    const std::string& name, const SharedStore& store, Log& log, LearnedKeeperLimits limits, LearnedKeeperHooks hooks)
+    : m_store(store)
+    , m_log(log)
+    , m_limits(limits)
+    , m_hooks(std::move(hooks))
+    , m_item(std::string(learnedItemsPrefix) + name, "", store, log,
+          { limits.life, limits.life / 4, limits.retryPause }, m_hooks.now)
+{
+}
+
+void LearnedKeeper::tick()
+{
+    if (m_isCalling || m_hooks.now() < m_next)
+        return;
+    if (!m_hasRecalled) {
+        m_isCalling = true;
+        m_store.list(std::string(learnedItemsPrefix), [this](const StoreReply<SharedItems>& reply) { listed(reply); });
+        return;
+    }
+    m_next = m_hooks.now() + m_limits.period;
+    const auto learned = m_hooks.learned();
+    if (!learned)
+        return;
+    auto text = toText(*learned);
+    constexpr size_t msPerSecond = 1000;
+    const auto spaced = Milliseconds(static_cast<int64_t>(text.size() * msPerSecond / m_limits.bytesPerSecond));
+    m_next = m_hooks.now() + std::max(m_limits.period, spaced);
+    m_item.setValue(std::move(text));
+    m_item.tick();
+}
+
+void LearnedKeeper::listed(const StoreReply<SharedItems>& reply)
+{
+    m_isCalling = false;
+    m_next = m_hooks.now() + m_limits.retryPause;
+    const auto* found = std::get_if<SharedItems>(&reply);
+    if (found == nullptr)
+        return; // The store client has counted and the followers have logged that the store is away.
+    m_hasRecalled = true;
+    Learned all;
+    for (const auto& item : found->items) {
+        if (const auto learned = parseLearned(item.value))
+            all.merge(*learned);
+        else
+            m_log.event(LogLevel::Warning, "learned-malformed", { { "key", item.key } });
+    }
+    m_hooks.recall(all);
+}
+
+} // namespace sequoia
--- a/src/LineWriter.cpp
+++ b/src/LineWriter.cpp
@@ -37,6 +37,8 @@
         }
         wasEmpty = m_buffer.empty();
         m_buffer += line;
+        ++m_lines;
+        m_bytes += line.size();
     }
     if (wasEmpty)
         m_wakeUp.notify_one();
@@ -48,6 +50,18 @@
     return m_dropped;
 }
 
+uint64_t LineWriter::lines() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_lines;
+}
+
+uint64_t LineWriter::bytes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_bytes;
+}
+
 void LineWriter::run()
 {
     std::string text;
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -77,4 +77,87 @@
     return fmt::format("# HELP {0} {2}\n# TYPE {0} {1}\n{0} {3}\n", name, type, help, value);
 }
 
+TimeHistograms::TimeHistograms(size_t mostSeries)
+    : m_mostSeries(mostSeries)
+{
+}
+
+void TimeHistograms::addSeconds(const MetricLabels& labels, double seconds)
+{
+    if (m_series.size() >= m_mostSeries && !m_series.contains(labels)) {
+        auto others = labels;
+        for (auto& [name, value] : others)
+            value = "other";
+        if (others != labels)
+            return addSeconds(others, seconds);
+    }
+    const auto it
+        = m_series.try_emplace(labels, Series { boost::histogram::make_histogram(Axis(bucketBounds)), 0 }).first;
+    it->second.histogram(seconds);
+    it->second.sum += seconds;
+}
+
+PrometheusText::PrometheusText(std::string prefix)
+    : m_prefix(std::move(prefix))
+{
+}
+
+void PrometheusText::header(std::string_view name, std::string_view help, std::string_view type)
+{
+    if (m_last == name)
+        return;
+    m_last = name;
+    m_text += fmt::format("# HELP {0}{1} {2}\n# TYPE {0}{1} {3}\n", m_prefix, name, help, type);
+}
+
+void PrometheusText::sample(const std::string& name, const MetricLabels& labels, double value)
+{
+    std::string list;
+    for (const auto& [key, text] : labels) {
+        std::string escaped;
+        for (const char c : text) {
+            if (c == '"' || c == '\\')
+                escaped += '\\';
+            escaped += c == '\n' ? ' ' : c;
+        }
+        list += fmt::format("{}{}=\"{}\"", list.empty() ? "" : ",", key, escaped);
+    }
+    m_text += fmt::format("{}{}{} {}\n", m_prefix, name, list.empty() ? "" : "{" + list + "}", value);
+}
+
+void PrometheusText::counter(std::string_view name, std::string_view help, uint64_t value, const MetricLabels& labels)
+{
+    header(name, help, "counter");
+    sample(std::string(name), labels, static_cast<double>(value));
+}
+
+void PrometheusText::gauge(std::string_view name, std::string_view help, double value, const MetricLabels& labels)
+{
+    header(name, help, "gauge");
+    sample(std::string(name), labels, value);
+}
+
+void PrometheusText::histograms(std::string_view name, std::string_view help, const TimeHistograms& histograms)
+{
+    header(name, help, "histogram");
+    for (const auto& [labels, series] : histograms.m_series) {
+        double seen = series.histogram.at(-1); // Below the first bound.
+        const auto bucket = [&](const std::string& bound) {
+            auto all = labels;
+            all.emplace_back("le", bound);
+            sample(fmt::format("{}_bucket", name), all, seen);
+        };
+        const int n = series.histogram.axis().size();
+        for (int i = 0; i < n; ++i) {
+            bucket(fmt::to_string(series.histogram.axis().bin(i).lower()));
+            seen += series.histogram.at(i);
+        }
+        bucket(fmt::to_string(series.histogram.axis().bin(n - 1).upper()));
+        seen += series.histogram.at(n);
+        bucket("+Inf");
+        sample(fmt::format("{}_sum", name), labels, series.sum);
+        sample(fmt::format("{}_count", name), labels, seen);
+    }
+}
+
 } // namespace sequoia
--- /dev/null
+++ b/src/RoomAgentProcess.cpp
@@ -0,0 +1,286 @@
+/** @file RoomAgentProcess.cpp The parts of an agent that gives out room, and what passes between them. */
+#include <sequoia/RoomAgentProcess.h>
+
+#include <fmt/format.h>
+#include <unistd.h>
+
+namespace sequoia {
+
+namespace {
+
+    constexpr uint16_t protocolVersion = 1;
+    constexpr Milliseconds tickPeriod { 20 };
+    constexpr Milliseconds stopPoll { 20 };
+    constexpr Milliseconds flushGrace { 100 }; // For the last results to leave the connections' buffers.
+    constexpr Milliseconds lonelyPeriod { 1000 }; // Without an entry the store is asked this often.
+    constexpr int ticksPerCollect = 50;
+
+    RunGateLimits gateLimits(const RoomAgentSettings& settings)
+    {
+        RunGateLimits limits;
+        limits.lease = Milliseconds(settings.lease_ms);
+        limits.longestLease = Milliseconds(settings.longest_lease_ms);
+        limits.ownerSilence = Milliseconds(settings.owner_silence_ms);
+        limits.startTimeout = Milliseconds(settings.start_timeout_ms);
+        limits.health.quarantineFailures = static_cast<uint32_t>(settings.quarantine_failures);
+        limits.health.quarantinePause = Milliseconds(settings.quarantine_pause_ms);
+        limits.health.quarantinePauseMax = Milliseconds(settings.quarantine_pause_max_ms);
+        return limits;
+    }
+
+    DialerLimits dialerLimits()
+    {
+        DialerLimits limits;
+        limits.firstPause = Milliseconds(20);
+        limits.longestPause = Milliseconds(150); // An entry that comes back is soon linked.
+        limits.pauseGrowth = 1.3; // All VMs may be starting, some half a second after others.
+        // A connection to a VM that is just starting hangs, while a new one would be taken.
+        limits.firstWelcomeTimeout = Milliseconds(100);
+        limits.welcomeTimeout = Milliseconds(600);
+        return limits;
+    }
+
+    LinkLimits linkLimits()
+    {
+        LinkLimits limits;
+        limits.dialTimeout = Milliseconds(250); // Well above a round trip between regions.
+        return limits;
+    }
+
+} // namespace
+
+RoomAgentProcess::RoomAgentProcess(
+    caf::actor_system& system, const RoomAgentSettings& settings, const RoomAgentPorts& ports)
+    : m_settings(settings)
+    , m_output(STDOUT_FILENO)
+    , m_log(settings.name, parseLogLevel(settings.log_level), 0,
+          [this](const std::string& line) { m_output.write(line); })
+    , m_self(drawIncarnation())
+    , m_core(m_self, gateLimits(settings))
+    , m_links(linkHooks(), linkLimits(), m_log.clock())
+    , m_effects(m_links, m_log)
+    , m_dialer(
+          dialerLimits(), [this](const std::string& address) { return m_links.dial(address); },
+          [this](LinkId link) { m_links.close(link); })
+    , m_reports(m_loop, {}, ports.serverFront(m_log, serverReports()))
+    , m_metrics(m_loop, {}, [this](const HttpCall&, const HttpExchangePtr& exchange) { metrics(exchange); })
+    , m_server(ports.connectServer(
+          m_loop, settings.server_address, static_cast<size_t>(settings.server_connections), m_log, serverResults()))
+    , m_store(ports.connectStore(m_loop, settings.store_address, m_log, [this](auto work) { post(std::move(work)); }))
+    , m_control(system, tickPeriod, { [this] { tick(); }, [this] { perform(); } })
+{
+    post([this, seeds = settings.seeds] { setSeeds(seeds); });
+}
+
+RoomAgentProcess::~RoomAgentProcess()
+{
+    m_control.stop();
+    m_links.shutdown();
+    m_loop.stop();
+}
+
+void RoomAgentProcess::start()
+{
+    m_reports.listen(m_settings.pings_address);
+    if (!m_settings.metrics_address.empty())
+        m_metrics.listen(m_settings.metrics_address);
+    m_loop.start();
+    m_log.event(LogLevel::Info, "started",
+        { { "server", m_settings.server_address }, { "incarnation", fmt::format("{:016x}", raw(m_self)) },
+            { "domain", m_settings.failure_domain } });
+}
+
+void RoomAgentProcess::stop()
+{
+    m_log.event(LogLevel::Info, "stopping", {});
+    const auto until = Clock::now() + Milliseconds(m_settings.stop_timeout_ms);
+    m_control.inspect([this] { m_core.drain(suspendAwareNow()); });
+    size_t runs = 1;
+    while (runs > 0 && Clock::now() < until) {
+        std::this_thread::sleep_for(stopPoll);
+        m_control.inspect([&] { runs = m_core.runs(); });
+    }
+    std::this_thread::sleep_for(flushGrace);
+    m_log.event(LogLevel::Info, "stopped", { { "runs", static_cast<int64_t>(runs) } });
+}
+
+void RoomAgentProcess::change(const RoomAgentSettings& settings)
+{
+    m_log.setLevel(parseLogLevel(settings.log_level));
+    post([this, seeds = settings.seeds] { setSeeds(seeds); });
+}
+
+void RoomAgentProcess::setSeeds(const std::vector<std::string>& seeds)
+{
+    m_seedLinks.clear();
+    for (const auto& seed : seeds) {
+        if (const auto parts = splitAddress(seed))
+            m_seedLinks.push_back(fmt::format("{}:{}", parts->first, m_settings.link_port));
+        else
+            m_log.event(LogLevel::Warning, "seed-malformed", { { "seed", seed } });
+    }
+}
+
+LinkHooks RoomAgentProcess::linkHooks()
+{
+    return { [this](LinkId link) { post([this, link] { greet(link); }); },
+        [this](
+            LinkId link, FramePtr frame) { post([this, link, frame = std::move(frame)] { received(link, *frame); }); },
+        [this](LinkId link, const std::string&) {
+            post([this, link] {
+                m_core.linkClosed(link, suspendAwareNow());
+                m_dialer.closed(link, suspendAwareNow());
+            });
+        } };
+}
+
+ServerResults RoomAgentProcess::serverResults()
+{
+    ServerResults results;
+    results.startAnswered = [this](RunId id, StartOutcome outcome) {
+        post([this, id, outcome] { m_core.startAnswered(id, outcome, suspendAwareNow()); });
+    };
+    results.stopAnswered = [this](RunId id, bool isAnswered) {
+        post([this, id, isAnswered] { m_core.stopAnswered(id, isAnswered, suspendAwareNow()); });
+    };
+    results.looked = [this](uint64_t number, LookOutcome outcome, Listing listing) {
+        post([this, number, outcome, listing = std::move(listing)] {
+            m_core.looked(number, outcome, listing, suspendAwareNow());
+        });
+    };
+    results.now = suspendAwareNow;
+    return results;
+}
+
+ServerReports RoomAgentProcess::serverReports()
+{
+    ServerReports reports;
+    reports.announced = [this](ServerReport report, std::function<void()> taken) {
+        post([this, report = std::move(report), taken = std::move(taken)] {
+            m_core.announced(report, suspendAwareNow());
+            taken();
+        });
+    };
+    reports.left = [this](std::string instance, std::function<void()> taken) {
+        post([this, instance = std::move(instance), taken = std::move(taken)] {
+            m_core.left(instance, suspendAwareNow());
+            taken();
+        });
+    };
+    return reports;
+}
+
+void RoomAgentProcess::greet(LinkId link)
+{
+    wire::HelloT hello;
+    hello.version = protocolVersion;
+    hello.agent = m_settings.name;
+    hello.incarnation = raw(m_self);
+    hello.failure_domain = m_settings.failure_domain;
+    Frame frame;
+    frame.body.Set(std::move(hello));
+    m_links.send(link, std::move(frame));
+}
+
+void RoomAgentProcess::received(LinkId link, const Frame& frame)
+{
+    const auto now = suspendAwareNow();
+    switch (frame.body.type) {
+    case wire::Body::Welcome:
+        if (!m_dialer.welcomed(link))
+            return;
+        m_dialer.addAddresses(frame.body.AsWelcome()->peers, now);
+        m_core.entryLinked(link, *frame.body.AsWelcome(), now);
+        return;
+    case wire::Body::Peers:
+        m_dialer.addAddresses(frame.body.AsPeers()->entries, now);
+        return;
+    default:
+        m_core.receive(link, frame.body, now);
+    }
+}
+
+void RoomAgentProcess::tick()
+{
+    const auto now = suspendAwareNow();
+    m_core.tick(now);
+    // Entries take a new life of an agent as proof that the runs of the one before are over.
+    if (m_core.isSettled()) {
+        m_dialer.addAddresses(m_seedLinks, now);
+        m_dialer.tick(now);
+        askStore(now);
+    }
+    if (++m_ticks % ticksPerCollect == 0)
+        m_links.collect();
+}
+
+void RoomAgentProcess::askStore(TimePoint now)
+{
+    if (m_nextStore == TimePoint())
+        m_nextStore = now + lonelyPeriod;
+    if (m_dialer.welcomedLinks() > 0 || now < m_nextStore || m_isAskingStore)
+        return;
+    m_isAskingStore = true;
+    m_store.list(std::string(entryItemsPrefix), [this](const StoreReply<SharedItems>& reply) {
+        m_isAskingStore = false;
+        m_nextStore = suspendAwareNow() + lonelyPeriod;
+        const auto* found = std::get_if<SharedItems>(&reply);
+        if (found == nullptr) {
+            m_log.event(LogLevel::Warning, "entries-unknown", { { "error", "the store gave no answer" } });
+            return;
+        }
+        std::map<std::string, std::string> items;
+        for (const auto& item : found->items)
+            items[item.key] = item.value;
+        const auto directory = EntryDirectory::of(items);
+        m_log.event(LogLevel::Info, "entries-from-store",
+            { { "known", static_cast<int64_t>(directory.linkAddresses.size()) } });
+        m_dialer.addAddresses(directory.linkAddresses, suspendAwareNow());
+    });
+}
+
+void RoomAgentProcess::perform()
+{
+    for (auto& effect : m_core.takeEffects())
+        std::visit([this](auto& action) { apply(action); }, effect);
+}
+
+void RoomAgentProcess::metrics(const HttpExchangePtr& exchange)
+{
+    post([this, exchange] { exchange->reply({ 200, metricsText(), std::string(metricsContentType), {} }); });
+}
+
+std::string RoomAgentProcess::metricsText() const
+{
+    const auto now = suspendAwareNow();
+    const auto& n = m_core.counters();
+    PrometheusText out("sequoia_agent_");
+    out.histograms("run_seconds", "Time from the order of a run to its end, by outcome.", m_core.runSeconds());
+    out.histograms("start_seconds", "Time from the order of a run to the server's reply.", m_core.startSeconds());
+    out.counter("orders_total", "Runs ordered by entries.", n.orders);
+    for (const auto& [refusal, count] : n.refusals)
+        out.counter("orders_refused_total", "Orders refused at the gate, by reason.", count,
+            { { "reason", wire::EnumNameRefusal(refusal) } });
+    out.counter("runs_done_total", "Runs that succeeded.", n.done);
+    out.counter("runs_failed_total", "Runs that failed.", n.failed);
+    out.counter("runs_stopped_total", "Runs that were stopped.", n.stopped);
+    out.counter("runs_lost_total", "Runs whose end was not seen.", n.lost);
+    out.counter("starts_unanswered_total", "Starts without an answer.", n.unanswered);
+    out.counter("looks_total", "Looks at the backend server.", n.looks);
+    out.counter("server_lives_total", "Lives of the backend server.", n.lives);
+    out.counter("messages_sent_total", "Messages to entries.", n.messagesSent);
+    out.counter("link_bytes_sent_total", "Bytes of frames sent to entries.", m_links.bytesSent());
+    out.counter("link_bytes_received_total", "Bytes of frames received from entries.", m_links.bytesReceived());
+    out.counter("log_lines_total", "Log lines written.", m_output.lines());
+    out.counter("log_bytes_total", "Bytes of log lines.", m_output.bytes());
+    out.counter("log_lines_dropped_total", "Log lines that nobody read in time.", m_output.dropped());
+    out.counter("store_failures_total", "Calls of the store without a good reply.", m_store.calls().failures);
+    out.gauge("cpu_total", "Processors of the backend server, thousandths.", static_cast<double>(m_core.total().cpu));
+    out.gauge("cpu_used", "Processors taken by runs, thousandths.", static_cast<double>(m_core.used().cpu));
+    out.gauge("runs", "Runs on the backend server.", static_cast<double>(m_core.runs()));
+    out.gauge("slowness", "Run time over the expected time.", m_core.slowness(now));
+    out.gauge("open", "1 if runs are taken.", m_core.state(now) == wire::GateState::Open ? 1 : 0);
+    return out.text();
+}
+
+} // namespace sequoia
--- /dev/null
+++ b/src/RoutesInForce.cpp
@@ -0,0 +1,47 @@
+/** @file RoutesInForce.cpp Taking newer configurations. */
+#include <sequoia/RoutesInForce.h>
+
+namespace sequoia {
+
+RoutesInForce::RoutesInForce(RouteTableReader reader, Log& log)
+    : m_reader(std::move(reader))
+    , m_log(log)
+{
+}
+
+void RoutesInForce::take(const std::string& text, std::string_view source)
+{
+    auto read = m_reader(text);
+    if (const auto* problem = std::get_if<FormatProblem>(&read)) {
+        m_log.event(LogLevel::Error, "configuration-malformed",
+            { { "source", std::string(source) }, { "place", problem->place }, { "error", problem->message } });
+        return;
+    }
+    auto table = std::make_shared<const RouteTable>(std::move(std::get<RouteTable>(read)));
+    uint64_t before = 0;
+    {
+        const std::lock_guard lock(m_mutex);
+        before = m_table ? m_table->version : 0;
+        if (m_table && table->version <= before)
+            return;
+        m_table = table;
+        m_text = text;
+    }
+    m_log.event(LogLevel::Info, "configuration",
+        { { "version", static_cast<int64_t>(table->version) }, { "source", std::string(source) },
+            { "routes", static_cast<int64_t>(table->routes.size()) }, { "before", static_cast<int64_t>(before) } });
+}
+
+RouteTablePtr RoutesInForce::current() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_table;
+}
+
+std::string RoutesInForce::text() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_text;
+}
+
+} // namespace sequoia
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -265,7 +265,7 @@
     if (const auto known = m_runs.find(id); known != m_runs.end() && known->second.owner == link.entry)
         return; // Sent twice.
     if (const auto refusal = refusalOf(link, id, order, now); refusal != wire::Refusal::None) {
-        ++m_counters.refused;
+        ++m_counters.refusals[refusal];
         m_effects.record(LogLevel::Debug, "order-refused",
             { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
                 { "reason", wire::EnumNameRefusal(refusal) }, { "detail", closedReason(now) },
@@ -292,6 +292,8 @@
     if (it == m_runs.end())
         return;
     auto& run = it->second;
+    if (outcome != StartOutcome::NoAnswer)
+        m_startSeconds.add({}, now - run.ordered);
     switch (outcome) {
     case StartOutcome::Started:
         run.started = now;
@@ -492,6 +494,7 @@
         break;
     }
     m_past[id] = { outcome, reason, now + m_limits.resultMemory };
+    m_runSeconds.add({ { "outcome", wire::EnumNameRunOutcome(outcome) } }, now - run.ordered);
     const auto link = linkOf(run.owner);
     if (link)
         --m_links.at(*link).runs;
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -189,7 +189,7 @@
         { { "state", wire::EnumNameGateState(state(now)) }, { "reason", closedReason(now) },
             { "total", toString(total()) }, { "used", toString(m_used) }, { "runs", n(m_runs.size()) },
             { "entries", n(m_links.size()) }, { "slowness_percent", static_cast<int64_t>(slowness(now) * percent) },
-            { "orders", n(m_counters.orders) }, { "refused", n(m_counters.refused) }, { "done", n(m_counters.done) },
+            { "orders", n(m_counters.orders) }, { "refused", n(m_counters.refused()) }, { "done", n(m_counters.done) },
             { "failed", n(m_counters.failed) }, { "lost", n(m_counters.lost) } });
 }
 
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -27,7 +27,7 @@
 
 template <typename T> std::string faultOf(const Decoded<T>& decoded)
 {
-    const auto* error = std::get_if<CodecError>(&decoded);
+    const auto* error = std::get_if<FormatProblem>(&decoded);
     return error == nullptr ? "" : error->place;
 }
 
@@ -190,7 +190,7 @@
         }
         // None of these may throw or crash, whatever the text is.
         const auto job = decodeJob(WorkId(1), text, {});
-        refused += std::holds_alternative<CodecError>(job) ? 1 : 0;
+        refused += std::holds_alternative<FormatProblem>(job) ? 1 : 0;
         decodeServerReport("i", text);
         decodeListing(text);
         decodeConfiguration(text);
--- a/tests/RoomWorld.cpp
+++ b/tests/RoomWorld.cpp
@@ -805,7 +805,7 @@
             if (!entry)
                 continue;
             m_report.orders += entry->counters().orders;
-            m_report.refusedOrders += entry->counters().refusedOrders;
+            m_report.refusedOrders += entry->counters().refusedOrders();
         }
         for (const auto& gate : m_gates)
             m_report.wastedRuns += gate ? gate->counters().stopped + gate->counters().lost : 0;
