Decisions about a job are kept in memory and logged if it did not go well; log volume is bounded by kind

JobTrace keeps each decision with its inputs (predicted wait, queue, capacity, view age, free room, slowness) and is logged for jobs that failed, were refused after a wait or were late, and for one in 64 of the others. LogLimiter bounds each kind and level, counts what it leaves out and tells it; ordinary lines leave half of the writer's buffer to failures. Jobs that no known server could ever run are refused at once (no-server-fits).

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -4,6 +4,7 @@
 #include <sequoia/CallerPatience.h>
 #include <sequoia/Effects.h>
 #include <sequoia/EstimateModel.h>
+#include <sequoia/JobTrace.h>
 #include <sequoia/LoadModel.h>
 #include <sequoia/RoomPolicy.h>
 #include <sequoia/Work.h>
@@ -30,6 +31,7 @@
     Milliseconds summaryPeriod { 5000 }; ///< The state is logged this often.
     size_t maxOpenJobs = 4000;
     size_t maxQueuedTasks = 40000;
+    uint64_t sampledJobs = 64; ///< Of so many jobs that went well, the decisions about one are logged.
     size_t scanDepth = 24; ///< Jobs behind a job without room that are tried.
     double stragglerFactor = 2; ///< A run is stopped and repeated elsewhere after this many times its expected time.
     Milliseconds runMemory { 20000 }; ///< Run numbers of ended jobs are remembered for this time.
@@ -206,9 +208,16 @@
         uint32_t failures = 0;
         TimePoint firstOrder {};
         std::optional<QueueKey> queued;
+        JobTrace trace;
         RunNumber firstRun { 1 }; ///< Numbers start here; above those of an earlier job of the same id.
     };
 
+    /** Fills a new job in: its tasks, expected times and first steps. */
+    void prepare(Job& job, WorkSpec spec, RoutePolicy route, Milliseconds budget, TimePoint now);
+    /** Why a new job can't be taken; empty if it can. */
+    std::string_view refusalOf(const Job& job) const;
+    /** Whether an agent that is linked could ever run a task of a step. */
+    bool couldRun(const Job& job, size_t step, const RoomAgent& agent) const;
     std::optional<size_t> agentOf(LinkId link) const;
     Job* findJob(WorkId id);
     QueuedWork queuedWork(const Job& job, TimePoint now) const;
@@ -245,8 +254,9 @@
     /** Runs of a job that have not ended, with their agents, times and estimates, for the log. */
     std::string unfinishedText(const Job& job, TimePoint now) const;
     void stopRuns(Job& job, TimePoint now);
-    void recordRun(LogLevel level, std::string_view kind, const Job& job, const RunId& id, const RoomAgent& agent,
-        std::string reason, int64_t ms);
+    /** Notes what became of a run in the job's trace. */
+    static void traceRun(
+        std::string_view kind, Job& job, const RunId& id, const RoomAgent& agent, std::string reason, TimePoint now);
     void sendStop(size_t agent, const std::vector<RunId>& ids, TimePoint now);
     void loseRuns(size_t agent, std::string_view cause, TimePoint now);
     void tickLinks(TimePoint now);
@@ -287,6 +297,7 @@
     };
     std::unordered_map<WorkId, PastRuns> m_pastRuns;
     TimePoint m_nextSummary {};
+    TimePoint m_lastTick {};
     TimePoint m_settledAt {}; ///< When the agents count as known.
     size_t m_queuedTasks = 0;
     size_t m_entries = 1;
--- a/include/sequoia/LineWriter.h
+++ b/include/sequoia/LineWriter.h
@@ -27,8 +27,8 @@
     LineWriter(const LineWriter&) = delete;
     LineWriter& operator=(const LineWriter&) = delete;
 
-    /** Takes one line with its line break. */
-    void write(const std::string& line);
+    /** Takes one line with its line break. Ordinary lines leave half of the buffer to the others. */
+    void write(const std::string& line, bool isOrdinary = false);
     /** Lines dropped since the start. */
     uint64_t dropped() const;
     /** Lines and bytes taken since the start. */
--- a/include/sequoia/Log.h
+++ b/include/sequoia/Log.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sequoia/Ids.h>
+#include <sequoia/LogLimiter.h>
 #include <sequoia/Time.h>
 
 #include <atomic>
@@ -61,13 +62,13 @@
 };
 
 /** Takes whole lines; must not block. */
-using LineSink = std::function<void(const std::string&)>;
+using LineSink = std::function<void(const std::string& line, LogLevel level)>;
 
 /** Event output of one process. Thread-safe. */
 class Log {
 public:
-    /** Lines go to standard error if there is no sink. */
-    Log(std::string process, LogLevel level, size_t ringSize, LineSink sink = {});
+    /** Lines go to standard error if there is no sink; the rate of those that go to a sink is bounded. */
+    Log(std::string process, LogLevel level, size_t ringSize, LineSink sink = {}, LogLimiterLimits limits = {});
 
     /** Records an event and, at or above the level, prints it as one line. `kind` is a literal. */
     void event(LogLevel level, std::string_view kind, std::vector<LogField> fields);
@@ -90,11 +91,16 @@
     };
 
     TimeLineEvent shown(const Recorded& event) const;
+    /** Writes a line to the sink unless there are too many of its kind. */
+    void writeBounded(const Recorded& event);
 
     std::string m_process;
     std::atomic<LogLevel> m_level;
     size_t m_ringSize;
     LineSink m_sink;
+    std::mutex m_limiterMutex; ///< Guards the two below.
+    LogLimiter m_limiter;
+    TimePoint m_nextLeftOut {}; ///< When the lines left out are told again.
     HybridClock m_clock;
     mutable std::mutex m_mutex;
     std::deque<Recorded> m_ring;
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -16,6 +16,7 @@
     };
 
     constexpr uint32_t runNumberJump = 16; // After a server said that a run number is too low for it.
+    constexpr double percent = 100;
     constexpr Milliseconds retryUnavailable { 1000 }; // Retry-After while no backend server is known.
 
     using FloatMs = std::chrono::duration<double, std::milli>;
@@ -60,21 +61,44 @@
     const auto id = spec.id;
     if (auto* known = findJob(id)) {
         known->waiters.push_back(waiter);
+        known->trace.add({ "job-joined", now, {}, false, "", {} });
         m_effects.record(LogLevel::Info, "job-joined", { { "job", id }, { "route", route.name } });
         return;
     }
     ++m_counters.jobs;
     auto& job = m_jobs[id];
     job.waiters.push_back(waiter);
+    prepare(job, std::move(spec), std::move(route), budget, now);
+    if (const auto refusal = refusalOf(job); !refusal.empty())
+        return finish(id, { WorkStatus::NotRun, refusal, retryUnavailable }, now);
+    m_load.arrived(job.route.priority, waitingWork(job), now);
+    const auto work = queuedWork(job, now);
+    const auto load = loadBefore(keyOf(job, now), now);
+    const auto admission = m_hooks.admit(work, load);
+    job.isLate = admission.prospect == Prospect::Late;
+    job.trace.add({ admission.prospect == Prospect::Worthless ? "job-refused" : "job-queued", now, {}, false, "",
+        { { "late", job.isLate ? "true" : "false" }, { "predicted_wait_ms", admission.predictedWait.count() },
+            { "slack_ms", slackToObjective(work, m_policy).count() },
+            { "leave_slack_ms", slackToLeave(work, m_policy).count() }, { "chain_ms", work.chain.count() },
+            { "ahead", static_cast<int64_t>(load.ahead) }, { "queued", static_cast<int64_t>(load.queued) },
+            { "capacity_per_ms", static_cast<int64_t>(load.capacity) },
+            { "arriving_per_ms", static_cast<int64_t>(load.arriving) } } });
+    if (admission.prospect == Prospect::Worthless)
+        return finish(id, { WorkStatus::NotRun, "overloaded", admission.retryAfter }, now);
+    requeue(job, now);
+    pump(now);
+}
+
+void Dispatcher::prepare(Job& job, WorkSpec spec, RoutePolicy route, Milliseconds budget, TimePoint now)
+{
     job.route = std::move(route);
     job.waitedBefore = m_patience.waitedBefore(job.route.name, budget);
-    job.arrival = now - job.waitedBefore;
     m_counters.repeated += job.waitedBefore.count() > 0 ? 1 : 0;
+    job.arrival = now - job.waitedBefore;
     job.deadline = now + budget;
     job.spec = std::move(spec);
-    if (const auto past = m_pastRuns.find(id); past != m_pastRuns.end())
+    if (const auto past = m_pastRuns.find(job.spec.id); past != m_pastRuns.end())
         job.firstRun = RunNumber(raw(past->second.highest) + 1);
-
     const auto n = job.spec.steps.size();
     job.steps.resize(n);
     job.chains.assign(n, Milliseconds(0));
@@ -91,27 +115,30 @@
         if (job.spec.steps[i].after.empty())
             makeReady(job, i);
     }
+}
 
-    const auto refuse = [&](std::string_view reason, Milliseconds retryAfter) {
-        finish(id, { WorkStatus::NotRun, reason, retryAfter }, now);
-    };
+bool Dispatcher::couldRun(const Job& job, size_t step, const RoomAgent& agent) const
+{
+    const auto& spec = job.spec.steps[step];
+    return agent.isLinked && agent.service == job.route.service && spec.room.fitsIn(agent.total)
+        && (spec.requiredLabel.empty() || agent.hasLabel(spec.requiredLabel));
+}
+
+std::string_view Dispatcher::refusalOf(const Job& job) const
+{
     if (m_isStopping)
-        return refuse("stopping", retryUnavailable);
+        return "stopping";
     if (m_jobs.size() > m_limits.maxOpenJobs || m_queuedTasks + job.tasksLeft > m_limits.maxQueuedTasks)
-        return refuse("queue-full", retryUnavailable);
-    m_load.arrived(job.route.priority, waitingWork(job), now);
-    const auto work = queuedWork(job, now);
-    const auto admission = m_hooks.admit(work, loadBefore(keyOf(job, now), now));
-    if (admission.prospect == Prospect::Worthless) {
-        m_effects.record(LogLevel::Debug, "admission",
-            { { "job", id }, { "wait_ms", admission.predictedWait.count() },
-                { "slack_ms", slackToLeave(work, m_policy).count() },
-                { "queued_tasks", static_cast<int64_t>(m_queuedTasks) } });
-        return refuse("overloaded", admission.retryAfter);
+        return "queue-full";
+    if (m_settledAt == TimePoint() || m_lastTick < m_settledAt)
+        return ""; // Agents are still being found.
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        const bool isPossible = std::any_of(
+            m_agents.begin(), m_agents.end(), [&](const RoomAgent& agent) { return couldRun(job, i, agent); });
+        if (!isPossible)
+            return "no-server-fits";
     }
-    job.isLate = admission.prospect == Prospect::Late;
-    requeue(job, now);
-    pump(now);
+    return "";
 }
 
 void Dispatcher::callerGone(WorkId id, WaiterId waiter, TimePoint now)
@@ -370,9 +397,10 @@
     if (agent.runs.empty())
         agent.lastHeard = now; // Silence counts from the first run that expects an answer.
     agent.runs.insert(id);
-    m_effects.record(LogLevel::Debug, "run-ordered",
-        { { "job", job.spec.id }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
-            { "agent", agent.name }, { "free", toString(agent.free) }, { "view_age_ms", msOf(now - agent.reported) } });
+    job.trace.add({ "run-ordered", now, id, true, agent.name,
+        { { "free", toString(agent.free) }, { "view_age_ms", msOf(now - agent.reported) },
+            { "slowness_percent", static_cast<int64_t>(agent.slowness * percent) },
+            { "expected_ms", step.expected.count() } } });
     send(agent, std::move(message), now);
 }
 
@@ -416,10 +444,13 @@
     }
     ++m_counters.answers[{ answer.status, answer.reason }];
     const bool isOrdinary = answer.status == WorkStatus::Succeeded;
+    const bool isInTime = isOrdinary && slackToObjective(queuedWork(job, now), m_policy).count() >= 0;
+    if (!isInTime || m_counters.jobs % m_limits.sampledJobs == 0)
+        job.trace.record(m_effects, isInTime ? LogLevel::Info : LogLevel::Warning, id, now);
     m_effects.record(isOrdinary ? LogLevel::Info : LogLevel::Warning, "job-answered",
         { { "job", id }, { "route", job.route.name }, { "status", std::string(toString(answer.status)) },
-            { "reason", std::string(answer.reason) }, { "age_ms", msOf(now - job.arrival) },
-            { "waited_before_ms", job.waitedBefore.count() },
+            { "reason", std::string(answer.reason) }, { "in_time", isInTime ? "true" : "false" },
+            { "age_ms", msOf(now - job.arrival) }, { "waited_before_ms", job.waitedBefore.count() },
             { "budget_ms", msOf(job.deadline - job.arrival - job.waitedBefore) },
             { "queued_ms", job.orders > 0 ? msOf(job.firstOrder - job.arrival) : msOf(now - job.arrival) },
             { "tasks_left", static_cast<int64_t>(job.tasksLeft) }, { "orders", job.orders },
@@ -482,6 +513,7 @@
 
 void Dispatcher::tick(TimePoint now)
 {
+    m_lastTick = now;
     if (m_settledAt == TimePoint())
         m_settledAt = now + m_limits.settleTime;
     tickLinks(now);
@@ -541,6 +573,9 @@
     const bool hasAgents = linkedAgents() > 0;
     for (const auto& [id, admission] : changed) {
         auto& job = m_jobs.at(id);
+        job.trace.add({ "job-reviewed", now, {}, false, "",
+            { { "late", admission.prospect == Prospect::Late ? "true" : "false" },
+                { "predicted_wait_ms", admission.predictedWait.count() } } });
         if (admission.prospect != Prospect::Worthless) {
             job.isLate = admission.prospect == Prospect::Late;
             requeue(job, now);
@@ -613,7 +648,7 @@
                 task.avoided.push_back(task.agent);
                 ++m_counters.stragglers;
                 const RunId run { { id, StepIndex(i), TaskIndex(static_cast<uint16_t>(n)) }, task.run };
-                recordRun(LogLevel::Warning, "run-stuck", job, run, m_agents[task.agent], "", msOf(now - task.ordered));
+                traceRun("run-stuck", job, run, m_agents[task.agent], "", now);
                 sendStop(task.agent, { run }, now);
             }
         }
@@ -663,12 +698,13 @@
     requeue(job, now);
 }
 
-void Dispatcher::recordRun(LogLevel level, std::string_view kind, const Job& job, const RunId& id,
-    const RoomAgent& agent, std::string reason, int64_t ms)
+void Dispatcher::traceRun(
+    std::string_view kind, Job& job, const RunId& id, const RoomAgent& agent, std::string reason, TimePoint now)
 {
-    m_effects.record(level, kind,
-        { { "job", job.spec.id }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
-            { "agent", agent.name }, { "reason", std::move(reason) }, { "ms", ms } });
+    const auto& task = job.steps[raw(id.task.step)].tasks[raw(id.task.index)];
+    job.trace.add({ kind, now, id, true, agent.name,
+        { { "reason", std::move(reason) }, { "ms", msOf(now - task.ordered) },
+            { "heard_ms_ago", msOf(now - agent.lastHeard) } } });
 }
 
 void Dispatcher::runEnded(Job& job, const RunId& id, size_t at, const wire::RunResultT& result, TimePoint now)
@@ -677,16 +713,16 @@
     if (task.state != TaskState::Ordered || task.run != id.run)
         return;
     const auto& agent = m_agents[at];
-    const auto since = msOf(now - task.ordered);
     switch (result.outcome) {
     case wire::RunOutcome::Done:
         m_agents[at].lastDone = now;
+        traceRun("run-done", job, id, agent, "", now);
         taskDone(job, raw(id.task.step), task, Microseconds(result.run_us), now);
         return;
     case wire::RunOutcome::Failed:
         ++job.failures;
         ++m_counters.failedRuns;
-        recordRun(LogLevel::Info, "run-failed", job, id, agent, result.reason, since);
+        traceRun("run-failed", job, id, agent, result.reason, now);
         if (++task.failures >= job.route.maxFailures) {
             finish(job.spec.id, { WorkStatus::Failed, "attempts-exhausted", {} }, now);
             return;
@@ -696,7 +732,7 @@
     case wire::RunOutcome::NotStarted:
         ++job.refusals;
         ++m_counters.refusals[result.refusal];
-        recordRun(LogLevel::Debug, "run-refused", job, id, agent, wire::EnumNameRefusal(result.refusal), since);
+        traceRun("run-refused", job, id, agent, wire::EnumNameRefusal(result.refusal), now);
         if (result.refusal == wire::Refusal::RunTooLow)
             task.run = RunNumber(raw(task.run) + runNumberJump);
         if (result.refusal != wire::Refusal::NoRoom)
@@ -705,7 +741,7 @@
     case wire::RunOutcome::Stopped:
     case wire::RunOutcome::Lost:
         ++m_counters.lostRuns;
-        recordRun(LogLevel::Info, "run-lost", job, id, agent, result.reason, since);
+        traceRun("run-lost", job, id, agent, result.reason, now);
         if (!task.isStopping)
             task.avoided.push_back(at);
         break;
--- /dev/null
+++ b/src/JobTrace.cpp
@@ -0,0 +1,28 @@
+/** @file JobTrace.cpp Bounded list of decisions and its log lines. */
+#include <sequoia/JobTrace.h>
+
+namespace sequoia {
+
+void JobTrace::add(JobStep step)
+{
+    if (m_steps.size() >= mostSteps) {
+        ++m_left;
+        return;
+    }
+    m_steps.push_back(std::move(step));
+}
+
+std::vector<LogField> JobTrace::fieldsOf(const JobStep& step, WorkId job, TimePoint now)
+{
+    std::vector<LogField> fields { { "job", job }, { "ago_ms", toMilliseconds(now - step.at).count() } };
+    if (step.hasRun) {
+        fields.push_back({ "task", toString(step.run.task) });
+        fields.push_back({ "run", static_cast<int64_t>(raw(step.run.run)) });
+    }
+    if (!step.agent.empty())
+        fields.push_back({ "agent", step.agent });
+    fields.insert(fields.end(), step.inputs.begin(), step.inputs.end());
+    return fields;
+}
+
+} // namespace sequoia
--- a/src/LineWriter.cpp
+++ b/src/LineWriter.cpp
@@ -26,12 +26,13 @@
     m_thread.join();
 }
 
-void LineWriter::write(const std::string& line)
+void LineWriter::write(const std::string& line, bool isOrdinary)
 {
+    const auto most = isOrdinary ? m_limits.maxBufferedBytes / 2 : m_limits.maxBufferedBytes;
     bool wasEmpty = false;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_buffer.size() + line.size() > m_limits.maxBufferedBytes) {
+        if (m_buffer.size() + line.size() > most) {
             ++m_dropped;
             return;
         }
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -74,11 +74,12 @@
     while (last < stamp && !m_last.compare_exchange_weak(last, stamp)) { }
 }
 
-Log::Log(std::string process, LogLevel level, size_t ringSize, LineSink sink)
+Log::Log(std::string process, LogLevel level, size_t ringSize, LineSink sink, LogLimiterLimits limits)
     : m_process(std::move(process))
     , m_level(level)
     , m_ringSize(ringSize)
     , m_sink(std::move(sink))
+    , m_limiter(limits)
 {
 }
 
@@ -105,12 +106,35 @@
     return out;
 }
 
+void Log::writeBounded(const Recorded& event)
+{
+    constexpr Milliseconds leftOutPeriod { 5000 };
+    std::vector<LinesLeftOut> leftOut;
+    bool isAdmitted = false;
+    {
+        const std::lock_guard lock(m_limiterMutex);
+        const auto now = Clock::now();
+        isAdmitted = m_limiter.admits(event.level, event.kind, now);
+        if (now >= m_nextLeftOut) {
+            m_nextLeftOut = now + leftOutPeriod;
+            leftOut = m_limiter.takeLeftOut();
+        }
+    }
+    for (const auto& kind : leftOut) {
+        m_sink(toLine(shown({ m_clock.next(), LogLevel::Warning, "lines-left-out",
+                   { { "kind", std::string(kind.kind) }, { "lines", static_cast<int64_t>(kind.lines) } } })),
+            LogLevel::Warning);
+    }
+    if (isAdmitted)
+        m_sink(toLine(shown(event)), event.level);
+}
+
 void Log::event(LogLevel level, std::string_view kind, std::vector<LogField> fields)
 {
     Recorded event { m_clock.next(), level, kind, std::move(fields) };
     const bool isPrinted = level >= m_level.load();
     if (isPrinted && m_sink)
-        m_sink(toLine(shown(event)));
+        writeBounded(event);
     else if (isPrinted)
         fmt::print(stderr, "{}", toLine(shown(event)));
     if (m_ringSize == 0)
--- a/src/RoomAgentProcess.cpp
+++ b/src/RoomAgentProcess.cpp
@@ -54,7 +54,7 @@
     : m_settings(settings)
     , m_output(STDOUT_FILENO)
     , m_log(settings.name, parseLogLevel(settings.log_level), 0,
-          [this](const std::string& line) { m_output.write(line); })
+          [this](const std::string& line, LogLevel level) { m_output.write(line, level < LogLevel::Warning); })
     , m_self(drawIncarnation())
     , m_core(m_self, gateLimits(settings))
     , m_links(linkHooks(), linkLimits(), m_log.clock())
--- a/src/RoomEntryProcess.cpp
+++ b/src/RoomEntryProcess.cpp
@@ -49,7 +49,7 @@
     : m_settings(settings)
     , m_output(STDOUT_FILENO)
     , m_log(settings.name, parseLogLevel(settings.log_level), 0,
-          [this](const std::string& line) { m_output.write(line); })
+          [this](const std::string& line, LogLevel level) { m_output.write(line, level < LogLevel::Warning); })
     , m_self(drawIncarnation())
     , m_policy(policyLimits(settings))
     , m_core(dispatcherLimits(settings), m_policy, coreHooks())
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -258,116 +258,6 @@
     close(ends[0]);
 }
 
-namespace {
-
-/** A store whose replies the test gives. */
-struct FakeStore {
-    std::vector<std::string> calls;
-    std::function<void(StoreReply<SharedItems>)> items;
-    std::function<void(StoreReply<LeaseGrant>)> lease;
-    std::function<void(StoreReply<StoreDone>)> done;
-    TimePoint now { std::chrono::seconds(10) };
-    Log log { "test", LogLevel::Error, 0 };
-
-    SharedStore store()
-    {
-        SharedStore out;
-        out.list = [this](const std::string&, auto reply) {
-            calls.emplace_back("list");
-            items = std::move(reply);
-        };
-        out.watch = [this](const std::string&, StoreVersion after, Milliseconds, auto reply) {
-            calls.push_back("watch " + std::to_string(static_cast<uint64_t>(after)));
-            items = std::move(reply);
-        };
-        out.grantLease = [this](Milliseconds, auto reply) {
-            calls.emplace_back("lease");
-            lease = std::move(reply);
-        };
-        out.keepLease = [this](StoreLease, auto reply) {
-            calls.emplace_back("keep");
-            done = std::move(reply);
-        };
-        out.endLease = [this](StoreLease) { calls.emplace_back("end"); };
-        out.put = [this](const std::string&, const std::string&, StoreLease, auto reply) {
-            calls.emplace_back("put");
-            done = std::move(reply);
-        };
-        return out;
-    }
-};
-
-SharedItems itemsOf(uint64_t version, std::vector<SharedItem> items)
-{
-    return { std::move(items), StoreVersion(version) };
-}
-
-} // namespace
-
-Test(Follower, listsAgainWhereTheHistoryHasGone)
-{
-    FakeStore fake;
-    const auto store = fake.store();
-    size_t changes = 0;
-    Follower follower("p/", store, fake.log, {}, { [&](const auto&) { ++changes; }, [&] { return fake.now; } });
-    follower.tick();
-    fake.items(itemsOf(5, { { "p/a", "1", StoreVersion(5), false } }));
-    cr_expect_eq(fake.calls.back(), "watch 5");
-    fake.items(itemsOf(7, { { "p/b", "2", StoreVersion(6), false }, { "p/a", "", StoreVersion(7), true } }));
-    cr_expect_eq(fake.calls.back(), "watch 7");
-    cr_expect_eq(follower.items().size(), 1U);
-    cr_expect_eq(follower.items().at("p/b"), "2");
-    fake.items(itemsOf(6, {}));
-    cr_expect_eq(fake.calls.back(), "watch 7", "it never goes back");
-    fake.items(SharedStoreError::HistoryGone);
-    follower.tick();
-    cr_expect_eq(fake.calls.back(), "list");
-    fake.items(itemsOf(9, {}));
-    cr_expect(follower.items().empty(), "what the gap removed is gone");
-    cr_expect_eq(changes, 3U);
-}
-
-Test(Follower, pausesAfterFailures)
-{
-    FakeStore fake;
-    const auto store = fake.store();
-    Follower follower("p/", store, fake.log, {}, { [](const auto&) {}, [&] { return fake.now; } });
-    follower.tick();
-    fake.items(SharedStoreError::Unavailable);
-    cr_expect_not(follower.isConnected());
-    follower.tick();
-    cr_expect_eq(fake.calls.size(), 1U, "not at once");
-    fake.now += Milliseconds(400);
-    follower.tick();
-    cr_expect_eq(fake.calls.size(), 2U);
-    fake.items(itemsOf(1, {}));
-    cr_expect(follower.isConnected());
-}
-
-Test(Registration, comesBackAfterItsLeaseHasEnded)
-{
-    FakeStore fake;
-    const auto store = fake.store();
-    Registration registration("k", "v", store, fake.log, {}, [&] { return fake.now; });
-    registration.tick();
-    fake.lease(LeaseGrant { StoreLease(1), Milliseconds(6000) });
-    fake.done(StoreDone {});
-    fake.now += Milliseconds(2000);
-    registration.tick();
-    cr_expect_eq(fake.calls.back(), "keep");
-    fake.done(SharedStoreError::LeaseEnded);
-    registration.tick();
-    cr_expect_eq(fake.calls.back(), "lease", "at once");
-    fake.lease(SharedStoreError::Unavailable);
-    fake.now += Milliseconds(300);
-    registration.tick();
-    fake.lease(LeaseGrant { StoreLease(2), Milliseconds(6000) });
-    fake.done(StoreDone {});
-    registration.missing();
-    registration.tick();
-    cr_expect_eq(fake.calls.back(), "lease", "an item taken away is written again");
-}
-
 Test(Dialer, dialsAgainAndForgets)
 {
     uint32_t dialled = 0;
@@ -411,7 +301,7 @@
     const auto first = loadOrReport(rows, options);
     cr_assert(first.has_value());
     std::vector<std::string> lines;
-    Log log("test", LogLevel::Info, 0, [&](const std::string& line) { lines.push_back(line); });
+    Log log("test", LogLevel::Info, 0, [&](const std::string& line, LogLevel) { lines.push_back(line); });
     SettingsFile<RoomEntrySettings> file(rows, options, *first, { "log_level" });
     cr_expect_not(file.reload(log, "file").has_value(), "nothing has changed");
     write("name = \"e\"\nlog_level = \"loud\"\n");
@@ -426,26 +316,3 @@
         lines[1].find("taken=log_level after_restart=max_open_jobs") != std::string::npos, "%s", lines[1].c_str());
     unlink(path.c_str());
 }
-
-struct RouteRow {
-    char host[24];
-    char path[24];
-    int route; ///< -1 for none.
-};
-
-ParameterizedTestParameters(RouteTable, findsTheLongestPrefix)
-{
-    static RouteRow rows[] = { { "a.example", "/x/1", 0 }, { "A.Example:80", "/x/1", 0 }, { "a.example", "/x/y/1", 1 },
-        { "b.example", "/x/1", -1 }, { "a.example", "/", -1 }, { "a.example", "/z/1", 2 }, { "other", "/z/1", 2 } };
-    return cr_make_param_array(RouteRow, rows, sizeof(rows) / sizeof(RouteRow));
-}
-
-ParameterizedTest(RouteRow* row, RouteTable, findsTheLongestPrefix)
-{
-    RouteTable table;
-    for (const auto& [host, prefix] :
-        { std::pair("a.example", "/x/"), std::pair("a.example", "/x/y/"), std::pair("", "/z/") })
-        table.routes.push_back({ host, prefix, {} });
-    const auto* found = table.find(row->host, row->path);
-    cr_expect_eq(found == nullptr ? -1 : found - table.routes.data(), row->route, "%s%s", row->host, row->path);
-}
--- /dev/null
+++ b/tests/StoreUseTest.cpp
@@ -0,0 +1,243 @@
+/** @file StoreUseTest.cpp What entries do with the shared store, against a store whose replies the test gives. */
+#include <sequoia/EntryDirectory.h>
+#include <sequoia/Follower.h>
+#include <sequoia/LearnedKeeper.h>
+#include <sequoia/Registration.h>
+#include <sequoia/RoutesInForce.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace sequoia;
+
+namespace {
+
+/** A store whose replies the test gives. */
+struct FakeStore {
+    std::vector<std::string> calls;
+    std::function<void(StoreReply<SharedItems>)> items;
+    std::function<void(StoreReply<LeaseGrant>)> lease;
+    std::function<void(StoreReply<StoreDone>)> done;
+    TimePoint now { std::chrono::seconds(10) };
+    Log log { "test", LogLevel::Error, 0 };
+
+    SharedStore store()
+    {
+        SharedStore out;
+        out.list = [this](const std::string&, auto reply) {
+            calls.emplace_back("list");
+            items = std::move(reply);
+        };
+        out.watch = [this](const std::string&, StoreVersion after, Milliseconds, auto reply) {
+            calls.push_back("watch " + std::to_string(static_cast<uint64_t>(after)));
+            items = std::move(reply);
+        };
+        out.grantLease = [this](Milliseconds, auto reply) {
+            calls.emplace_back("lease");
+            lease = std::move(reply);
+        };
+        out.keepLease = [this](StoreLease, auto reply) {
+            calls.emplace_back("keep");
+            done = std::move(reply);
+        };
+        out.endLease = [this](StoreLease) { calls.emplace_back("end"); };
+        out.put = [this](const std::string&, const std::string&, StoreLease, auto reply) {
+            calls.emplace_back("put");
+            done = std::move(reply);
+        };
+        return out;
+    }
+};
+
+SharedItems itemsOf(uint64_t version, std::vector<SharedItem> items)
+{
+    return { std::move(items), StoreVersion(version) };
+}
+
+} // namespace
+
+Test(Follower, listsAgainWhereTheHistoryHasGone)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    size_t changes = 0;
+    Follower follower("p/", store, fake.log, {}, { [&](const auto&) { ++changes; }, [&] { return fake.now; } });
+    follower.tick();
+    fake.items(itemsOf(5, { { "p/a", "1", StoreVersion(5), false } }));
+    cr_expect_eq(fake.calls.back(), "watch 5");
+    fake.items(itemsOf(7, { { "p/b", "2", StoreVersion(6), false }, { "p/a", "", StoreVersion(7), true } }));
+    cr_expect_eq(fake.calls.back(), "watch 7");
+    cr_expect_eq(follower.items().size(), 1U);
+    cr_expect_eq(follower.items().at("p/b"), "2");
+    fake.items(itemsOf(6, {}));
+    cr_expect_eq(fake.calls.back(), "watch 7", "it never goes back");
+    fake.items(SharedStoreError::HistoryGone);
+    follower.tick();
+    cr_expect_eq(fake.calls.back(), "list");
+    fake.items(itemsOf(9, {}));
+    cr_expect(follower.items().empty(), "what the gap removed is gone");
+    cr_expect_eq(changes, 3U);
+}
+
+Test(Follower, pausesAfterFailures)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    Follower follower("p/", store, fake.log, {}, { [](const auto&) {}, [&] { return fake.now; } });
+    follower.tick();
+    fake.items(SharedStoreError::Unavailable);
+    cr_expect_not(follower.isConnected());
+    follower.tick();
+    cr_expect_eq(fake.calls.size(), 1U, "not at once");
+    fake.now += Milliseconds(400);
+    follower.tick();
+    cr_expect_eq(fake.calls.size(), 2U);
+    fake.items(itemsOf(1, {}));
+    cr_expect(follower.isConnected());
+}
+
+Test(Registration, comesBackAfterItsLeaseHasEnded)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    Registration registration("k", "v", store, fake.log, {}, [&] { return fake.now; });
+    registration.tick();
+    fake.lease(LeaseGrant { StoreLease(1), Milliseconds(6000) });
+    fake.done(StoreDone {});
+    fake.now += Milliseconds(2000);
+    registration.tick();
+    cr_expect_eq(fake.calls.back(), "keep");
+    fake.done(SharedStoreError::LeaseEnded);
+    registration.tick();
+    cr_expect_eq(fake.calls.back(), "lease", "at once");
+    fake.lease(SharedStoreError::Unavailable);
+    fake.now += Milliseconds(300);
+    registration.tick();
+    fake.lease(LeaseGrant { StoreLease(2), Milliseconds(6000) });
+    fake.done(StoreDone {});
+    registration.missing();
+    registration.tick();
+    cr_expect_eq(fake.calls.back(), "lease", "an item taken away is written again");
+}
+
+struct RouteRow {
+    char host[24];
+    char path[24];
+    int route; ///< -1 for none.
+};
+
+ParameterizedTestParameters(RouteTable, findsTheLongestPrefix)
+{
+    static RouteRow rows[] = { { "a.example", "/x/1", 0 }, { "A.Example:80", "/x/1", 0 }, { "a.example", "/x/y/1", 1 },
+        { "b.example", "/x/1", -1 }, { "a.example", "/", -1 }, { "a.example", "/z/1", 2 }, { "other", "/z/1", 2 } };
+    return cr_make_param_array(RouteRow, rows, sizeof(rows) / sizeof(RouteRow));
+}
+
+ParameterizedTest(RouteRow* row, RouteTable, findsTheLongestPrefix)
+{
+    RouteTable table;
+    for (const auto& [host, prefix] :
+        { std::pair("a.example", "/x/"), std::pair("a.example", "/x/y/"), std::pair("", "/z/") })
+        table.routes.push_back({ host, prefix, {} });
+    const auto* found = table.find(row->host, row->path);
+    cr_expect_eq(found == nullptr ? -1 : found - table.routes.data(), row->route, "%s%s", row->host, row->path);
+}
+
+Test(LearnedKeeper, recallsFirstAndThenWritesWhatChanges)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    std::optional<Learned> learned;
+    std::optional<Learned> recalled;
+    LearnedKeeper keeper("entry", store, fake.log, {},
+        { [&] { return learned; }, [&](const Learned& all) { recalled = all; }, [&] { return fake.now; } });
+    keeper.tick();
+    cr_assert_eq(fake.calls.back(), "list");
+    fake.items(SharedStoreError::Unavailable);
+    keeper.tick();
+    cr_expect_eq(fake.calls.size(), 1U, "not at once");
+    fake.now += Milliseconds(1000);
+    keeper.tick();
+    Learned before;
+    before.speeds["agent"] = { 7, 1.5, 20 };
+    fake.items(itemsOf(3,
+        { { "sequoia/learned/other", toText(before), StoreVersion(3), false },
+            { "sequoia/learned/broken", "{", StoreVersion(3), false } }));
+    cr_assert(recalled.has_value());
+    cr_expect_eq(recalled->speeds.at("agent").samples, 20U);
+    fake.now += Milliseconds(5000);
+    keeper.tick();
+    cr_expect_eq(fake.calls.back(), "list", "nothing was learned yet");
+    learned.emplace();
+    fake.now += Milliseconds(5000);
+    keeper.tick();
+    cr_expect_eq(fake.calls.back(), "lease");
+    fake.lease(LeaseGrant { StoreLease(1), Milliseconds(600000) });
+    cr_expect_eq(fake.calls.back(), "put");
+    fake.done(StoreDone {});
+    const auto calls = fake.calls.size();
+    fake.now += Milliseconds(5000);
+    keeper.tick();
+    cr_expect_eq(fake.calls.size(), calls, "what has not changed is not written");
+    learned->speeds["agent"] = { 7, 1.6, 30 };
+    fake.now += Milliseconds(5000);
+    keeper.tick();
+    cr_expect_eq(fake.calls.back(), "put");
+}
+
+Test(LearnedKeeper, largeTextsAreWrittenMoreRarely)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    Learned learned;
+    for (int i = 0; i < 1000; ++i)
+        learned.speeds["agent-" + std::to_string(i)] = { 1000000000000, 1.25, 50 };
+    LearnedKeeper keeper("entry", store, fake.log, {},
+        { [&] { return std::optional(learned); }, [](const Learned&) {}, [&] { return fake.now; } });
+    keeper.tick();
+    fake.items(itemsOf(1, {}));
+    fake.now += Milliseconds(1000);
+    keeper.tick();
+    fake.lease(LeaseGrant { StoreLease(1), Milliseconds(600000) });
+    fake.done(StoreDone {});
+    const auto calls = fake.calls.size();
+    learned.speeds["agent-0"].samples = 51;
+    const auto spaced = Milliseconds(static_cast<int64_t>(toText(learned).size()) * 1000 / 1024);
+    fake.now += spaced - Milliseconds(1000);
+    keeper.tick();
+    cr_expect_eq(fake.calls.size(), calls, "at most 1 KB/s on average");
+    fake.now += Milliseconds(1100);
+    keeper.tick();
+    cr_expect_eq(fake.calls.back(), "put");
+}
+
+Test(EntryDirectory, readsWhatEntriesWriteAndNamesTheRest)
+{
+    const std::map<std::string, std::string> items { { "e/1", toText(EntryItem { "a:1", "a:2" }) },
+        { "e/2", "{\"link\":5}" }, { "e/3", "x" }, { "e/4", toText(EntryItem { "b:1", "" }) } };
+    const auto directory = EntryDirectory::of(items);
+    cr_expect_eq(directory.linkAddresses.size(), 2U);
+    cr_expect_eq(directory.peerAddresses.size(), 1U);
+    cr_expect_eq(directory.malformed.size(), 2U);
+}
+
+Test(RoutesInForce, neverGoesBack)
+{
+    Log log("test", LogLevel::Error, 0, [](const std::string&, LogLevel) {});
+    RoutesInForce routes(
+        [](const std::string& text) -> std::variant<RouteTable, FormatProblem> {
+            if (text == "bad")
+                return FormatProblem { "body", "not a version" };
+            RouteTable table;
+            table.version = std::stoull(text);
+            return table;
+        },
+        log);
+    const std::vector<std::pair<std::string, uint64_t>> steps { { "bad", 0 }, { "3", 3 }, { "2", 3 }, { "bad", 3 },
+        { "3", 3 }, { "9", 9 }, { "8", 9 } };
+    for (const auto& [text, inForce] : steps) {
+        routes.take(text, "test");
+        cr_expect_eq(routes.current() ? routes.current()->version : 0, inForce, "after %s", text.c_str());
+    }
+    cr_expect_eq(routes.text(), "9", "other entries are told the newest");
+}
