--- a/src/Ctl.h
+++ b/src/Ctl.h
@@ -22,6 +22,7 @@
     std::string filter; ///< Time line: events whose fields contain it.
     uint64_t since = 0; ///< Time line: stamp in µs.
     std::string output; ///< text, json or html.
+    std::vector<std::string> before; ///< Log files of a run to compare with.
     std::string today; ///< Replaces the date of the system's clock.
     Milliseconds wait { 0 };
     bool isDryRun = false;
@@ -36,12 +37,15 @@
     size_t argumentCount = 0;
     std::string help;
     std::function<ExitCode(const CtlOptions&)> run;
+    bool takesMore = false; ///< Further arguments may follow.
 };
 
 /** Commands on the sheet and the holidays. */
 std::vector<CtlCommand> sheetCommands();
 /** Commands on the configuration. */
 std::vector<CtlCommand> configCommands();
+/** Commands on logs. */
+std::vector<CtlCommand> logCommands();
 /** Commands on the running processes. */
 std::vector<CtlCommand> fleetCommands();
 
--- /dev/null
+++ b/src/CtlLogs.cpp
@@ -0,0 +1,94 @@
+/** @file CtlLogs.cpp sequoiactl explain, troubled and report: answers from the logs of all processes. */
+#include "Ctl.h"
+#include "Explain.h"
+#include "LogLines.h"
+#include "LogReport.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <iostream>
+#include <map>
+
+namespace sequoia {
+
+namespace {
+
+    /** Reads log files, `-` for standard input; empty after a message if one can't be read or holds no event. */
+    std::optional<std::vector<TimeLineEvent>> readLogs(const std::vector<std::string>& files)
+    {
+        std::string text;
+        for (const auto& file : files) {
+            const auto part = readFile(file);
+            if (!part) {
+                fmt::print(stderr, "{}: cannot be read\n", file);
+                return std::nullopt;
+            }
+            text += *part;
+            text += '\n';
+        }
+        auto events = parseLogLines(text);
+        if (events.empty()) {
+            fmt::print(stderr, "{}: no log line of the form \"time=... event=...\"\n", fmt::join(files, ", "));
+            return std::nullopt;
+        }
+        return events;
+    }
+
+    std::vector<std::string> wordsFrom(const CtlOptions& options, size_t first)
+    {
+        return { options.words.begin() + static_cast<std::ptrdiff_t>(first), options.words.end() };
+    }
+
+    ExitCode explainCommand(const CtlOptions& options)
+    {
+        const auto events = readLogs(wordsFrom(options, 2));
+        if (!events)
+            return ExitCode::Failure;
+        const auto explanation = explain(*events, options.words[1]);
+        std::cout << (options.output == "json" ? explanationJson(explanation) + "\n" : explanationText(explanation));
+        return explanation.story.empty() ? ExitCode::Failure : ExitCode::Ok;
+    }
+
+    ExitCode troubledCommand(const CtlOptions& options)
+    {
+        const auto events = readLogs(wordsFrom(options, 1));
+        if (!events)
+            return ExitCode::Failure;
+        for (const auto& job : troubledJobs(*events)) {
+            const auto explanation = explain(*events, job);
+            std::cout << fmt::format("{}  {:<20}  {}\n", job, explanation.code, explanation.cause);
+        }
+        return ExitCode::Ok;
+    }
+
+    ExitCode reportCommand(const CtlOptions& options)
+    {
+        const auto files = wordsFrom(options, 1);
+        const auto events = readLogs(files);
+        if (!events)
+            return ExitCode::Failure;
+        std::vector<TimeLineEvent> before;
+        if (!options.before.empty()) {
+            auto read = readLogs(options.before);
+            if (!read)
+                return ExitCode::Failure;
+            before = std::move(*read);
+        }
+        std::cout << logReportHtml(*events, before, fmt::format("sequoiafold: {}", fmt::join(files, ", ")));
+        return ExitCode::Ok;
+    }
+
+} // namespace
+
+std::vector<CtlCommand> logCommands()
+{
+    return {
+        { { "explain" }, "ID FILE...", 2, "story and cause of one request from log files; --output text|json",
+            explainCommand, true },
+        { { "troubled" }, "FILE...", 1, "requests that did not go well, with their causes", troubledCommand, true },
+        { { "report" }, "FILE...", 1, "one HTML page about a run from log files; --before FILE to compare",
+            reportCommand, true },
+    };
+}
+
+} // namespace sequoia
--- a/src/CtlMain.cpp
+++ b/src/CtlMain.cpp
@@ -28,7 +28,7 @@
     std::vector<CtlCommand> allCommands()
     {
         auto all = sheetCommands();
-        for (auto more : { configCommands(), fleetCommands() })
+        for (auto more : { configCommands(), fleetCommands(), logCommands() })
             all.insert(all.end(), more.begin(), more.end());
         return all;
     }
@@ -104,7 +104,8 @@
             return usage(fmt::format("unknown command \"{}\"{}", joined(parsed.words),
                 near.empty() ? "" : ", did you mean \"" + near + "\"?"));
         }
-        if (parsed.words.size() != command->words.size() + command->argumentCount)
+        const auto least = command->words.size() + command->argumentCount;
+        if (parsed.words.size() < least || (parsed.words.size() > least && !command->takesMore))
             return usage(fmt::format("expected: {} {}", joined(command->words), command->arguments));
         return command->run(parsed);
     }
@@ -133,6 +134,7 @@
         ("filter", options::value(&parsed.filter)->default_value(""), "time line: events with this job, task or agent")
         ("since", options::value(&parsed.since)->default_value(0), "time line: events after this stamp, µs")
         ("output", options::value(&parsed.output)->default_value("text"), "text, json or html")
+        ("before", options::value(&parsed.before)->composing(), "report: log file of a run to compare with; may be repeated")
         ("wait", options::value(&wait)->default_value("0"), "longest wait, such as 11s")
         ("watch", options::bool_switch(&parsed.isWatching), "repeat every second");
         // clang-format on
--- /dev/null
+++ b/src/Explain.cpp
@@ -0,0 +1,442 @@
+/** @file Explain.cpp From events that name a request to its cause. */
+#include "Explain.h"
+
+#include "LogLines.h"
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+
+namespace sequoia {
+
+namespace {
+
+    using Json = nlohmann::ordered_json;
+
+    constexpr uint64_t usPerMs = 1000;
+    constexpr int64_t slowPercent = 150; // A server this slow is named as slow.
+    constexpr double longRatio = 1.5; // A run this much over its expected time is named as long.
+    constexpr uint64_t contextBefore = 2'000'000; // µs; beliefs that old may still have decided.
+
+    const std::set<std::string_view> beliefKinds { "agent-state", "agent-linked", "agent-unlinked", "gate-state",
+        "server-gone", "server-left", "server-life", "owner-lost", "suspended", "store-lost", "store-regained",
+        "configuration", "started", "stopping", "stopped", "quarantine-trial", "quarantine-ended" };
+
+    /** When something happened: lines of a trace are written later and say how long ago it was. */
+    int64_t happenedAtMs(const TimeLineEvent& event)
+    {
+        return static_cast<int64_t>(event.stamp / usPerMs) - numberOf(event, "ago_ms");
+    }
+
+    bool isRunKind(const std::string& kind) { return kind.starts_with("run-"); }
+
+    /** Events of a job's task that stands in an entry's trace. */
+    using TaskSteps = std::vector<const TimeLineEvent*>;
+
+    std::map<std::string, TaskSteps> stepsByTask(const std::vector<TimeLineEvent>& story)
+    {
+        std::map<std::string, TaskSteps> tasks;
+        for (const auto& event : story) {
+            // Agents log runs as well; the trace of the entry is the one that knows all servers.
+            if (isRunKind(event.kind) && !fieldOf(event, "agent").empty())
+                tasks[fieldOf(event, "task")].push_back(&event);
+        }
+        for (auto& [task, steps] : tasks) {
+            std::stable_sort(steps.begin(), steps.end(),
+                [](const auto* a, const auto* b) { return happenedAtMs(*a) < happenedAtMs(*b); });
+        }
+        return tasks;
+    }
+
+    bool isDone(const TaskSteps& steps) { return !steps.empty() && steps.back()->kind == "run-done"; }
+
+    /** The task that held the job up: an unfinished one, else the one that ended last. */
+    const TaskSteps* lastTask(const std::map<std::string, TaskSteps>& tasks)
+    {
+        const TaskSteps* last = nullptr;
+        for (const auto& [name, steps] : tasks) {
+            const auto rank = [](const TaskSteps& s) { return std::pair(!isDone(s), happenedAtMs(*s.back())); };
+            if (last == nullptr || rank(steps) > rank(*last))
+                last = &steps;
+        }
+        return last;
+    }
+
+    std::string nameOfEnd(const TimeLineEvent& end)
+    {
+        if (end.kind == "run-refused")
+            return "refused at the gate (" + fieldOf(end, "reason") + ")";
+        if (end.kind == "run-failed")
+            return "ran and failed";
+        if (end.kind == "run-lost")
+            return "lost (" + fieldOf(end, "reason") + ")";
+        if (end.kind == "run-stuck")
+            return "ran too long and was stopped";
+        return "ran";
+    }
+
+    std::vector<StoryPhase> phasesOf(const TaskSteps& steps, int64_t arrival, int64_t answer)
+    {
+        std::vector<StoryPhase> phases;
+        int64_t since = arrival;
+        const TimeLineEvent* order = nullptr;
+        for (const auto* event : steps) {
+            const auto at = happenedAtMs(*event);
+            if (event->kind == "run-ordered") {
+                phases.push_back({ "waited for room", "", at - since });
+                order = event;
+            } else if (order != nullptr) {
+                phases.push_back({ nameOfEnd(*event), fieldOf(*event, "agent"), at - since });
+            }
+            since = at;
+        }
+        const bool isOpen = !steps.empty() && steps.back()->kind == "run-ordered";
+        if (isOpen)
+            phases.push_back({ "ran, without an end", fieldOf(*steps.back(), "agent"), answer - since });
+        else if (!isDone(steps))
+            phases.push_back({ "waited for room", "", answer - since });
+        std::erase_if(phases, [](const StoryPhase& phase) { return phase.what == "waited for room" && phase.ms <= 0; });
+        return phases;
+    }
+
+    /** Agents that were closed at a time, with the reason. */
+    std::map<std::string, std::string> closedAgents(const std::vector<TimeLineEvent>& events, uint64_t stamp)
+    {
+        std::map<std::string, std::string> closed;
+        for (const auto& event : events) {
+            if (event.stamp > stamp)
+                break;
+            if (event.kind == "gate-state") {
+                if (fieldOf(event, "state") == "Closed")
+                    closed[event.process] = fieldOf(event, "reason");
+                else
+                    closed.erase(event.process);
+            } else if (event.kind == "started")
+                closed.erase(event.process);
+        }
+        return closed;
+    }
+
+    std::string closedText(const std::vector<TimeLineEvent>& events, uint64_t stamp)
+    {
+        std::vector<std::string> list;
+        for (const auto& [agent, reason] : closedAgents(events, stamp))
+            list.push_back(fmt::format("{} ({})", agent, reason));
+        if (list.empty())
+            return "no server was closed";
+        return fmt::format("{} closed: {}", list.size(), fmt::join(list, ", "));
+    }
+
+    struct Cause {
+        std::string code;
+        std::string text;
+    };
+
+    Cause causeOfRefusal(const std::vector<TimeLineEvent>& events, const Explanation& out, const TimeLineEvent& answer)
+    {
+        const auto reason = fieldOf(answer, "reason");
+        if (reason == "caller-gone")
+            return { "caller-gone",
+                fmt::format("its caller left after {} ms, before it was started", numberOf(answer, "age_ms")) };
+        const TimeLineEvent* decision = nullptr;
+        for (const auto& event : out.story) {
+            if (event.kind == "job-refused" || event.kind == "job-queued" || event.kind == "job-reviewed")
+                decision = &event;
+        }
+        if (reason == "overloaded" || reason == "waited-too-long") {
+            const auto wait = decision == nullptr ? 0 : numberOf(*decision, "predicted_wait_ms");
+            return { reason,
+                fmt::format(
+                    "refused after {} ms: {} ms of waiting were predicted and its caller would have left ({} of "
+                    "work arrive for each {} that the servers do; {})",
+                    numberOf(answer, "queued_ms"), wait,
+                    decision == nullptr ? "?" : fieldOf(*decision, "arriving_per_ms"),
+                    decision == nullptr ? "?" : fieldOf(*decision, "capacity_per_ms"),
+                    closedText(events, answer.stamp)) };
+        }
+        if (reason == "no-server-fits")
+            return { reason, "refused at once: no known server is large enough or has its label" };
+        if (reason == "no-backend-server")
+            return { reason, "refused: no agent was linked to this entry; " + closedText(events, answer.stamp) };
+        if (reason == "stopping")
+            return { reason, fmt::format("refused because {} was stopping", answer.process) };
+        return { reason, fmt::format("refused: {}", reason) };
+    }
+
+    /** The longest phase that is not an ordinary run, or the longest run. */
+    const StoryPhase* worstPhase(const std::vector<StoryPhase>& phases)
+    {
+        const StoryPhase* worst = nullptr;
+        for (const auto& phase : phases) {
+            const bool isRun = phase.what.starts_with("ran") && phase.what != "ran too long and was stopped"
+                && phase.what != "ran and failed";
+            if (isRun)
+                continue;
+            if (worst == nullptr || phase.ms > worst->ms)
+                worst = &phase;
+        }
+        return worst;
+    }
+
+    Cause causeOfRun(const TaskSteps& steps, const StoryPhase& run)
+    {
+        const TimeLineEvent* order = nullptr;
+        for (const auto* event : steps) {
+            if (event->kind == "run-ordered")
+                order = event;
+        }
+        const auto expected = order == nullptr ? 0 : numberOf(*order, "expected_ms");
+        const auto slowness = order == nullptr ? 100 : numberOf(*order, "slowness_percent", 100);
+        const bool isLong = expected > 0
+            && static_cast<double>(run.ms)
+                > longRatio * static_cast<double>(expected * std::max<int64_t>(slowness, 100)) / 100;
+        if (run.what == "ran, without an end")
+            return { "no-end",
+                fmt::format("its run on {} had not ended after {} ms, where {} ms were expected", run.agent, run.ms,
+                    expected * slowness / 100) };
+        if (isLong)
+            return { "longer-than-expected",
+                fmt::format("its run on {} took {} ms, where {} ms were expected: the estimate was too short or the "
+                            "server had become slow",
+                    run.agent, run.ms, expected * slowness / 100) };
+        if (slowness >= slowPercent)
+            return { "slow-server",
+                fmt::format(
+                    "it ran for {} ms on {}, which takes {}% of the expected time", run.ms, run.agent, slowness) };
+        return { "long-run", fmt::format("it ran for {} ms on {}", run.ms, run.agent) };
+    }
+
+    Cause causeOfTime(const std::vector<TimeLineEvent>& events, const TaskSteps& steps,
+        const std::vector<StoryPhase>& phases, uint64_t stamp)
+    {
+        const StoryPhase* run = nullptr;
+        for (const auto& phase : phases) {
+            if (phase.what.starts_with("ran") && (run == nullptr || phase.ms > run->ms))
+                run = &phase;
+        }
+        const auto* worst = worstPhase(phases);
+        constexpr int64_t noticeableMs = 50;
+        const bool isRunWorse = run != nullptr && (worst == nullptr || worst->ms < noticeableMs);
+        if (isRunWorse)
+            return causeOfRun(steps, *run);
+        if (worst == nullptr)
+            return { "unknown", "the logs name no decision about its tasks" };
+        if (worst->what == "waited for room")
+            return { "waited-for-room",
+                fmt::format("its last task waited {} ms for room; {}", worst->ms, closedText(events, stamp)) };
+        return { worst->what.starts_with("lost")     ? "run-lost"
+                : worst->what.starts_with("ran and") ? "run-failed"
+                : worst->what.starts_with("ran too") ? "run-stuck"
+                                                     : "refused-at-gate",
+            fmt::format("a run of its last task on {} cost {} ms: {}", worst->agent, worst->ms, worst->what) };
+    }
+
+    Cause causeOfFailure(const TaskSteps& steps)
+    {
+        std::map<std::string, int> failures;
+        for (const auto* event : steps) {
+            if (event->kind == "run-failed")
+                ++failures[fieldOf(*event, "agent")];
+        }
+        std::vector<std::string> list;
+        for (const auto& [agent, n] : failures)
+            list.push_back(fmt::format("{} on {}", n, agent));
+        if (failures.size() > 1)
+            return { "task-fails",
+                fmt::format(
+                    "one of its tasks failed wherever it ran ({}): the task itself fails", fmt::join(list, ", ")) };
+        return { "server-fails",
+            fmt::format("one of its tasks failed as often as its route allows ({})", fmt::join(list, ", ")) };
+    }
+
+    /** Cause for a job that nobody answered. */
+    Cause causeWithoutAnswer(const std::vector<TimeLineEvent>& events, const Explanation& out)
+    {
+        for (const auto& event : out.story) {
+            if (event.kind != "run-owner-lost")
+                continue;
+            return { "entry-lost",
+                fmt::format(
+                    "the entry that owned it was lost ({}), {} stopped its run; its caller has to send it again",
+                    fieldOf(event, "reason"), event.process) };
+        }
+        const bool hasRestart = std::any_of(events.begin(), events.end(), [&](const TimeLineEvent& event) {
+            return event.kind == "started" && event.stamp > out.story.back().stamp;
+        });
+        return { "no-answer",
+            hasRestart ? "no entry answered it, and processes have restarted since: its entry ended before it answered"
+                       : "no entry has answered it yet" };
+    }
+
+    Cause causeOf(const std::vector<TimeLineEvent>& events, Explanation& out)
+    {
+        if (out.story.empty())
+            return { "unseen", "no process logged it: it reached no entry, or went well and its lines were left out" };
+        std::vector<const TimeLineEvent*> answers;
+        for (const auto& event : out.story) {
+            if (event.kind == "job-answered")
+                answers.push_back(&event);
+        }
+        if (answers.empty())
+            return causeWithoutAnswer(events, out);
+        const auto& answer = *answers.back();
+        const auto status = fieldOf(answer, "status");
+        std::string again;
+        if (answers.size() > 1)
+            again = fmt::format(
+                "answered {} times, last by {}: its caller sent it again; ", answers.size(), answer.process);
+        if (status == "not-run") {
+            const auto cause = causeOfRefusal(events, out, answer);
+            return { cause.code, again + cause.text };
+        }
+        const auto tasks = stepsByTask(out.story);
+        const auto* steps = lastTask(tasks);
+        if (steps == nullptr) {
+            if (status == "succeeded" && fieldOf(answer, "in_time") != "false")
+                return { "in-time",
+                    again + fmt::format("it succeeded in time, after {} ms", numberOf(answer, "age_ms")) };
+            return { "unknown", again + "the logs hold no decision about its tasks" };
+        }
+        const auto answeredAt = static_cast<int64_t>(answer.stamp / usPerMs);
+        const auto arrival = answeredAt - numberOf(answer, "age_ms") + numberOf(answer, "waited_before_ms");
+        out.phases = phasesOf(*steps, arrival, answeredAt);
+        if (status == "failed") {
+            for (const auto& [name, other] : tasks) {
+                const bool hasFailed = other.back()->kind == "run-failed";
+                if (!hasFailed)
+                    continue;
+                const auto cause = causeOfFailure(other);
+                return { cause.code, again + cause.text };
+            }
+        }
+        const auto cause = causeOfTime(events, *steps, out.phases, answer.stamp);
+        const auto before = numberOf(answer, "waited_before_ms");
+        const auto repeated
+            = before > 0 ? fmt::format("its caller had waited {} ms or more before this request; ", before) : "";
+        if (status == "succeeded" && fieldOf(answer, "in_time") != "false")
+            return { "in-time",
+                again + fmt::format("it succeeded in time, after {} ms; {}", numberOf(answer, "age_ms"), cause.text) };
+        const auto verb = status == "succeeded" ? "late" : "not finished";
+        return { cause.code,
+            fmt::format("{}{}{} after {} ms: {}", again, repeated, verb, numberOf(answer, "age_ms"), cause.text) };
+    }
+
+    /** Beliefs about the processes that the story names, from some time before it to its end. */
+    std::vector<TimeLineEvent> contextOf(const std::vector<TimeLineEvent>& events, const Explanation& out)
+    {
+        std::vector<TimeLineEvent> context;
+        if (out.story.empty())
+            return context;
+        std::set<std::string> names;
+        uint64_t first = out.story.front().stamp;
+        for (const auto& event : out.story) {
+            names.insert(event.process);
+            names.insert(fieldOf(event, "agent"));
+            first = std::min(first, event.stamp - static_cast<uint64_t>(numberOf(event, "ago_ms")) * usPerMs);
+        }
+        names.erase("");
+        for (const auto& event : events) {
+            const bool isNear = event.stamp + contextBefore >= first && event.stamp <= out.story.back().stamp;
+            const bool isNamed = names.contains(event.process)
+                && (fieldOf(event, "agent").empty() || names.contains(fieldOf(event, "agent")));
+            if (isNear && isNamed && beliefKinds.contains(event.kind))
+                context.push_back(event);
+        }
+        return context;
+    }
+
+    Json toJson(const TimeLineEvent& event)
+    {
+        Json out { { "stamp", event.stamp }, { "process", event.process }, { "event", event.kind } };
+        for (const auto& field : event.fields)
+            out["fields"][field.key] = field.value;
+        return out;
+    }
+
+} // namespace
+
+Explanation explain(const std::vector<TimeLineEvent>& events, const std::string& job)
+{
+    Explanation out;
+    out.job = job;
+    for (const auto& event : events) {
+        const bool isNamed = fieldOf(event, "job") == job
+            || (event.kind == "request-refused" && fieldOf(event, "target").find(job) != std::string::npos);
+        if (isNamed)
+            out.story.push_back(event);
+    }
+    std::stable_sort(out.story.begin(), out.story.end(),
+        [](const auto& a, const auto& b) { return happenedAtMs(a) < happenedAtMs(b); });
+    const auto refused = std::find_if(
+        out.story.begin(), out.story.end(), [](const TimeLineEvent& event) { return event.kind == "request-refused"; });
+    Cause cause;
+    if (refused != out.story.end() && refused + 1 == out.story.end())
+        cause = { "request-refused",
+            fmt::format("refused with status {} by {}: {}", fieldOf(*refused, "status"), refused->process,
+                fieldOf(*refused, "reason")) };
+    else
+        cause = causeOf(events, out);
+    out.code = std::move(cause.code);
+    out.cause = std::move(cause.text);
+    out.context = contextOf(events, out);
+    return out;
+}
+
+std::vector<std::string> troubledJobs(const std::vector<TimeLineEvent>& events)
+{
+    std::map<std::string, int64_t> worst;
+    for (const auto& event : events) {
+        if (event.kind != "job-answered")
+            continue;
+        const bool isGood = fieldOf(event, "status") == "succeeded" && fieldOf(event, "in_time") != "false";
+        if (!isGood)
+            worst[fieldOf(event, "job")] = numberOf(event, "age_ms");
+    }
+    std::vector<std::pair<int64_t, std::string>> ordered;
+    for (const auto& [job, age] : worst)
+        ordered.emplace_back(-age, job);
+    std::sort(ordered.begin(), ordered.end());
+    std::vector<std::string> out;
+    for (auto& [age, job] : ordered)
+        out.push_back(std::move(job));
+    return out;
+}
+
+std::string explanationText(const Explanation& explanation)
+{
+    auto out = fmt::format("{}: {}\n", explanation.job, explanation.cause);
+    if (!explanation.phases.empty())
+        out += "\nthe task that decided:\n";
+    for (const auto& phase : explanation.phases)
+        out += fmt::format("  {:>7} ms  {}{}\n", phase.ms, phase.what, phase.agent.empty() ? "" : " on " + phase.agent);
+    const auto lines = [&](const char* title, const std::vector<TimeLineEvent>& events) {
+        if (events.empty())
+            return;
+        out += fmt::format("\n{}:\n", title);
+        const auto first = happenedAtMs(events.front());
+        for (const auto& event : events)
+            out += fmt::format("  {:>9} ms  {:<16} {}\n", happenedAtMs(event) - first, event.process, describe(event));
+    };
+    lines("its events", explanation.story);
+    lines("what the processes believed", explanation.context);
+    return out;
+}
+
+std::string explanationJson(const Explanation& explanation)
+{
+    Json out { { "job", explanation.job }, { "code", explanation.code }, { "cause", explanation.cause },
+        { "phases", Json::array() }, { "events", Json::array() }, { "context", Json::array() } };
+    for (const auto& phase : explanation.phases)
+        out["phases"].push_back({ { "what", phase.what }, { "agent", phase.agent }, { "ms", phase.ms } });
+    for (const auto& event : explanation.story)
+        out["events"].push_back(toJson(event));
+    for (const auto& event : explanation.context)
+        out["context"].push_back(toJson(event));
+    return out.dump(1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace sequoia
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -228,6 +228,7 @@
         int64_t stopped = 0;
         for (auto& [id, run] : m_runs) {
             if (run.owner == it->first) {
+                recordRun(LogLevel::Warning, "run-owner-lost", id, run, "owner silent or its link broken", now);
                 stopRun(id, run, now);
                 ++stopped;
             }
--- a/src/TimeLineView.cpp
+++ b/src/TimeLineView.cpp
@@ -1,6 +1,8 @@
 /** @file TimeLineView.cpp Writes the time line. */
 #include "TimeLineView.h"
 
+#include "LogLines.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <map>
@@ -19,47 +21,6 @@
     constexpr double microsecondsPerMs = 1000;
     constexpr int ticks = 8;
 
-    std::string escaped(const std::string& text)
-    {
-        std::string out;
-        for (const char c : text) {
-            switch (c) {
-            case '<':
-                out += "&lt;";
-                break;
-            case '>':
-                out += "&gt;";
-                break;
-            case '&':
-                out += "&amp;";
-                break;
-            case '"':
-                out += "&quot;";
-                break;
-            default:
-                out += c;
-            }
-        }
-        return out;
-    }
-
-    std::string fieldOf(const TimeLineEvent& event, std::string_view key)
-    {
-        for (const auto& field : event.fields) {
-            if (field.key == key)
-                return field.value;
-        }
-        return {};
-    }
-
-    std::string describe(const TimeLineEvent& event)
-    {
-        std::string out = event.kind;
-        for (const auto& field : event.fields)
-            out += fmt::format(" {}={}", field.key, field.value);
-        return out;
-    }
-
     std::string_view colourOf(const TimeLineEvent& event)
     {
         if (event.level >= LogLevel::Warning)
@@ -100,7 +61,8 @@
         {
             std::string out;
             for (const auto& [process, lane] : m_lanes) {
-                out += fmt::format("<text x='8' y='{:.0f}' class='lane'>{}</text>", y(process) + 4, escaped(process));
+                out += fmt::format(
+                    "<text x='8' y='{:.0f}' class='lane'>{}</text>", y(process) + 4, htmlEscaped(process));
                 out += fmt::format("<line x1='{0}' x2='{1}' y1='{2:.0f}' y2='{2:.0f}' stroke='#ddd'/>", leftMargin,
                     pageWidth - 20, y(process));
             }
@@ -138,8 +100,8 @@
             out += fmt::format("<rect x='{:.1f}' y='{:.1f}' width='{:.1f}' height='3' fill='{}' "
                                "opacity='.55'><title>{} on {}: {}</title></rect>",
                 page.x(start.stamp), page.y(start.process) + offset,
-                std::max(page.x(event.stamp) - page.x(start.stamp), 1.0), isGood ? "#2e7d4f" : "#c0392b", escaped(task),
-                escaped(fieldOf(event, "agent")), escaped(fieldOf(event, "outcome")));
+                std::max(page.x(event.stamp) - page.x(start.stamp), 1.0), isGood ? "#2e7d4f" : "#c0392b",
+                htmlEscaped(task), htmlEscaped(fieldOf(event, "agent")), htmlEscaped(fieldOf(event, "outcome")));
         }
         return out;
     }
@@ -184,14 +146,14 @@
     svg += taskBars(events, page);
     for (const auto& event : events) {
         svg += fmt::format("<circle cx='{:.1f}' cy='{:.1f}' r='3.5' fill='{}'><title>{}</title></circle>",
-            page.x(event.stamp), page.y(event.process), colourOf(event), escaped(describe(event)));
+            page.x(event.stamp), page.y(event.process), colourOf(event), htmlEscaped(describe(event)));
     }
     svg += "</svg>";
     std::string rows;
     for (const auto& event : events) {
         const auto ms = static_cast<double>(event.stamp - events.front().stamp) / microsecondsPerMs;
-        rows += fmt::format(
-            "<tr><td>{:.3f}</td><td>{}</td><td>{}</td></tr>\n", ms, escaped(event.process), escaped(describe(event)));
+        rows += fmt::format("<tr><td>{:.3f}</td><td>{}</td><td>{}</td></tr>\n", ms, htmlEscaped(event.process),
+            htmlEscaped(describe(event)));
     }
     return fmt::format(
         "<!doctype html><meta charset='utf-8'><title>{0}</title>"
@@ -202,7 +164,7 @@
         "<h1>{0}</h1><p>Blue: jobs. Green: calls of backend servers, and bars from a start to its answer. Red: "
         "warnings and failures. Grey: the rest. "
         "Hover for details.</p>{1}<table>{2}</table>",
-        escaped(title), svg, rows);
+        htmlEscaped(title), svg, rows);
 }
 
 } // namespace sequoia
