After a start, an entry's capacity is not taken for a fraction of what its servers do

Ruled out: closed servers (none at that time), estimates. Work rates are divided by the time that was really seen, finished work counts from 300 ms after the queue began, and servers that take work do a quarter of an even share at least.

--- a/include/sequoia/CallerPatience.h
+++ b/include/sequoia/CallerPatience.h
@@ -27,7 +27,7 @@
  */
 class CallerPatience {
 public:
-    explicit CallerPatience(CallerPatienceLimits limits = {});
+    explicit CallerPatience(const CallerPatienceLimits& limits = {});
 
     /** Takes note of a request whose caller waits for `budget`; gives the least time that it has waited before. */
     Milliseconds waitedBefore(const std::string& route, Milliseconds budget);
--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -251,6 +251,8 @@
     void learnTimes(const Job& job);
     void tryAgain(Job& job, const RunId& id, Task& task, TimePoint now);
     void finish(WorkId id, WorkAnswer answer, TimePoint now);
+    /** Time from its arrival in which a job should be answered. */
+    static Microseconds objectiveOf(const Job& job);
     /** Runs of a job that have not ended, with their agents, times and estimates, for the log. */
     std::string unfinishedText(const Job& job, TimePoint now) const;
     void stopRuns(Job& job, TimePoint now);
--- a/include/sequoia/EstimateModel.h
+++ b/include/sequoia/EstimateModel.h
@@ -26,7 +26,7 @@
  */
 class EstimateModel {
 public:
-    explicit EstimateModel(EstimateModelLimits limits = {});
+    explicit EstimateModel(const EstimateModelLimits& limits = {});
 
     /** Expected run time of a task; zero if nothing was declared and nothing is known. */
     Milliseconds expected(const std::string& route, Milliseconds estimate) const;
--- a/include/sequoia/LoadModel.h
+++ b/include/sequoia/LoadModel.h
@@ -25,12 +25,15 @@
     Milliseconds m_memory;
     double m_sum = 0; ///< As of the last addition.
     TimePoint m_last {};
+    TimePoint m_first {}; ///< Of all additions.
 };
 
 /** Figures of the model. */
 struct LoadModelLimits {
     Milliseconds arrivalMemory { 1500 }; ///< A burst shows after about this time.
     Milliseconds serviceMemory { 1000 }; ///< Time over which finished work is averaged.
+    Milliseconds serviceDelay { 300 }; ///< Work that was begun first after a start is finished after about this time.
+    double leastShare = 0.25; ///< Servers that take work do at least this part of an even share.
 };
 
 /** What an entry knows of its load. */
--- a/include/sequoia/Log.h
+++ b/include/sequoia/Log.h
@@ -68,7 +68,7 @@
 class Log {
 public:
     /** Lines go to standard error if there is no sink; the rate of those that go to a sink is bounded. */
-    Log(std::string process, LogLevel level, size_t ringSize, LineSink sink = {}, LogLimiterLimits limits = {});
+    Log(std::string process, LogLevel level, size_t ringSize, LineSink sink = {}, const LogLimiterLimits& limits = {});
 
     /** Records an event and, at or above the level, prints it as one line. `kind` is a literal. */
     void event(LogLevel level, std::string_view kind, std::vector<LogField> fields);
--- a/include/sequoia/LogLimiter.h
+++ b/include/sequoia/LogLimiter.h
@@ -33,7 +33,7 @@
 /** A token bucket for each kind and level, so that a flood of one kind hides no other. Not thread-safe. */
 class LogLimiter {
 public:
-    explicit LogLimiter(LogLimiterLimits limits = {});
+    explicit LogLimiter(const LogLimiterLimits& limits = {});
     /** Whether a line may be written now; counts it otherwise. `kind` is a literal. */
     bool admits(LogLevel level, std::string_view kind, TimePoint now);
     /** What was left out since the last call. */
--- a/include/sequoia/SpeedModel.h
+++ b/include/sequoia/SpeedModel.h
@@ -27,7 +27,7 @@
  */
 class SpeedModel {
 public:
-    explicit SpeedModel(SpeedModelLimits limits = {});
+    explicit SpeedModel(const SpeedModelLimits& limits = {});
 
     /** A run has taken `ran`, or has not ended after that time. Runs of one job are alike, so one of them is enough. */
     void learn(Milliseconds expected, Microseconds ran, TimePoint now);
--- a/src/CallerPatience.cpp
+++ b/src/CallerPatience.cpp
@@ -6,7 +6,7 @@
 
 namespace sequoia {
 
-CallerPatience::CallerPatience(CallerPatienceLimits limits)
+CallerPatience::CallerPatience(const CallerPatienceLimits& limits)
     : m_limits(limits)
 {
 }
--- a/src/CtlLogs.cpp
+++ b/src/CtlLogs.cpp
@@ -54,10 +54,8 @@
         const auto events = readLogs(wordsFrom(options, 1));
         if (!events)
             return ExitCode::Failure;
-        for (const auto& job : troubledJobs(*events)) {
-            const auto explanation = explain(*events, job);
-            std::cout << fmt::format("{}  {:<20}  {}\n", job, explanation.code, explanation.cause);
-        }
+        for (const auto& explanation : explainTroubled(*events))
+            std::cout << fmt::format("{}  {:<20}  {}\n", explanation.job, explanation.code, explanation.cause);
         return ExitCode::Ok;
     }
 
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -435,6 +435,21 @@
     }
 }
 
+Microseconds Dispatcher::objectiveOf(const Job& job)
+{
+    // Counted from what the tasks took, as far as that is known: estimates may be wrong.
+    std::vector<Microseconds> chains(job.steps.size());
+    Microseconds longest {};
+    for (size_t i = job.steps.size(); i-- > 0;) {
+        const auto& step = job.steps[i];
+        chains[i] += step.done > 0 ? step.longestRan : Microseconds(step.expected);
+        longest = std::max(longest, chains[i]);
+        for (const auto before : job.spec.steps[i].after)
+            chains[before] = std::max(chains[before], chains[i]);
+    }
+    return toMicroseconds(longest * job.route.stretch) + job.route.objective;
+}
+
 void Dispatcher::finish(WorkId id, WorkAnswer answer, TimePoint now)
 {
     auto& job = m_jobs.at(id);
@@ -444,7 +459,7 @@
     }
     ++m_counters.answers[{ answer.status, answer.reason }];
     const bool isOrdinary = answer.status == WorkStatus::Succeeded;
-    const bool isInTime = isOrdinary && slackToObjective(queuedWork(job, now), m_policy).count() >= 0;
+    const bool isInTime = isOrdinary && now - job.arrival <= objectiveOf(job);
     if (!isInTime || m_counters.jobs % m_limits.sampledJobs == 0)
         job.trace.record(m_effects, isInTime ? LogLevel::Info : LogLevel::Warning, id, now);
     m_effects.record(isOrdinary ? LogLevel::Info : LogLevel::Warning, "job-answered",
@@ -575,7 +590,9 @@
         auto& job = m_jobs.at(id);
         job.trace.add({ "job-reviewed", now, {}, false, "",
             { { "late", admission.prospect == Prospect::Late ? "true" : "false" },
-                { "predicted_wait_ms", admission.predictedWait.count() } } });
+                { "predicted_wait_ms", admission.predictedWait.count() },
+                { "capacity_per_ms", static_cast<int64_t>(load.capacity) },
+                { "arriving_per_ms", static_cast<int64_t>(load.arriving) } } });
         if (admission.prospect != Prospect::Worthless) {
             job.isLate = admission.prospect == Prospect::Late;
             requeue(job, now);
--- a/src/EstimateModel.cpp
+++ b/src/EstimateModel.cpp
@@ -14,7 +14,7 @@
 
 } // namespace
 
-EstimateModel::EstimateModel(EstimateModelLimits limits)
+EstimateModel::EstimateModel(const EstimateModelLimits& limits)
     : m_limits(limits)
 {
 }
--- a/src/Explain.cpp
+++ b/src/Explain.cpp
@@ -243,6 +243,7 @@
                 ++failures[fieldOf(*event, "agent")];
         }
         std::vector<std::string> list;
+        list.reserve(failures.size());
         for (const auto& [agent, n] : failures)
             list.push_back(fmt::format("{} on {}", n, agent));
         if (failures.size() > 1)
@@ -386,23 +387,51 @@
     return out;
 }
 
-std::vector<std::string> troubledJobs(const std::vector<TimeLineEvent>& events)
+namespace {
+
+    /** Ids of requests that were not answered well, the ones that waited longest first. */
+    std::vector<std::string> troubledJobs(const std::vector<TimeLineEvent>& events)
+    {
+        std::map<std::string, int64_t> worst;
+        for (const auto& event : events) {
+            if (event.kind != "job-answered")
+                continue;
+            const bool isGood = fieldOf(event, "status") == "succeeded" && fieldOf(event, "in_time") != "false";
+            if (!isGood)
+                worst[fieldOf(event, "job")] = numberOf(event, "age_ms");
+        }
+        std::vector<std::pair<int64_t, std::string>> ordered;
+        ordered.reserve(worst.size());
+        for (const auto& [job, age] : worst)
+            ordered.emplace_back(-age, job);
+        std::sort(ordered.begin(), ordered.end());
+        std::vector<std::string> out;
+        out.reserve(ordered.size());
+        for (auto& [age, job] : ordered)
+            out.push_back(std::move(job));
+        return out;
+    }
+
+} // namespace
+
+std::vector<Explanation> explainTroubled(const std::vector<TimeLineEvent>& events)
 {
-    std::map<std::string, int64_t> worst;
+    // Going over all events for each request would take long, so each one gets those that name it and the beliefs.
+    std::map<std::string, std::vector<TimeLineEvent>> byJob;
+    std::vector<TimeLineEvent> beliefs;
     for (const auto& event : events) {
-        if (event.kind != "job-answered")
-            continue;
-        const bool isGood = fieldOf(event, "status") == "succeeded" && fieldOf(event, "in_time") != "false";
-        if (!isGood)
-            worst[fieldOf(event, "job")] = numberOf(event, "age_ms");
+        if (const auto job = fieldOf(event, "job"); !job.empty())
+            byJob[job].push_back(event);
+        else if (beliefKinds.contains(event.kind))
+            beliefs.push_back(event);
+    }
+    std::vector<Explanation> out;
+    for (const auto& job : troubledJobs(events)) {
+        std::vector<TimeLineEvent> about;
+        std::merge(byJob[job].begin(), byJob[job].end(), beliefs.begin(), beliefs.end(), std::back_inserter(about),
+            [](const auto& a, const auto& b) { return a.stamp < b.stamp; });
+        out.push_back(explain(about, job));
     }
-    std::vector<std::pair<int64_t, std::string>> ordered;
-    for (const auto& [job, age] : worst)
-        ordered.emplace_back(-age, job);
-    std::sort(ordered.begin(), ordered.end());
-    std::vector<std::string> out;
-    for (auto& [age, job] : ordered)
-        out.push_back(std::move(job));
     return out;
 }
 
--- a/src/Explain.h
+++ b/src/Explain.h
@@ -28,8 +28,8 @@
 /** Explains one request; `events` are those of all processes, in the order of their stamps. */
 Explanation explain(const std::vector<TimeLineEvent>& events, const std::string& job);
 
-/** Ids of requests that were not answered well, the ones that waited longest first. */
-std::vector<std::string> troubledJobs(const std::vector<TimeLineEvent>& events);
+/** Explains all requests that were not answered well, the ones that waited longest first. */
+std::vector<Explanation> explainTroubled(const std::vector<TimeLineEvent>& events);
 
 std::string explanationText(const Explanation& explanation);
 std::string explanationJson(const Explanation& explanation);
--- a/src/LoadModel.cpp
+++ b/src/LoadModel.cpp
@@ -10,13 +10,21 @@
 
 void WorkRate::add(double work, TimePoint now)
 {
-    m_sum = perMs(now) * FloatMs(m_memory).count() + work;
+    if (m_first == TimePoint())
+        m_first = now;
+    m_sum = m_sum * std::exp(-FloatMs(now - m_last) / FloatMs(m_memory)) + work;
     m_last = now;
 }
 
 double WorkRate::perMs(TimePoint now) const
 {
-    return m_sum / FloatMs(m_memory).count() * std::exp(-FloatMs(now - m_last) / FloatMs(m_memory));
+    if (m_first == TimePoint())
+        return 0;
+    // As long as the time since the first addition is shorter than the memory, the sum is of that time only.
+    constexpr double shortestMs = 50;
+    const auto elapsed = std::max(FloatMs(now - m_first).count(), shortestMs);
+    const double memory = FloatMs(m_memory).count();
+    return m_sum * std::exp(-FloatMs(now - m_last) / FloatMs(m_memory)) / (memory * (1 - std::exp(-elapsed / memory)));
 }
 
 LoadModel::LoadModel(LoadModelLimits limits)
@@ -59,8 +67,9 @@
 {
     if (!m_isBacklogged)
         return share;
-    const double known = 1 - std::exp(-FloatMs(now - m_backloggedSince) / FloatMs(m_limits.serviceMemory));
-    return m_finished.perMs(now) * known + share * (1 - known);
+    const auto seen = std::max(FloatMs(now - m_backloggedSince - m_limits.serviceDelay), FloatMs(0));
+    const double known = 1 - std::exp(-seen / FloatMs(m_limits.serviceMemory));
+    return std::max(m_finished.perMs(now) * known + share * (1 - known), share * m_limits.leastShare);
 }
 
 } // namespace sequoia
--- a/src/Log.cpp
+++ b/src/Log.cpp
@@ -74,7 +74,7 @@
     while (last < stamp && !m_last.compare_exchange_weak(last, stamp)) { }
 }
 
-Log::Log(std::string process, LogLevel level, size_t ringSize, LineSink sink, LogLimiterLimits limits)
+Log::Log(std::string process, LogLevel level, size_t ringSize, LineSink sink, const LogLimiterLimits& limits)
     : m_process(std::move(process))
     , m_level(level)
     , m_ringSize(ringSize)
--- a/src/LogLimiter.cpp
+++ b/src/LogLimiter.cpp
@@ -8,7 +8,7 @@
 
 namespace sequoia {
 
-LogLimiter::LogLimiter(LogLimiterLimits limits)
+LogLimiter::LogLimiter(const LogLimiterLimits& limits)
     : m_limits(limits)
 {
 }
--- a/src/LogReport.cpp
+++ b/src/LogReport.cpp
@@ -18,7 +18,8 @@
     constexpr double leftMargin = 150;
     constexpr double chartHeight = 160;
     constexpr double bandHeight = 18;
-    constexpr double usPerSecond = 1e6;
+    constexpr uint64_t usInSecond = 1000000;
+    constexpr double usPerSecond = usInSecond;
     constexpr size_t mostStories = 40; // Keeps the page readable and small.
 
     /** Outcomes in the order in which they are stacked, with their colours. */
@@ -49,6 +50,8 @@
             first = events.front().stamp;
             last = std::max(events.back().stamp, first + 1);
         }
+        /** Whole seconds from the first event. */
+        size_t second(uint64_t stamp) const { return (std::clamp(stamp, first, last) - first) / usInSecond; }
         double seconds() const { return static_cast<double>(last - first) / usPerSecond; }
         double x(uint64_t stamp) const
         {
@@ -84,7 +87,7 @@
         std::vector<std::array<int, outcomes.size()>> counts(buckets);
         for (const auto& event : events) {
             if (event.kind == "job-answered")
-                ++counts[static_cast<size_t>((event.stamp - axis.first) / usPerSecond)][outcomeOf(event)];
+                ++counts[axis.second(event.stamp)][outcomeOf(event)];
         }
         int most = 1;
         for (const auto& bucket : counts) {
@@ -224,36 +227,22 @@
     /** The requests that fared worst, each with its cause and its story. */
     std::string stories(const std::vector<TimeLineEvent>& events)
     {
-        // Stories are told from the events that name a job; going over all events for each job would take long.
-        std::map<std::string, std::vector<TimeLineEvent>> byJob;
-        std::vector<TimeLineEvent> beliefs;
-        for (const auto& event : events) {
-            const auto job = fieldOf(event, "job");
-            if (job.empty())
-                beliefs.push_back(event);
-            else
-                byJob[job].push_back(event);
-        }
-        auto jobs = troubledJobs(events);
+        const auto explanations = explainTroubled(events);
         std::map<std::string, size_t> causes;
         std::string list;
-        for (size_t i = 0; i < jobs.size(); ++i) {
-            auto about = byJob[jobs[i]];
-            about.insert(about.end(), beliefs.begin(), beliefs.end());
-            std::stable_sort(
-                about.begin(), about.end(), [](const auto& a, const auto& b) { return a.stamp < b.stamp; });
-            const auto explanation = explain(about, jobs[i]);
+        for (size_t i = 0; i < explanations.size(); ++i) {
+            const auto& explanation = explanations[i];
             ++causes[explanation.code];
             if (i < mostStories)
-                list += fmt::format("<details><summary><code>{}</code> {}</summary><pre>{}</pre></details>", jobs[i],
-                    htmlEscaped(explanation.cause), htmlEscaped(explanationText(explanation)));
+                list += fmt::format("<details><summary><code>{}</code> {}</summary><pre>{}</pre></details>",
+                    explanation.job, htmlEscaped(explanation.cause), htmlEscaped(explanationText(explanation)));
         }
         std::string counts;
         for (const auto& [code, n] : causes)
             counts += fmt::format("<tr><td>{}</td><td class='n'>{}</td></tr>", htmlEscaped(code), n);
         return fmt::format("<h2>Requests that did not go well, by cause</h2><table>{}</table><h2>The {} that waited "
                            "longest</h2>{}",
-            counts, std::min(jobs.size(), mostStories), list);
+            counts, std::min(explanations.size(), mostStories), list);
     }
 
     double usedShare(const TimeLineEvent& event)
--- a/src/Metrics.cpp
+++ b/src/Metrics.cpp
@@ -142,7 +142,7 @@
     header(name, help, "histogram");
     for (const auto& [labels, series] : histograms.m_series) {
         double seen = series.histogram.at(-1); // Below the first bound.
-        const auto bucket = [&](const std::string& bound) {
+        const auto bucket = [&, &labels = labels](const std::string& bound) {
             auto all = labels;
             all.emplace_back("le", bound);
             sample(fmt::format("{}_bucket", name), all, seen);
--- a/src/SpeedModel.cpp
+++ b/src/SpeedModel.cpp
@@ -8,7 +8,7 @@
 
 using FloatMs = std::chrono::duration<double, std::milli>;
 
-SpeedModel::SpeedModel(SpeedModelLimits limits)
+SpeedModel::SpeedModel(const SpeedModelLimits& limits)
     : m_limits(limits)
 {
 }
--- a/tests/LearningTest.cpp
+++ b/tests/LearningTest.cpp
@@ -263,3 +263,36 @@
     cr_expect_float_eq(load.capacity(77, now), 20, 1, "%f", load.capacity(77, now));
     cr_expect_lt(load.arriving(now), 2, "a burst is forgotten");
 }
+
+struct RestartRow {
+    char name[48];
+    int64_t runMs; ///< Time of the first runs, before anything is finished.
+    double rate; ///< Work per ms that the servers then finish.
+};
+
+ParameterizedTestParameters(LoadModel, isNotFooledByTheFirstSecondsAfterAStart)
+{
+    static RestartRow rows[] = {
+        { "short runs", 100, 20 },
+        { "long runs", 1500, 20 },
+        { "servers that come back one by one", 2500, 12 },
+    };
+    return cr_make_param_array(RestartRow, rows, sizeof(rows) / sizeof(RestartRow));
+}
+
+ParameterizedTest(RestartRow* row, LoadModel, isNotFooledByTheFirstSecondsAfterAStart)
+{
+    constexpr double share = 20;
+    LoadModel load;
+    load.setBacklogged(true, start);
+    for (Milliseconds passed { 0 }; passed <= Milliseconds(4000); passed += Milliseconds(10)) {
+        const auto now = start + passed;
+        if (passed.count() >= row->runMs)
+            load.finished(row->rate * 10, now);
+        const auto capacity = load.capacity(share, now);
+        cr_assert_geq(capacity, share / 4, "%s: %f after %ld ms", row->name, capacity, long(passed.count()));
+    }
+    const auto settled = load.capacity(share, start + Milliseconds(4000));
+    cr_expect_geq(settled, row->rate * 0.7, "%s: %f", row->name, settled);
+    cr_expect_leq(settled, row->rate * 1.3, "%s: %f", row->name, settled);
+}
