A new process of an agent fences off the orders of the one before

Cause: orders of a killed agent may be carried out seconds later. Its successor greeted entries as soon as a listing showed nothing unknown, and entries take a new life as proof that older runs are over: a start that arrived after that, while the server's lease was renewed by the successor, could run beside its replacement. Ruled out: waiting for the longest lease (700 ms a restart, and not enough for an order that comes after 12 s if a late start is judged by the server's lease). Calls carry a fence taken from the server's own clock; an agent greets entries only after a listing for a call that carried it. Where the server has seen a higher one, it is doubled until it passes.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -78,6 +78,7 @@
 /** What a look at the server showed. */
 struct Listing {
     int64_t born = 0; ///< Life of the server.
+    std::optional<Milliseconds> clock; ///< Time on the server's own clock, which grows through a life.
     std::vector<ListedRun> running;
     std::vector<ListedEnd> ended;
 };
@@ -86,6 +87,7 @@
 enum class LookOutcome : uint8_t {
     Listed,
     Refused, ///< Nobody listens there: the server's process has ended.
+    Outranked, ///< The server has seen a higher fence; only the clock is told.
     NoAnswer
 };
 
@@ -94,6 +96,7 @@
     RunId id;
     std::string payload;
     std::string instance;
+    int64_t fence = 0; ///< The server does nothing for a call with a lower fence than it has seen.
     Milliseconds lease {}; ///< From now.
     Milliseconds timeout {};
 };
@@ -101,11 +104,13 @@
 struct StopRun {
     RunId id;
     std::string instance;
+    int64_t fence = 0;
     Milliseconds timeout {};
 };
 /** Renew the lease, forget ends, and list. */
 struct LookAtServer {
     uint64_t number = 0; ///< Of the look.
+    int64_t fence = 0;
     Milliseconds lease {};
     Milliseconds wait {}; ///< The server answers at the latest after this time, earlier with a new end.
     Milliseconds timeout {};
@@ -251,6 +256,8 @@
     void learnSpeed(Run& run, TimePoint now);
     void newLife(int64_t born, TimePoint now);
     void look(Milliseconds wait, TimePoint now);
+    /** Takes a fence of `least` or more for all further calls, and looks again. */
+    void raiseFence(int64_t least, TimePoint now);
     void tickLinks(TimePoint now);
     void tickOwners(TimePoint now);
     void tickStops(TimePoint now);
@@ -291,6 +298,8 @@
     std::array<WorkId, 8> m_sampledJobs {}; ///< Jobs of which a run was sampled, the latest ones.
     size_t m_nextSampled = 0;
     uint64_t m_lookNumber = 0;
+    int64_t m_fence = 0; ///< Calls of an earlier process of this agent carry a lower one; 0 until the clock is known.
+    uint64_t m_fencedFrom = 0; ///< Look from which on the fence was sent.
     std::set<uint64_t> m_openLooks; ///< Sent, not answered.
     bool m_isLookLost = false; ///< The last look had no answer: leases are not renewed until one has.
     TimePoint m_nextLook {};
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -282,7 +282,7 @@
     m_used += room;
     ++link.runs;
     m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(m_limits.lease * (1 + m_limits.clockError)));
-    m_effects.add(StartRun { id, order.payload, m_server->instance, m_limits.lease, m_limits.startTimeout });
+    m_effects.add(StartRun { id, order.payload, m_server->instance, m_fence, m_limits.lease, m_limits.startTimeout });
 }
 
 void RunGate::startAnswered(const RunId& id, StartOutcome outcome, TimePoint now)
@@ -328,7 +328,7 @@
         return;
     run.state = run.state == RunState::Starting ? RunState::Fencing : RunState::Stopping;
     run.nextStop = now + m_limits.stopTimeout;
-    m_effects.add(StopRun { id, m_server ? m_server->instance : "", m_limits.stopTimeout });
+    m_effects.add(StopRun { id, m_server ? m_server->instance : "", m_fence, m_limits.stopTimeout });
 }
 
 void RunGate::stopAnswered(const RunId& id, bool isAnswered, TimePoint now)
@@ -356,7 +356,17 @@
         m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(lease * (1 + m_limits.clockError)));
     m_openLooks.insert(++m_lookNumber);
     ++m_counters.looks;
-    m_effects.add(LookAtServer { m_lookNumber, lease, wait, wait + m_limits.lookTimeout, m_seenUpTo });
+    m_effects.add(LookAtServer { m_lookNumber, m_fence, lease, wait, wait + m_limits.lookTimeout, m_seenUpTo });
+}
+
+void RunGate::raiseFence(int64_t least, TimePoint now)
+{
+    // A server's clock grows, so that each process of an agent gets a higher fence than the one before. Where it has
+    // seen one of an earlier life with a clock that was ahead, doubling gets over it within some looks.
+    constexpr int64_t highest = int64_t(1) << 52; // A whole number in every JSON reader.
+    m_fence = std::min(std::max(m_fence * 2, least), highest);
+    m_fencedFrom = m_lookNumber + 1;
+    m_nextLook = now;
 }
 
 void RunGate::looked(uint64_t number, LookOutcome outcome, const Listing& listing, TimePoint now)
@@ -377,12 +387,17 @@
             m_effects.record(LogLevel::Info, "look-unanswered", { { "look", static_cast<int64_t>(number) } });
         m_isLookLost = true;
         m_nextLook = now;
+    } else if (outcome == LookOutcome::Outranked) {
+        raiseFence(listing.clock.value_or(Milliseconds(0)).count() + 1, now);
+        m_effects.record(LogLevel::Info, "look-outranked", { { "next_fence", m_fence } });
     } else if (listing.born >= m_born) {
         m_isLookLost = false;
         m_isGone = false;
         m_lastListed = now;
         if (listing.born != m_born)
             newLife(listing.born, now);
+        if (m_fence == 0 && listing.clock)
+            raiseFence(listing.clock->count() + 1, now);
         takeEnds(listing, now);
         takeRunning(number, listing, now);
         if (m_openLooks.empty())
@@ -435,10 +450,11 @@
                 { { "job", listed.id.task.job }, { "task", toString(listed.id.task) },
                     { "run", static_cast<int64_t>(raw(listed.id.run)) } });
         }
-        m_effects.add(StopRun { listed.id, "", m_limits.stopTimeout });
+        m_effects.add(StopRun { listed.id, "", m_fence, m_limits.stopTimeout });
     }
     std::erase_if(m_strangers, [&](const RunId& id) { return !running.contains(id); });
-    if (m_strangers.empty())
+    const bool isFenced = m_fence == 0 || number >= m_fencedFrom;
+    if (m_strangers.empty() && isFenced)
         m_isSettled = true;
     std::vector<RunId> over;
     for (const auto& [id, run] : m_runs) {
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -190,6 +190,12 @@
     void server(const HttpCall& call, const HttpExchangePtr& exchange)
     {
         const auto body = Json::parse(call.body);
+        const auto fence = body.value("fence", int64_t(0));
+        if (fence < m_highestFence) {
+            const auto clock = toMilliseconds(Clock::now().time_since_epoch()).count();
+            return reply(exchange, { { "clock_ms", clock }, { "reason", "fence" } }, 409);
+        }
+        m_highestFence = fence;
         if (call.target == "/sequoiafold/hold") {
             m_lookSeen = body.value("seen_upto", uint64_t(0));
             m_look = exchange;
@@ -228,6 +234,8 @@
     AsyncHttpServer m_store;
     AsyncHttpServer m_server;
     std::map<std::pair<std::string, int>, Run> m_runs;
+    /** As left by an earlier process of the agent, whose clock was ahead. */
+    int64_t m_highestFence = 2 * toMilliseconds(Clock::now().time_since_epoch()).count();
     std::set<std::pair<std::string, int>> m_fenced;
     std::vector<Json> m_ended;
     uint64_t m_lastEnd = 0;
--- a/tests/RoomPolicyTest.cpp
+++ b/tests/RoomPolicyTest.cpp
@@ -295,6 +295,23 @@
     }
 }
 
+/** Orders that an agent sent before it was killed are never carried out beside those that replace them. */
+Test(RoomPlay, ordersOfAKilledAgentNeverRunBesideNewOnes, .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        auto scenario = mingaScenario("agents are killed, orders come late");
+        scenario.seed = seed;
+        scenario.load = 1.25;
+        scenario.lateOrders = 0.1;
+        for (size_t i = 0; i < 6 * scenario.servers; ++i)
+            scenario.agentKills.emplace_back(i % scenario.servers, Milliseconds(1000 + 250 * i));
+        const auto report = play(scenario);
+        for (const auto& violation : report.violations)
+            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
+        cr_expect_geq(report.servedShare(), 0.5, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+    }
+}
+
 /** Jobs end whatever their estimates say: a run that takes longer than expected is not stopped again and again. */
 Test(RoomPlay, jobsEndWithEstimatesTenTimesTooShort, .timeout = 60)
 {
--- a/tests/RoomWorld.h
+++ b/tests/RoomWorld.h
@@ -67,6 +67,7 @@
     std::vector<Burst> bursts;
     std::vector<ServerFault> faults;
     std::vector<std::pair<size_t, Milliseconds>> entryKills; ///< The entry restarts 1 s later; callers send again.
+    std::vector<std::pair<size_t, Milliseconds>> agentKills; ///< The agent restarts 150 ms later.
     std::vector<std::pair<size_t, Milliseconds>> entryCuts; ///< Silent from all agents for 3 s.
     std::optional<Milliseconds> powerLoss; ///< All entries and agents stop, and start again after `powerLossLength`.
     Milliseconds powerLossLength { 1700 };
