--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -351,7 +351,8 @@
 
 void RunGate::look(Milliseconds wait, TimePoint now)
 {
-    const auto lease = m_isLookLost ? Milliseconds(0) : m_limits.lease;
+    // Runs of an earlier process are not prolonged.
+    const auto lease = m_isLookLost || !m_isSettled ? Milliseconds(0) : m_limits.lease;
     if (lease.count() > 0)
         m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(lease * (1 + m_limits.clockError)));
     m_openLooks.insert(++m_lookNumber);
@@ -388,7 +389,8 @@
         m_isLookLost = true;
         m_nextLook = now;
     } else if (outcome == LookOutcome::Outranked) {
-        raiseFence(listing.clock.value_or(Milliseconds(0)).count() + 1, now);
+        if (number >= m_fencedFrom)
+            raiseFence(listing.clock.value_or(Milliseconds(0)).count() + 1, now);
         m_effects.record(LogLevel::Info, "look-outranked", { { "next_fence", m_fence } });
     } else if (listing.born >= m_born) {
         m_isLookLost = false;
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -166,8 +166,12 @@
         m_isSettled = true; // Nobody has renewed the leases of an earlier process.
     if (m_openLooks.empty() && now >= m_nextLook)
         look(m_isLookLost || !m_isSettled ? Milliseconds(0) : m_limits.lookWait, now);
-    if (!m_runs.empty() && now > m_leaseEnds)
+    if (!m_runs.empty() && now > m_leaseEnds) {
         endAll("lease-ended", now);
+        // A start among them that is still on its way would find the lease renewed by the next look.
+        m_fencedFrom = m_lookNumber + 1;
+        m_fence += m_fence > 0 ? 1 : 0;
+    }
     tickLinks(now);
     tickOwners(now);
     tickStops(now);
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -199,12 +199,30 @@
     Bench bench(RunGateLimits {}, Milliseconds(5000));
     cr_expect_gt(bench.lastFence, 5000, "higher than any that an earlier process read from the same clock");
     cr_expect_not(bench.gate.isSettled(), "the first look carried no fence: orders of before may still arrive");
+    cr_expect_eq(bench.lastLease.count(), 0, "runs of before are not prolonged");
     bench.lookNow({});
     cr_expect(bench.gate.isSettled());
     bench.order(firstLink, runId(1));
     cr_expect_eq(bench.lastStartFence, bench.lastFence, "starts carry it");
 }
 
+Test(RunGate, startsOnTheirWayAreFencedOffWhenTheLeaseHasEnded)
+{
+    Bench bench(RunGateLimits {}, Milliseconds(5000));
+    bench.lookNow({});
+    bench.order(firstLink, runId(1));
+    const auto fence = bench.lastStartFence;
+    bench.answerStart(runId(1), StartOutcome::NoAnswer);
+    for (int i = 0; i < 200; ++i) {
+        bench.now += Milliseconds(20);
+        bench.hear();
+        bench.gate.tick(bench.now);
+        bench.lookNow({}, LookOutcome::NoAnswer);
+    }
+    cr_assert(bench.outcome(runId(1)) == wire::RunOutcome::Lost, "its task may run elsewhere now");
+    cr_expect_gt(bench.lastFence, fence, "a look that renews the lease comes with a higher fence than the start");
+}
+
 Test(RunGate, getsOverAFenceThatIsAheadOfTheClock)
 {
     Bench bench(RunGateLimits {}, Milliseconds(5000));
