--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -25,11 +25,11 @@
         tick();
     }
 
-    void link(size_t i)
+    void link(size_t i, uint64_t life = 0)
     {
         wire::HelloT hello;
         hello.agent = "agent" + std::to_string(i);
-        hello.incarnation = 100 + i;
+        hello.incarnation = 100 + i + 1000 * life;
         core.agentLinked(LinkId(i), hello, now);
         wire::RoomReportT report;
         report.service = "service";
@@ -270,6 +270,18 @@
     cr_expect_neq(bench.places.at(bench.orders[2]), bench.places.at(bench.orders[1]), "on another server");
 }
 
+Test(Dispatcher, aNewLifeOfAnAgentProvesThatItsRunsAreOver)
+{
+    Bench bench(2);
+    bench.submit(1, stepOf(1, agentCpu));
+    cr_assert_eq(bench.orders.size(), 1U);
+    bench.link(bench.places.at(bench.orders[0]));
+    cr_expect_eq(bench.orders.size(), 1U, "the same life may still run it, and is asked");
+    bench.link(bench.places.at(bench.orders[0]), 1);
+    cr_assert_eq(bench.orders.size(), 2U);
+    cr_expect_gt(raw(bench.orders[1].run), raw(bench.orders[0].run));
+}
+
 Test(Dispatcher, aRepeatedRequestJoinsTheOpenJob)
 {
     Bench bench;
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -82,11 +82,12 @@
         gate.receive(secondLink, beat, now);
     }
 
-    void order(LinkId link, const RunId& id, int64_t cpu = 4000, uint32_t maxPerServer = 0)
+    void order(
+        LinkId link, const RunId& id, int64_t cpu = 4000, uint32_t maxPerServer = 0, uint64_t incarnation = raw(self))
     {
         wire::RunOrderT order;
         order.id = std::make_unique<wire::RunId>(toWire(id));
-        order.agent_incarnation = raw(self);
+        order.agent_incarnation = incarnation;
         order.room = std::make_unique<wire::Room>(toWire(Room { cpu, 64, 0 }));
         order.estimate_ms = 100;
         order.remaining_ms = 1000;
@@ -370,6 +371,47 @@
     cr_expect_eq(bench.gate.runs(), 0U, "the lease has ended");
 }
 
+Test(RunGate, aShortSuspensionClosesLinksBeforeTheyAreSilent)
+{
+    Bench bench;
+    bench.now += bench.limits.wakeGap + Milliseconds(10);
+    bench.order(firstLink, runId(1));
+    cr_expect(bench.starts.empty(), "its entry may have given the run up meanwhile");
+    cr_expect_eq(bench.closed.size(), 2U);
+}
+
+Test(RunGate, anOrderForAnotherLifeOfTheAgentIsRefused)
+{
+    Bench bench;
+    bench.order(firstLink, runId(1), 4000, 0, raw(self) + 1);
+    cr_expect(bench.starts.empty());
+    cr_expect(bench.refusals[runId(1)] == wire::Refusal::OtherLife);
+}
+
+Test(RunGate, aListingThatWasAskedForBeforeTheStartEndsNothing)
+{
+    Bench bench;
+    const auto before = bench.lastLook;
+    bench.order(firstLink, runId(1));
+    bench.answerStart(runId(1), StartOutcome::Started);
+    bench.gate.looked(before, LookOutcome::Listed, listingOf({}), bench.now);
+    bench.take();
+    cr_expect_not(bench.outcome(runId(1)).has_value(), "the server may have listed before it started the run");
+    bench.lookNow({});
+    cr_expect(bench.outcome(runId(1)) == wire::RunOutcome::Lost);
+}
+
+Test(RunGate, aNewLifeEndsItsRunsBeforeAnyListing)
+{
+    Bench bench;
+    bench.order(firstLink, runId(1));
+    bench.answerStart(runId(1), StartOutcome::Started);
+    bench.announce(false, 2);
+    bench.take();
+    cr_expect(bench.outcome(runId(1)) == wire::RunOutcome::Lost);
+    cr_expect_eq(bench.gate.runs(), 0U);
+}
+
 Test(RunGate, leasesAreNotRenewedWhileTheServerDoesNotAnswer)
 {
     Bench bench;
