The lost answer of a look is not taken for runs that are stuck

Path: sequoiactl troubled names waited-for-room and waited-too-long with servers closed as server-silent and 'quarantined: runs are stuck'; the agents' lines show look-unanswered (133 in 8 s) right before each. Cause: while the answer of a look was lost no end was seen for up to 270 ms, and the health gate judged runs by their age alone. Ruled out: servers that hang (the next listing showed the runs done), load. A run counts as stuck only if a listing came after it was due, and an overdue run asks for one more look at once. Test: RunGate runsAreNotStuckWhileTheAnswerOfALookIsLost, failing before.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -303,6 +303,7 @@
     std::set<uint64_t> m_openLooks; ///< Sent, not answered.
     bool m_isLookLost = false; ///< The last look had no answer: leases are not renewed until one has.
     TimePoint m_nextLook {};
+    TimePoint m_lastLook {}; ///< Sent.
     TimePoint m_lastListed {};
     TimePoint m_leaseEnds {}; ///< No run lives longer without a further renewal.
     uint64_t m_seenUpTo = 0;
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -82,7 +82,8 @@
             { "leave_slack_ms", slackToLeave(work, m_policy).count() }, { "chain_ms", work.chain.count() },
             { "ahead", static_cast<int64_t>(load.ahead) }, { "queued", static_cast<int64_t>(load.queued) },
             { "capacity_per_ms", static_cast<int64_t>(load.capacity) },
-            { "arriving_per_ms", static_cast<int64_t>(load.arriving) } } });
+            { "arriving_per_ms", static_cast<int64_t>(load.arriving) },
+            { "view_complete", load.isComplete ? "true" : "false" } } });
     if (admission.prospect == Prospect::Worthless)
         return finish(id, { WorkStatus::NotRun, "overloaded", admission.retryAfter }, now);
     requeue(job, now);
@@ -592,7 +593,8 @@
             { { "late", admission.prospect == Prospect::Late ? "true" : "false" },
                 { "predicted_wait_ms", admission.predictedWait.count() },
                 { "capacity_per_ms", static_cast<int64_t>(load.capacity) },
-                { "arriving_per_ms", static_cast<int64_t>(load.arriving) } } });
+                { "arriving_per_ms", static_cast<int64_t>(load.arriving) },
+                { "view_complete", load.isComplete ? "true" : "false" } } });
         if (admission.prospect != Prospect::Worthless) {
             job.isLate = admission.prospect == Prospect::Late;
             requeue(job, now);
--- a/src/Explain.cpp
+++ b/src/Explain.cpp
@@ -68,6 +68,8 @@
 
     std::string nameOfEnd(const TimeLineEvent& end)
     {
+        if (end.kind == "run-refused" && fieldOf(end, "reason") == "Unanswered")
+            return "start without an answer, stopped";
         if (end.kind == "run-refused")
             return "refused at the gate (" + fieldOf(end, "reason") + ")";
         if (end.kind == "run-failed")
@@ -136,17 +138,38 @@
         std::string text;
     };
 
-    Cause causeOfRefusal(const std::vector<TimeLineEvent>& events, const Explanation& out, const TimeLineEvent& answer)
+    /** The last decision on a job before it was started. */
+    const TimeLineEvent* lastDecision(const Explanation& out)
     {
-        const auto reason = fieldOf(answer, "reason");
-        if (reason == "caller-gone")
-            return { "caller-gone",
-                fmt::format("its caller left after {} ms, before it was started", numberOf(answer, "age_ms")) };
         const TimeLineEvent* decision = nullptr;
         for (const auto& event : out.story) {
             if (event.kind == "job-refused" || event.kind == "job-queued" || event.kind == "job-reviewed")
                 decision = &event;
         }
+        return decision;
+    }
+
+    Cause causeOfLeaving(const std::vector<TimeLineEvent>& events, const Explanation& out, const TimeLineEvent& answer)
+    {
+        const auto before = numberOf(answer, "waited_before_ms");
+        const auto here = numberOf(answer, "age_ms") - before;
+        const auto* decision = lastDecision(out);
+        const bool isNew = decision != nullptr && fieldOf(*decision, "view_complete") == "false";
+        const auto earlier
+            = before > 0 ? fmt::format("{} ms with an earlier try that got no answer, then ", before) : "";
+        return { "caller-gone",
+            fmt::format("its caller left after {} ms, before it was started: {}{} ms of waiting for room at {}{}; {}",
+                numberOf(answer, "age_ms"), earlier, here, answer.process,
+                isNew ? ", which had just started and did not know all servers yet" : "",
+                closedText(events, answer.stamp)) };
+    }
+
+    Cause causeOfRefusal(const std::vector<TimeLineEvent>& events, const Explanation& out, const TimeLineEvent& answer)
+    {
+        const auto reason = fieldOf(answer, "reason");
+        if (reason == "caller-gone")
+            return causeOfLeaving(events, out, answer);
+        const auto* decision = lastDecision(out);
         if (reason == "overloaded" || reason == "waited-too-long") {
             const auto wait = decision == nullptr ? 0 : numberOf(*decision, "predicted_wait_ms");
             return { reason,
@@ -231,6 +254,7 @@
         return { worst->what.starts_with("lost")     ? "run-lost"
                 : worst->what.starts_with("ran and") ? "run-failed"
                 : worst->what.starts_with("ran too") ? "run-stuck"
+                : worst->what.starts_with("start")   ? "start-unanswered"
                                                      : "refused-at-gate",
             fmt::format("a run of its last task on {} cost {} ms: {}", worst->agent, worst->ms, worst->what) };
     }
@@ -322,6 +346,14 @@
             return { "in-time",
                 again + fmt::format("it succeeded in time, after {} ms; {}", numberOf(answer, "age_ms"), cause.text) };
         const auto verb = status == "succeeded" ? "late" : "not finished";
+        const auto age = numberOf(answer, "age_ms");
+        if (before * 2 >= age) {
+            return { "sent-again",
+                fmt::format(
+                    "{}{} after {} ms, of which its caller had spent {} ms with an earlier try that got no answer; "
+                    "{} answered it within {} ms",
+                    again, verb, age, before, answer.process, age - before) };
+        }
         return { cause.code,
             fmt::format("{}{}{} after {} ms: {}", again, repeated, verb, numberOf(answer, "age_ms"), cause.text) };
     }
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -355,6 +355,7 @@
     const auto lease = m_isLookLost || !m_isSettled ? Milliseconds(0) : m_limits.lease;
     if (lease.count() > 0)
         m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(lease * (1 + m_limits.clockError)));
+    m_lastLook = now;
     m_openLooks.insert(++m_lookNumber);
     ++m_counters.looks;
     m_effects.add(LookAtServer { m_lookNumber, m_fence, lease, wait, wait + m_limits.lookTimeout, m_seenUpTo });
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -258,18 +258,24 @@
     // A run this far over its expected time shows that the server hangs, or crawls.
     constexpr double stuckFactor = 2;
     constexpr Milliseconds stuckMargin { 40 };
+    // What was listed before a run was due doesn't show whether it has ended: the answer of a look may be lost.
+    bool isLookDue = false;
     for (auto& [id, run] : m_runs) {
         if (run.state != RunState::Running || run.isStuck || run.estimate.count() == 0)
             continue;
-        const auto expected
-            = toMicroseconds(run.estimate * stuckFactor * std::max(slowness(now), 1.0)) + Microseconds(stuckMargin);
-        if (now - run.ordered <= expected)
+        const auto expected = run.estimate * std::max(slowness(now), 1.0);
+        const auto due = run.ordered + toMicroseconds(expected) + Microseconds(stuckMargin);
+        isLookDue |= now > due && m_lastListed < due && m_lastLook < due;
+        const auto stuckFrom = run.ordered + toMicroseconds(expected * stuckFactor) + Microseconds(stuckMargin);
+        if (now <= stuckFrom || m_lastListed < due)
             continue;
         run.isStuck = true;
         recordRun(LogLevel::Info, "run-stuck", id, run, "", now);
         learnSpeed(run, now);
         m_health.failed(healthKey(id), "runs are stuck", now);
     }
+    if (isLookDue)
+        look(Milliseconds(0), now);
     if (m_health.beginTrial(now))
         m_effects.record(LogLevel::Info, "quarantine-trial", { { "reason", m_health.reason() } });
 }
--- a/tests/ExplainTest.cpp
+++ b/tests/ExplainTest.cpp
@@ -53,6 +53,22 @@
                     + run(1900, "run-lost", "agent-1", "reason=agent-out-of-reach")
                     + run(1900, "run-ordered", "agent-2", expected) + run(2000, "run-done", "agent-2")),
             "run-lost", "agent-1 cost 900 ms: lost (agent-out-of-reach)" },
+        { "a start had no answer",
+            answered("succeeded", 300, "in_time=false",
+                run(1000, "run-ordered", "agent-1", expected) + run(1110, "run-refused", "agent-1", "reason=Unanswered")
+                    + run(1200, "run-ordered", "agent-2", expected) + run(1300, "run-done", "agent-2")),
+            "start-unanswered", "agent-1 cost 110 ms: start without an answer, stopped" },
+        { "its caller had waited elsewhere",
+            answered("succeeded", 978, "in_time=false waited_before_ms=878",
+                run(1878, "run-ordered", "agent-1", "expected_ms=52 slowness_percent=178")
+                    + run(1978, "run-done", "agent-1")),
+            "sent-again", "of which its caller had spent 878 ms with an earlier try" },
+        { "its caller left an entry that had just started",
+            "time=1000000 level=info process=entry-a event=job-queued job=j1 predicted_wait_ms=0 view_complete=false\n"
+                + answered("not-run", 1349, "reason=caller-gone waited_before_ms=1262 in_time=false"),
+            "caller-gone",
+            "1262 ms with an earlier try that got no answer, then 87 ms of waiting for room at entry-a, which had "
+            "just" },
         { "late on a slow server",
             answered("succeeded", 400, "in_time=false",
                 run(1000, "run-ordered", "agent-1", "expected_ms=100 slowness_percent=400")
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -412,6 +412,30 @@
     cr_expect_eq(bench.gate.runs(), 0U);
 }
 
+Test(RunGate, runsAreNotStuckWhileTheAnswerOfALookIsLost)
+{
+    Bench bench;
+    for (uint64_t job = 1; job <= 4; ++job) {
+        bench.order(firstLink, runId(job), 2000);
+        bench.answerStart(runId(job), StartOutcome::Started);
+    }
+    bench.lookNow(listingOf({ runId(1), runId(2), runId(3), runId(4) }));
+    const auto lost = bench.lastLook;
+    for (int i = 0; i < 13; ++i) { // 260 ms, where 100 ms are expected.
+        bench.now += Milliseconds(20);
+        bench.hear();
+        bench.gate.tick(bench.now);
+        bench.take();
+    }
+    cr_expect_eq(bench.lastLook, lost + 1, "once they are overdue another look is sent, one only");
+    cr_expect(bench.told == wire::GateState::Open, "nothing shows that they haven't ended");
+    bench.lookNow(listingOf({},
+        { { 1, runId(1), EndKind::Done }, { 2, runId(2), EndKind::Done }, { 3, runId(3), EndKind::Done },
+            { 4, runId(4), EndKind::Done } }));
+    cr_expect(bench.told == wire::GateState::Open);
+    cr_expect(bench.outcome(runId(4)) == wire::RunOutcome::Done);
+}
+
 Test(RunGate, leasesAreNotRenewedWhileTheServerDoesNotAnswer)
 {
     Bench bench;
