--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -51,10 +51,16 @@
 
     /** Sends a job of one step. */
     void submit(uint64_t id, StepSpec step, Milliseconds budget = Milliseconds(2000), uint32_t priority = 0)
+    {
+        submit(id, std::vector { std::move(step) }, budget, priority);
+    }
+
+    void submit(
+        uint64_t id, std::vector<StepSpec> steps, Milliseconds budget = Milliseconds(2000), uint32_t priority = 0)
     {
         WorkSpec spec;
         spec.id = WorkId(id);
-        spec.steps.push_back(std::move(step));
+        spec.steps = std::move(steps);
         RoutePolicy route;
         route.name = "route";
         route.service = "service";
@@ -168,6 +174,54 @@
     cr_expect_eq(bench.answers.at(1).reason, "no-server-fits", "%s", row->name);
 }
 
+Test(Dispatcher, aStepBeginsWhenAllTasksOfThoseBeforeAreDone)
+{
+    Bench bench;
+    std::vector steps { stepOf(2, 1000), stepOf(1, 1000) };
+    steps[1].after = { 0 };
+    bench.submit(1, std::move(steps));
+    cr_assert_eq(bench.orders.size(), 2U);
+    bench.end(bench.orders[0], wire::RunOutcome::Done);
+    cr_expect_eq(bench.orders.size(), 2U, "one task of the first step still runs");
+    bench.end(bench.orders[1], wire::RunOutcome::Failed);
+    cr_assert_eq(bench.orders.size(), 3U);
+    cr_expect_eq(raw(bench.orders[2].task.step), 0U, "it has failed and runs again");
+    bench.end(bench.orders[2], wire::RunOutcome::Done);
+    cr_assert_eq(bench.orders.size(), 4U);
+    cr_expect_eq(raw(bench.orders[3].task.step), 1U);
+    bench.end(bench.orders[3], wire::RunOutcome::Done);
+    cr_assert(bench.answers.contains(1));
+    cr_expect(bench.answers.at(1).status == WorkStatus::Succeeded);
+}
+
+Test(Dispatcher, aTaskFailsNoMoreOftenThanItsRouteAllows)
+{
+    Bench bench(6);
+    bench.submit(1, stepOf(1, 1000));
+    constexpr size_t allowed = 3; // Of the bench's route.
+    for (size_t i = 0; i < allowed; ++i) {
+        cr_assert_eq(bench.orders.size(), i + 1);
+        bench.end(bench.orders[i], wire::RunOutcome::Failed);
+    }
+    bench.pass(Milliseconds(200));
+    cr_expect_eq(bench.orders.size(), allowed);
+    cr_assert(bench.answers.contains(1));
+    cr_expect(bench.answers.at(1).status == WorkStatus::Failed);
+}
+
+Test(Dispatcher, aLabelIsHeldToWhereverItsServerStands)
+{
+    for (size_t i = 0; i < 3; ++i) {
+        Bench bench(3);
+        auto step = stepOf(2, 1000);
+        step.requiredLabel = "label" + std::to_string(i);
+        bench.submit(1, step);
+        cr_assert_eq(bench.orders.size(), 2U);
+        for (const auto& id : bench.orders)
+            cr_expect_eq(bench.places.at(id), i);
+    }
+}
+
 Test(Dispatcher, refusesNothingForRoomWhileAgentsAreBeingFound)
 {
     Bench bench(0);
