One piece each for what messages say of room, for setting a fence, for labels, and for counters of links and log

The three messages to entries wrote free room and speed each by itself (tellRoom); the end of a lease set the fence beside raiseFence (setFence); 'empty or has the label' stood three times (hasLabel takes an empty one for any); agent and entry told the same five counters (ProcessMetrics).

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -98,9 +98,10 @@
     {
         return isLinked && state != wire::GateState::Closed && service == name;
     }
+    /** Whether it has a label; an empty one stands for any. */
     bool hasLabel(const std::string& label) const
     {
-        return std::find(labels.begin(), labels.end(), label) != labels.end();
+        return label.empty() || std::find(labels.begin(), labels.end(), label) != labels.end();
     }
 };
 
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -246,6 +246,8 @@
     void offerFreed(std::optional<LinkId> told, TimePoint now);
     void takeEnds(const Listing& listing, TimePoint now);
     void takeRunning(uint64_t number, const Listing& listing, TimePoint now);
+    /** Writes the room that an entry may count on, and the server's speed, into a message to it. */
+    template <typename Message> void tellRoom(Message& message, EntryLink& link, TimePoint now);
     void sendResult(LinkId link, const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal,
         const std::string& reason, Microseconds run, TimePoint now);
     void sendReport(LinkId link, TimePoint now);
@@ -256,6 +258,8 @@
     void learnSpeed(Run& run, TimePoint now);
     void newLife(int64_t born, TimePoint now);
     void look(Milliseconds wait, TimePoint now);
+    /** All calls from now on carry this fence. */
+    void setFence(int64_t fence);
     /** Takes a fence of `least` or more for all further calls, and looks again. */
     void raiseFence(int64_t least, TimePoint now);
     void tickLinks(TimePoint now);
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -122,7 +122,7 @@
 {
     const auto& spec = job.spec.steps[step];
     return agent.isLinked && agent.service == job.route.service && spec.room.fitsIn(agent.total)
-        && (spec.requiredLabel.empty() || agent.hasLabel(spec.requiredLabel));
+        && agent.hasLabel(spec.requiredLabel);
 }
 
 std::string_view Dispatcher::refusalOf(const Job& job) const
@@ -321,8 +321,7 @@
     const auto& avoided = job.steps[step].tasks[job.steps[step].ready.back()].avoided;
     for (size_t i = 0; i < m_agents.size(); ++i) {
         const auto& agent = m_agents[i];
-        const bool isLabelled = spec.requiredLabel.empty() || agent.hasLabel(spec.requiredLabel);
-        if (!agent.takesRunsOf(job.route.service) || !isLabelled)
+        if (!agent.takesRunsOf(job.route.service) || !agent.hasLabel(spec.requiredLabel))
             continue;
         all.push_back(i);
         if (std::find(avoided.begin(), avoided.end(), i) == avoided.end())
@@ -340,7 +339,7 @@
     candidates.reserve(eligible.size());
     for (const auto i : eligible) {
         const auto& agent = m_agents[i];
-        const bool isNear = spec.preferredLabel.empty() || agent.hasLabel(spec.preferredLabel);
+        const bool isNear = agent.hasLabel(spec.preferredLabel);
         const bool isTrial = agent.state == wire::GateState::Trial;
         const int64_t trials = agent.runs.empty() ? 1 : 0;
         candidates.push_back({ agent.free, agent.slowness, agent.slownessSpread, isNear,
--- a/src/RoomAgentProcess.cpp
+++ b/src/RoomAgentProcess.cpp
@@ -1,6 +1,8 @@
 /** @file RoomAgentProcess.cpp The parts of an agent that gives out room, and what passes between them. */
 #include <sequoia/RoomAgentProcess.h>
 
+#include "ProcessMetrics.h"
+
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -269,11 +271,7 @@
     out.counter("looks_total", "Looks at the backend server.", n.looks);
     out.counter("server_lives_total", "Lives of the backend server.", n.lives);
     out.counter("messages_sent_total", "Messages to entries.", n.messagesSent);
-    out.counter("link_bytes_sent_total", "Bytes of frames sent to entries.", m_links.bytesSent());
-    out.counter("link_bytes_received_total", "Bytes of frames received from entries.", m_links.bytesReceived());
-    out.counter("log_lines_total", "Log lines written.", m_output.lines());
-    out.counter("log_bytes_total", "Bytes of log lines.", m_output.bytes());
-    out.counter("log_lines_dropped_total", "Log lines that nobody read in time.", m_output.dropped());
+    addProcessCounters(out, m_links, m_output, "entries");
     out.counter("store_failures_total", "Calls of the store without a good reply.", m_store.calls().failures);
     out.gauge("cpu_total", "Processors of the backend server, thousandths.", static_cast<double>(m_core.total().cpu));
     out.gauge("cpu_used", "Processors taken by runs, thousandths.", static_cast<double>(m_core.used().cpu));
--- a/src/RoomEntryProcess.cpp
+++ b/src/RoomEntryProcess.cpp
@@ -1,6 +1,8 @@
 /** @file RoomEntryProcess.cpp The parts of an entry that places jobs by room, and what passes between them. */
 #include <sequoia/RoomEntryProcess.h>
 
+#include "ProcessMetrics.h"
+
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -332,11 +334,7 @@
     out.counter("room_updates_total", "Reports of room by agents.", n.updates);
     out.counter("messages_sent_total", "Messages to agents.", n.messagesSent);
     out.counter("messages_received_total", "Messages of agents.", n.messagesReceived);
-    out.counter("link_bytes_sent_total", "Bytes of frames sent to agents.", m_links.bytesSent());
-    out.counter("link_bytes_received_total", "Bytes of frames received from agents.", m_links.bytesReceived());
-    out.counter("log_lines_total", "Log lines written.", m_output.lines());
-    out.counter("log_bytes_total", "Bytes of log lines.", m_output.bytes());
-    out.counter("log_lines_dropped_total", "Log lines that nobody read in time.", m_output.dropped());
+    addProcessCounters(out, m_links, m_output, "agents");
     out.counter("store_lists_total", "Listings of the store.", calls.lists);
     out.counter("store_watches_total", "Watches of the store.", calls.watches);
     out.counter("store_keeps_total", "Renewals of leases.", calls.keeps);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -361,13 +361,18 @@
     m_effects.add(LookAtServer { m_lookNumber, m_fence, lease, wait, wait + m_limits.lookTimeout, m_seenUpTo });
 }
 
+void RunGate::setFence(int64_t fence)
+{
+    constexpr int64_t highest = int64_t(1) << 52; // A whole number in every JSON reader.
+    m_fence = std::min(fence, highest);
+    m_fencedFrom = m_lookNumber + 1;
+}
+
 void RunGate::raiseFence(int64_t least, TimePoint now)
 {
     // A server's clock grows, so that each process of an agent gets a higher fence than the one before. Where it has
     // seen one of an earlier life with a clock that was ahead, doubling gets over it within some looks.
-    constexpr int64_t highest = int64_t(1) << 52; // A whole number in every JSON reader.
-    m_fence = std::min(std::max(m_fence * 2, least), highest);
-    m_fencedFrom = m_lookNumber + 1;
+    setFence(std::max(m_fence * 2, least));
     m_nextLook = now;
 }
 
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -50,6 +50,16 @@
     m_links.erase(it);
 }
 
+template <typename Message> void RunGate::tellRoom(Message& message, EntryLink& link, TimePoint now)
+{
+    link.lastFree = freeFor(link, now);
+    link.lastUpdate = now;
+    message.free = std::make_unique<wire::Room>(toWire(link.lastFree));
+    message.orders_seen = link.ordersSeen;
+    message.slowness = static_cast<float>(slowness(now));
+    message.slowness_spread = static_cast<float>(m_speed.spread());
+}
+
 void RunGate::sendResult(LinkId id, const RunId& run, wire::RunOutcome outcome, wire::Refusal refusal,
     const std::string& reason, Microseconds time, TimePoint now)
 {
@@ -60,24 +70,14 @@
     result.refusal = refusal;
     result.reason = reason;
     result.run_us = static_cast<uint32_t>(std::max<int64_t>(time.count(), 0));
-    link.lastFree = freeFor(link, now);
-    link.lastUpdate = now;
-    result.free = std::make_unique<wire::Room>(toWire(link.lastFree));
-    result.orders_seen = link.ordersSeen;
-    result.slowness = static_cast<float>(slowness(now));
-    result.slowness_spread = static_cast<float>(m_speed.spread());
+    tellRoom(result, link, now);
     send(id, std::move(result), now);
 }
 
 void RunGate::sendUpdate(LinkId id, EntryLink& link, TimePoint now)
 {
     wire::RoomUpdateT update;
-    link.lastFree = freeFor(link, now);
-    link.lastUpdate = now;
-    update.free = std::make_unique<wire::Room>(toWire(link.lastFree));
-    update.orders_seen = link.ordersSeen;
-    update.slowness = static_cast<float>(slowness(now));
-    update.slowness_spread = static_cast<float>(m_speed.spread());
+    tellRoom(update, link, now);
     send(id, std::move(update), now);
 }
 
@@ -92,12 +92,7 @@
     report.state = state(now);
     report.reason = closedReason(now);
     report.total = std::make_unique<wire::Room>(toWire(total()));
-    link.lastFree = freeFor(link, now);
-    link.lastUpdate = now;
-    report.free = std::make_unique<wire::Room>(toWire(link.lastFree));
-    report.orders_seen = link.ordersSeen;
-    report.slowness = static_cast<float>(slowness(now));
-    report.slowness_spread = static_cast<float>(m_speed.spread());
+    tellRoom(report, link, now);
     report.server_life = m_born;
     report.samples = m_speed.samples();
     send(id, std::move(report), now);
@@ -169,8 +164,8 @@
     if (!m_runs.empty() && now > m_leaseEnds) {
         endAll("lease-ended", now);
         // A start among them that is still on its way would find the lease renewed by the next look.
-        m_fencedFrom = m_lookNumber + 1;
-        m_fence += m_fence > 0 ? 1 : 0;
+        if (m_fence > 0)
+            setFence(m_fence + 1);
     }
     tickLinks(now);
     tickOwners(now);
