One unexpected error no longer ends a thread or a process; programs load only the libraries that they call

Cause: what a handler, a callback or the core threw ended the CAF actor of the control thread (the process went on listening with nothing behind it), the HTTP thread, or silently the coroutine of a connection, which left the server's counters and a client's only connection taken for ever. A store item with a malformed address of a peer was enough: AsyncHttpClient throws BadAddress on the control thread. Out of descriptors, accepting spun without a pause.

Now: FailureGuard catches, logs unexpected-error with its place, counts it, and ends the process gracefully after 20 within 10 s; handlers answer 500; a malformed peer address is logged and skipped; accepting pauses 20 ms. Used by both control threads of the own product as well.

--- a/include/sequoia/AgentControl.h
+++ b/include/sequoia/AgentControl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sequoia/AgentCore.h>
+#include <sequoia/FailureGuard.h>
 #include <sequoia/Link.h>
 
 #include <caf/all.hpp>
@@ -56,6 +57,7 @@
     wire::HelloT hello; ///< Sent on every new link.
     ClockHook now;
     std::function<void(CallBackend)> call; ///< Calls the backend server on a thread of its own.
+    FailureGuard& guard; ///< Catches what a message makes the core throw.
 };
 
 /** The control thread as other threads see it. */
--- a/include/sequoia/AsyncHttp.h
+++ b/include/sequoia/AsyncHttp.h
@@ -1,6 +1,7 @@
 /** @file AsyncHttp.h HTTP server and client on one Asio thread, for many connections at little cost. */
 #pragma once
 
+#include <sequoia/FailureGuard.h>
 #include <sequoia/Time.h>
 
 #include <boost/asio/io_context.hpp>
@@ -20,10 +21,11 @@
 /** Errors of this layer at start. */
 enum class AsyncHttpError : uint8_t { BadAddress, AddressInUse };
 
-/** The thread that all servers and clients of a process run on. */
+/** The thread that all servers and clients of a process run on. What handlers and callbacks throw, the guard catches.
+ */
 class HttpLoop {
 public:
-    HttpLoop();
+    explicit HttpLoop(FailureGuard& guard);
     ~HttpLoop();
     HttpLoop(const HttpLoop&) = delete;
     HttpLoop& operator=(const HttpLoop&) = delete;
@@ -34,8 +36,10 @@
     void stop();
     void post(std::function<void()> work);
     boost::asio::io_context& context() { return m_context; }
+    FailureGuard& guard() { return m_failures; }
 
 private:
+    FailureGuard& m_failures;
     boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_guard;
     std::thread m_thread;
@@ -82,7 +86,7 @@
 
 class AsyncHttpServerState;
 
-/** Server on one address. The handler runs on the loop's thread and must not block. */
+/** Server on one address. The handler runs on the loop's thread and must not block; if it throws, the reply is 500. */
 class AsyncHttpServer {
 public:
     using Handler = std::function<void(HttpCall, HttpExchangePtr)>;
--- a/include/sequoia/EntryControl.h
+++ b/include/sequoia/EntryControl.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <sequoia/EntryCore.h>
+#include <sequoia/FailureGuard.h>
 #include <sequoia/Link.h>
 
 #include <caf/all.hpp>
@@ -80,6 +81,7 @@
     ClockHook now;
     std::function<void(const std::string& address)> askForRelink; ///< POST to an agent, on another thread.
     std::function<void(const JobKey&, const JobAnswer&)> answered; ///< Told of each delivered answer.
+    FailureGuard& guard; ///< Catches what a message makes the core throw.
 };
 
 /** The control thread as other threads see it. */
--- a/include/sequoia/HttpService.h
+++ b/include/sequoia/HttpService.h
@@ -1,11 +1,11 @@
 /** @file HttpService.h An HTTP server with bounded connections and a graceful stop. */
 #pragma once
 
+#include <sequoia/Address.h>
 #include <sequoia/Time.h>
 
 #include <atomic>
 #include <httplib.h>
-#include <optional>
 #include <string>
 #include <thread>
 
@@ -54,7 +54,4 @@
 /** Whether a call failed before anything was sent. */
 bool isConnectFailure(httplib::Error error);
 
-/** Splits `host:port`; empty if the port is not a number. */
-std::optional<std::pair<std::string, int>> splitAddress(const std::string& address);
-
 } // namespace sequoia
--- a/include/sequoia/RoomAgentProcess.h
+++ b/include/sequoia/RoomAgentProcess.h
@@ -64,7 +64,8 @@
     Log m_log;
     Incarnation m_self;
     RunGate m_core;
-    HttpLoop m_loop;
+    FailureGuard m_failures { {}, endingHooks(m_log) };
+    HttpLoop m_loop { m_failures };
     LinkHub m_links;
     LinkEffects m_effects;
     Dialer m_dialer;
--- a/include/sequoia/RoomEntryProcess.h
+++ b/include/sequoia/RoomEntryProcess.h
@@ -81,7 +81,8 @@
     Incarnation m_self;
     RoomPolicyLimits m_policy;
     Dispatcher m_core;
-    HttpLoop m_loop;
+    FailureGuard m_failures { {}, endingHooks(m_log) };
+    HttpLoop m_loop { m_failures };
     LinkHub m_links;
     LinkEffects m_effects;
     RoutesInForce m_routes;
--- a/src/AgentControl.cpp
+++ b/src/AgentControl.cpp
@@ -1,10 +1,9 @@
 /** @file AgentControl.cpp The control actor of an agent. */
 #include <sequoia/AgentControl.h>
+#include <sequoia/ControlThread.h>
 #include <sequoia/Dialer.h>
 #include <sequoia/LinkEffects.h>
 
-#include <future>
-
 namespace sequoia {
 
 namespace {
@@ -25,13 +24,21 @@
         {
         }
 
+        /** A message that makes the core throw costs what it asked for; the thread goes on. */
+        void guarded(AgentInput& input)
+        {
+            m_parts.guard.run("control-message", [&] { handle(input); });
+            if (std::holds_alternative<AgentTickInput>(input))
+                m_self->delayed_send(m_self, tickPeriod, AgentInput(AgentTickInput {}));
+        }
+
+    private:
         void handle(AgentInput& input)
         {
             std::visit([this](auto& message) { on(message); }, input);
             perform();
         }
 
-    private:
         void on(DiscoveredInput& input) { m_dialer.setAddresses(input.links, now()); }
 
         void on(AgentLinkOpenedInput& input)
@@ -87,7 +94,6 @@
             m_dialer.tick(now());
             if (++m_ticks % ticksPerCollect == 0)
                 m_parts.links.collect();
-            m_self->delayed_send(m_self, tickPeriod, AgentInput(AgentTickInput {}));
         }
 
         TimePoint now() const { return m_parts.now(); }
@@ -117,7 +123,7 @@
     m_actor = system.spawn<caf::detached>([parts = std::move(parts)](caf::event_based_actor* self) -> caf::behavior {
         const auto state = std::make_shared<AgentState>(self, parts);
         self->send(self, AgentInput(AgentTickInput {}));
-        return { [state](AgentInput& input) { state->handle(input); } };
+        return { [state](AgentInput& input) { state->guarded(input); } };
     });
 }
 
@@ -134,13 +140,11 @@
 
 void AgentControl::inspect(const std::function<void(AgentCore&, TimePoint)>& visit) const
 {
-    std::promise<void> done;
-    auto ended = done.get_future();
-    tell(AgentInspectInput { [&](AgentCore& core, TimePoint now) {
-        visit(core, now);
-        done.set_value();
-    } });
-    ended.get();
+    auto signal = std::make_shared<EndSignal>();
+    const auto ended = signal->future();
+    tell(AgentInspectInput {
+        [&visit, signal = std::move(signal)](AgentCore& core, TimePoint now) { visit(core, now); } });
+    ended.wait();
 }
 
 } // namespace sequoia
--- a/src/AgentMain.cpp
+++ b/src/AgentMain.cpp
@@ -86,7 +86,7 @@
             m_control.emplace(m_system,
                 AgentControlParts { m_core, m_links, m_log,
                     hello(m_settings.advertise_http.empty() ? bound : m_settings.advertise_http), Clock::now,
-                    [this](CallBackend call) { m_pool.call(std::move(call)); } });
+                    [this](CallBackend call) { m_pool.call(std::move(call)); }, m_failures });
             m_isUp = true;
             m_discovery = std::thread([this] { runDiscovery(); });
             m_log.event(LogLevel::Info, "listening",
@@ -296,6 +296,7 @@
         AgentCore m_core;
         std::optional<AgentControl> m_control;
         BackendPool m_pool;
+        FailureGuard m_failures { {}, endingHooks(m_log) };
         LinkHub m_links;
         caf::actor_system& m_system;
         std::atomic<bool> m_isUp { false };
--- a/src/AsyncHttp.cpp
+++ b/src/AsyncHttp.cpp
@@ -1,7 +1,7 @@
 /** @file AsyncHttp.cpp HTTP on Boost.Beast: one coroutine a connection. */
 #include <sequoia/AsyncHttp.h>
 
-#include <sequoia/HttpService.h>
+#include <sequoia/Address.h>
 
 #include <boost/asio.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -106,8 +106,9 @@
 
 } // namespace
 
-HttpLoop::HttpLoop()
-    : m_context(1)
+HttpLoop::HttpLoop(FailureGuard& guard)
+    : m_failures(guard)
+    , m_context(1)
     , m_guard(asio::make_work_guard(m_context))
 {
 }
@@ -116,7 +117,10 @@
 
 void HttpLoop::start()
 {
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] {
+        while (!m_context.stopped())
+            m_failures.run("http-loop", [this] { m_context.run(); });
+    });
 }
 
 void HttpLoop::stop()
@@ -140,11 +144,12 @@
 /** Shared by a server and its connections. */
 class AsyncHttpServerState : public std::enable_shared_from_this<AsyncHttpServerState> {
 public:
-    AsyncHttpServerState(asio::io_context& context, const AsyncHttpLimits& limits, AsyncHttpServer::Handler handler)
-        : m_context(context)
+    AsyncHttpServerState(HttpLoop& loop, const AsyncHttpLimits& limits, AsyncHttpServer::Handler handler)
+        : m_context(loop.context())
+        , m_failures(loop.guard())
         , m_limits(limits)
         , m_handler(std::move(handler))
-        , m_acceptor(context)
+        , m_acceptor(loop.context())
     {
     }
 
@@ -189,7 +194,13 @@
             auto [ec, socket] = co_await self->m_acceptor.async_accept(token);
             if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor)
                 co_return;
-            if (ec || self->m_connections >= self->m_limits.maxConnections)
+            if (ec) {
+                // Without descriptors the next attempt would fail at once as well.
+                asio::steady_timer pause(self->m_context, acceptPause);
+                co_await pause.async_wait(token);
+                continue;
+            }
+            if (self->m_connections >= self->m_limits.maxConnections)
                 continue;
             socket.set_option(tcp::no_delay(true), ec);
             asio::co_spawn(self->m_context, serve(self, std::move(socket)), asio::detached);
@@ -241,7 +252,8 @@
         const bool keepAlive = request.keep_alive();
         auto exchange = std::make_shared<Exchange>(m_context);
         ++m_open;
-        m_handler(callOf(request), exchange);
+        if (!m_failures.run("http-handler", [&] { m_handler(callOf(request), exchange); }))
+            exchange->reply({ statusInternalError, R"({"error":"unexpected error"})", "application/json", {} });
         const bool isHere = co_await exchange->wait(stream);
         --m_open;
         if (!isHere)
@@ -279,8 +291,11 @@
     }
 
     static constexpr size_t firstReadBytes = 4096;
+    static constexpr int statusInternalError = 500;
+    static constexpr Milliseconds acceptPause { 20 };
 
     asio::io_context& m_context;
+    FailureGuard& m_failures;
     AsyncHttpLimits m_limits;
     AsyncHttpServer::Handler m_handler;
     tcp::acceptor m_acceptor;
@@ -291,7 +306,7 @@
 };
 
 AsyncHttpServer::AsyncHttpServer(HttpLoop& loop, const AsyncHttpLimits& limits, Handler handler)
-    : m_state(std::make_shared<AsyncHttpServerState>(loop.context(), limits, std::move(handler)))
+    : m_state(std::make_shared<AsyncHttpServerState>(loop, limits, std::move(handler)))
 {
 }
 
@@ -314,8 +329,9 @@
 /** Connections of a client and the calls that wait for one. */
 class AsyncHttpClientState : public std::enable_shared_from_this<AsyncHttpClientState> {
 public:
-    AsyncHttpClientState(asio::io_context& context, const std::string& address, size_t maxConnections)
-        : m_context(context)
+    AsyncHttpClientState(HttpLoop& loop, const std::string& address, size_t maxConnections)
+        : m_context(loop.context())
+        , m_failures(loop.guard())
         , m_endpoint(endpointOf(address))
         , m_host(address)
         , m_maxConnections(maxConnections)
@@ -349,7 +365,7 @@
     {
         for (;;) {
             auto result = co_await self->perform(call);
-            call.done(std::move(result));
+            self->m_failures.run("http-reply", [&] { call.done(std::move(result)); });
             if (self->m_waiting.empty())
                 break;
             call = std::move(self->m_waiting.front());
@@ -414,6 +430,7 @@
     static constexpr uint64_t maxReplyBytes = 16U << 20U;
 
     asio::io_context& m_context;
+    FailureGuard& m_failures;
     tcp::endpoint m_endpoint;
     std::string m_host;
     size_t m_maxConnections;
@@ -423,7 +440,7 @@
 };
 
 AsyncHttpClient::AsyncHttpClient(HttpLoop& loop, const std::string& address, size_t maxConnections)
-    : m_state(std::make_shared<AsyncHttpClientState>(loop.context(), address, maxConnections))
+    : m_state(std::make_shared<AsyncHttpClientState>(loop, address, maxConnections))
 {
 }
 
--- a/src/ControlThread.cpp
+++ b/src/ControlThread.cpp
@@ -1,8 +1,6 @@
 /** @file ControlThread.cpp The actor behind a control thread. */
 #include <sequoia/ControlThread.h>
 
-#include <future>
-
 namespace sequoia::control {
 
 /** Sent by the actor to itself. */
@@ -14,18 +12,18 @@
 
 namespace sequoia {
 
-ControlThread::ControlThread(caf::actor_system& system, Milliseconds period, ControlHooks hooks)
+ControlThread::ControlThread(caf::actor_system& system, Milliseconds period, ControlHooks hooks, FailureGuard& guard)
     : m_system(system)
     , m_actor(system.spawn<caf::detached>(
-          [period, hooks = std::move(hooks)](caf::event_based_actor* self) -> caf::behavior {
+          [period, hooks = std::move(hooks), &guard](caf::event_based_actor* self) -> caf::behavior {
               self->send(self, control::TickNow {});
-              return { [hooks](ControlWork& work) {
-                          work.run();
-                          hooks.afterEach();
+              return { [hooks, &guard](ControlWork& work) {
+                          guard.run("control-work", work.run);
+                          guard.run("control-effects", hooks.afterEach);
                       },
-                  [self, period, hooks](control::TickNow) {
-                      hooks.tick();
-                      hooks.afterEach();
+                  [self, period, hooks, &guard](control::TickNow) {
+                      guard.run("control-tick", hooks.tick);
+                      guard.run("control-effects", hooks.afterEach);
                       self->delayed_send(self, period, control::TickNow {});
                   } };
           }))
@@ -38,13 +36,10 @@
 
 void ControlThread::inspect(const std::function<void()>& work) const
 {
-    std::promise<void> done;
-    auto ended = done.get_future();
-    post([&] {
-        work();
-        done.set_value();
-    });
-    ended.get();
+    auto signal = std::make_shared<EndSignal>();
+    const auto ended = signal->future();
+    post([&work, signal = std::move(signal)] { work(); });
+    ended.wait();
 }
 
 void ControlThread::stop()
--- a/src/EntryControl.cpp
+++ b/src/EntryControl.cpp
@@ -1,4 +1,5 @@
 /** @file EntryControl.cpp The control actor of an entry. */
+#include <sequoia/ControlThread.h>
 #include <sequoia/EntryControl.h>
 #include <sequoia/LinkEffects.h>
 
@@ -21,13 +22,21 @@
         {
         }
 
+        /** A message that makes the core throw costs what it asked for; the thread goes on. */
+        void guarded(EntryInput& input)
+        {
+            m_parts.guard.run("control-message", [&] { handle(input); });
+            if (std::holds_alternative<TickInput>(input))
+                m_self->delayed_send(m_self, tickPeriod, EntryInput(TickInput {}));
+        }
+
+    private:
         void handle(EntryInput& input)
         {
             std::visit([this](auto& message) { on(message); }, input);
             perform();
         }
 
-    private:
         void on(SubmitInput& input)
         {
             const auto job = input.spec.key;
@@ -85,7 +94,6 @@
             m_parts.core.tick(now());
             if (++m_ticks % ticksPerCollect == 0)
                 m_parts.links.collect();
-            m_self->delayed_send(m_self, tickPeriod, EntryInput(TickInput {}));
         }
 
         void watch(ReplySlot& slot, CommandResult result, const JobKey&)
@@ -139,7 +147,7 @@
     m_actor = system.spawn<caf::detached>([parts = std::move(parts)](caf::event_based_actor* self) -> caf::behavior {
         const auto state = std::make_shared<ControlState>(self, parts);
         self->send(self, EntryInput(TickInput {}));
-        return { [state](EntryInput& input) { state->handle(input); } };
+        return { [state](EntryInput& input) { state->guarded(input); } };
     });
 }
 
@@ -211,13 +219,10 @@
 
 void EntryControl::inspect(const std::function<void(EntryCore&, TimePoint)>& visit)
 {
-    std::promise<void> done;
-    auto ended = done.get_future();
-    tell(InspectInput { [&](EntryCore& core, TimePoint now) {
-        visit(core, now);
-        done.set_value();
-    } });
-    ended.get();
+    auto signal = std::make_shared<EndSignal>();
+    const auto ended = signal->future();
+    tell(InspectInput { [&visit, signal = std::move(signal)](EntryCore& core, TimePoint now) { visit(core, now); } });
+    ended.wait();
 }
 
 } // namespace sequoia
--- a/src/EntryMain.cpp
+++ b/src/EntryMain.cpp
@@ -55,7 +55,8 @@
             , m_caller(system.spawn<caf::detached>(relinkCaller))
             , m_control(system,
                   { m_core, m_links, m_log, [this](const auto& hello) { return checkHello(hello); }, Clock::now,
-                      [this](const auto& address) { askForRelink(address); }, [](const JobKey&, const JobAnswer&) {} })
+                      [this](const auto& address) { askForRelink(address); }, [](const JobKey&, const JobAnswer&) {},
+                      m_failures })
             , m_http({ static_cast<size_t>(settings.http_threads), static_cast<size_t>(settings.max_body_bytes),
                   Milliseconds(settings.http_read_timeout_ms) })
         {
@@ -195,6 +196,7 @@
         ConfigHolder m_holder;
         std::atomic<bool> m_hasConfig { false };
         EntryCore m_core;
+        FailureGuard m_failures { {}, endingHooks(m_log) };
         LinkHub m_links;
         caf::actor m_caller; ///< Calls agents over HTTP, off the control thread.
         EntryControl m_control;
--- a/src/HttpService.cpp
+++ b/src/HttpService.cpp
@@ -1,7 +1,6 @@
 /** @file HttpService.cpp Connection threads made on demand, and a graceful stop. */
 #include <sequoia/HttpService.h>
 
-#include <charconv>
 #include <condition_variable>
 #include <fmt/format.h>
 #include <list>
@@ -75,19 +74,6 @@
 
 } // namespace
 
-std::optional<std::pair<std::string, int>> splitAddress(const std::string& address)
-{
-    const auto at = address.rfind(':');
-    int port = 0;
-    if (at == std::string::npos)
-        return std::nullopt;
-    const auto* last = address.data() + address.size();
-    const auto [end, ec] = std::from_chars(address.data() + at + 1, last, port);
-    if (ec != std::errc() || end != last || port < 0 || port > UINT16_MAX)
-        return std::nullopt;
-    return std::pair(address.substr(0, at), port);
-}
-
 bool isConnectFailure(httplib::Error error)
 {
     return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
--- a/src/RoomAgentProcess.cpp
+++ b/src/RoomAgentProcess.cpp
@@ -3,6 +3,8 @@
 
 #include "ProcessMetrics.h"
 
+#include <sequoia/Address.h>
+
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -69,7 +71,7 @@
     , m_server(ports.connectServer(
           m_loop, settings.server_address, static_cast<size_t>(settings.server_connections), m_log, serverResults()))
     , m_store(ports.connectStore(m_loop, settings.store_address, m_log, [this](auto work) { post(std::move(work)); }))
-    , m_control(system, tickPeriod, { [this] { tick(); }, [this] { perform(); } })
+    , m_control(system, tickPeriod, { [this] { tick(); }, [this] { perform(); } }, m_failures)
 {
     post([this, seeds = settings.seeds] { setSeeds(seeds); });
 }
@@ -271,7 +273,7 @@
     out.counter("looks_total", "Looks at the backend server.", n.looks);
     out.counter("server_lives_total", "Lives of the backend server.", n.lives);
     out.counter("messages_sent_total", "Messages to entries.", n.messagesSent);
-    addProcessCounters(out, m_links, m_output, "entries");
+    addProcessCounters(out, m_links, m_output, m_failures, "entries");
     out.counter("store_failures_total", "Calls of the store without a good reply.", m_store.calls().failures);
     out.gauge("cpu_total", "Processors of the backend server, thousandths.", static_cast<double>(m_core.total().cpu));
     out.gauge("cpu_used", "Processors taken by runs, thousandths.", static_cast<double>(m_core.used().cpu));
--- a/src/RoomEntryProcess.cpp
+++ b/src/RoomEntryProcess.cpp
@@ -74,7 +74,7 @@
     , m_registration(std::string(entryItemsPrefix) + settings.name,
           toText(EntryItem { settings.link_address, settings.peers_address }), m_store, m_log, {}, suspendAwareNow)
     , m_learned(settings.name, m_store, m_log, {}, learnedHooks())
-    , m_control(system, tickPeriod, { [this] { tick(); }, [this] { perform(); } })
+    , m_control(system, tickPeriod, { [this] { tick(); }, [this] { perform(); } }, m_failures)
 {
 }
 
@@ -284,7 +284,13 @@
     if (addresses.empty())
         return;
     const auto address = addresses[m_peerTurn++ % addresses.size()];
-    auto client = std::make_shared<AsyncHttpClient>(m_loop, address, 1);
+    std::shared_ptr<AsyncHttpClient> client;
+    try {
+        client = std::make_shared<AsyncHttpClient>(m_loop, address, 1);
+    } catch (AsyncHttpError) {
+        m_log.event(LogLevel::Warning, "peer-malformed", { { "address", address } });
+        return;
+    }
     client->call(
         { "GET", std::string(configurationPath), "", {} }, peerTimeout, [this, client](const HttpResult& result) {
             const auto* reply = std::get_if<HttpReply>(&result);
@@ -334,7 +340,7 @@
     out.counter("room_updates_total", "Reports of room by agents.", n.updates);
     out.counter("messages_sent_total", "Messages to agents.", n.messagesSent);
     out.counter("messages_received_total", "Messages of agents.", n.messagesReceived);
-    addProcessCounters(out, m_links, m_output, "agents");
+    addProcessCounters(out, m_links, m_output, m_failures, "agents");
     out.counter("store_lists_total", "Listings of the store.", calls.lists);
     out.counter("store_watches_total", "Watches of the store.", calls.watches);
     out.counter("store_keeps_total", "Renewals of leases.", calls.keeps);
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -114,7 +114,8 @@
     Standins(const Standins&) = delete;
     Standins& operator=(const Standins&) = delete;
 
-    HttpLoop loop;
+    FailureGuard failures { {}, { [](std::string_view, const std::string&) {}, [] {}, Clock::now } };
+    HttpLoop loop { failures };
     std::string storeAddress;
     std::string serverAddress;
     std::atomic<int> runMs { 50 };
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -1,5 +1,6 @@
 /** @file PlumbingTest.cpp HTTP, log output, store follower, registration and dialer on their own. */
 #include <sequoia/AsyncHttp.h>
+#include <sequoia/ControlThread.h>
 #include <sequoia/Dialer.h>
 #include <sequoia/Follower.h>
 #include <sequoia/HttpService.h>
@@ -66,7 +67,33 @@
     return limits;
 }
 
-/** A server that repeats what it is sent, or keeps callers waiting at /wait. */
+/** A guard that notes what it caught. */
+class NotedFailures {
+public:
+    FailureGuard& guard() { return m_guard; }
+    std::vector<std::string> places() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_places;
+    }
+    std::atomic<int> givenUp { 0 };
+    TimePoint now {};
+
+private:
+    void note(std::string_view place)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_places.emplace_back(place);
+    }
+
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_places;
+    FailureGuard m_guard { { 3, Milliseconds(1000) },
+        { [this](std::string_view place, const std::string&) { note(place); }, [this] { ++givenUp; },
+            [this] { return now; } } };
+};
+
+/** A server that repeats what it is sent, keeps callers waiting at /wait, or fails at /throw. */
 class EchoServer {
 public:
     EchoServer()
@@ -77,6 +104,8 @@
                 arrived.set_value();
                 return;
             }
+            if (call.target == "/throw")
+                throw std::runtime_error("a handler's error");
             exchange->reply({ 200, call.method + " " + call.target + " " + call.body, "text/plain", {} });
         })
     {
@@ -87,7 +116,8 @@
     EchoServer(const EchoServer&) = delete;
     EchoServer& operator=(const EchoServer&) = delete;
 
-    HttpLoop loop;
+    NotedFailures failures;
+    HttpLoop loop { failures.guard() };
     std::string address;
     std::promise<void> gone;
     std::promise<void> arrived;
@@ -179,6 +209,80 @@
     cr_expect(reply.find("Connection: close") != std::string::npos && reply.ends_with("late"), "%s", reply.c_str());
 }
 
+Test(AsyncHttp, errorsOfHandlersAndCallbacksCostOnlyTheirRequest, .timeout = 20)
+{
+    EchoServer echo;
+    AsyncHttpClient client(echo.loop, echo.address, 1);
+    const auto failed = callAndWait(client, { "GET", "/throw", "", {} }, Milliseconds(2000));
+    cr_assert(std::holds_alternative<HttpReply>(failed));
+    cr_expect_eq(std::get<HttpReply>(failed).status, 500);
+    // The only connection of the client must be free again after a callback that throws.
+    client.call({ "GET", "/x", "", {} }, Milliseconds(2000), [](const HttpResult&) { throw HttpError::BadAddress; });
+    echo.loop.post([] { throw std::runtime_error("an error of posted work"); });
+    const auto next = callAndWait(client, { "GET", "/y", "", {} }, Milliseconds(2000));
+    cr_assert(std::holds_alternative<HttpReply>(next));
+    cr_expect_eq(std::get<HttpReply>(next).body, "GET /y ");
+    cr_expect_eq(echo.server().openExchanges(), 0);
+    const auto places = echo.failures.places();
+    cr_expect_eq(places.size(), 3);
+    for (const auto* place : { "http-handler", "http-loop", "http-reply" })
+        cr_expect(std::find(places.begin(), places.end(), place) != places.end(), "%s", place);
+}
+
+Test(ControlThread, goesOnAfterWorkThatThrows, .timeout = 20)
+{
+    NotedFailures failures;
+    caf::actor_system_config config;
+    caf::actor_system system(config);
+    std::atomic<int> ticks { 0 };
+    {
+        ControlThread control(system, Milliseconds(5),
+            { [&] {
+                 if (++ticks == 1)
+                     throw std::runtime_error("a tick's error");
+             },
+                [] {} },
+            failures.guard());
+        bool hasRun = false;
+        control.inspect([] { throw HttpError::BadAddress; });
+        control.inspect([&] { hasRun = true; });
+        cr_expect(hasRun);
+        while (ticks < 2)
+            std::this_thread::yield(); // The suite's timeout ends this if ticks have stopped.
+    }
+    cr_expect_eq(failures.places().size(), 2);
+}
+
+struct GuardRow {
+    char name[32];
+    int gapMs; ///< Between errors.
+    int errors;
+    int givenUp;
+};
+
+ParameterizedTestParameters(FailureGuard, givesUpWhenErrorsDontEnd)
+{
+    static GuardRow rows[] = {
+        { "few", 0, 2, 0 },
+        { "many at once", 0, 3, 1 },
+        { "it gives up once", 0, 9, 1 },
+        { "spread out", 600, 9, 0 },
+    };
+    return cr_make_param_array(GuardRow, rows, sizeof(rows) / sizeof(GuardRow));
+}
+
+ParameterizedTest(GuardRow* row, FailureGuard, givesUpWhenErrorsDontEnd)
+{
+    NotedFailures failures;
+    for (int i = 0; i < row->errors; ++i) {
+        failures.now += Milliseconds(row->gapMs);
+        cr_expect_not(failures.guard().run("test", [] { throw std::runtime_error("an error"); }));
+    }
+    cr_expect(failures.guard().run("test", [] {}));
+    cr_expect_eq(failures.givenUp, row->givenUp, "%s", row->name);
+    cr_expect_eq(failures.guard().errors(), static_cast<uint64_t>(row->errors), "%s", row->name);
+}
+
 Test(AsyncHttp, aClientTellsRefusedFromUnanswered, .timeout = 20)
 {
     EchoServer echo;
@@ -192,7 +296,7 @@
 
     std::string closed;
     {
-        HttpLoop other;
+        HttpLoop other(echo.failures.guard());
         AsyncHttpServer server(other, {}, [](const HttpCall&, const HttpExchangePtr&) {});
         closed = server.listen("127.0.0.1:0");
         other.start();
