--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -49,6 +49,17 @@
         take();
     }
 
+    /** Where the last run of a job's only task was ordered. */
+    size_t placeOf(uint64_t id) const
+    {
+        size_t place = SIZE_MAX;
+        for (const auto& [run, agent] : places) {
+            if (raw(run.task.job) == id)
+                place = agent;
+        }
+        return place;
+    }
+
     /** Sends a job of one step. */
     void submit(uint64_t id, StepSpec step, Milliseconds budget = Milliseconds(2000), uint32_t priority = 0)
     {
@@ -139,6 +150,27 @@
 
 } // namespace
 
+Test(Dispatcher, ordersFromItsShareOfTheAgentsAndFromOthersWhenTheyAreGone)
+{
+    constexpr size_t entries = 2;
+    for (size_t position = 0; position < entries; ++position) {
+        Bench bench(4);
+        bench.core.setEntries(entries, position);
+        bench.tick();
+        const std::set<size_t> share { 2 * position, 2 * position + 1 };
+        for (uint64_t id = 1; id <= 6; ++id) {
+            bench.submit(id, stepOf(1, 1000));
+            cr_expect(share.contains(bench.placeOf(id)), "entry %zu: agent %zu", position, bench.placeOf(id));
+        }
+        for (const auto agent : share)
+            bench.core.linkClosed(LinkId(agent), bench.now);
+        bench.tick();
+        bench.submit(7, stepOf(1, 1000));
+        cr_expect_lt(bench.placeOf(7), 4U);
+        cr_expect_not(share.contains(bench.placeOf(7)));
+    }
+}
+
 struct FitsRow {
     char name[32];
     Room room;
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -157,6 +157,14 @@
                 const auto put = Json::parse(platform::encodePut("op/config", configuration.dump(), StoreLease(0)));
                 items.push_back({ { "key", "op/config" }, { "value", put["writes"][0]["value"] }, { "revision", 5 } });
             }
+            if (call.target.find("entries") != std::string::npos) {
+                // Items of other writers: no JSON, another type, an address that no client can use.
+                for (const auto* value : { "x", R"({"link":7})", R"({"link":"nowhere:1","peers":"nowhere:1"})" }) {
+                    const auto key = fmt::format("sequoia/entries/stranger{}", items.size());
+                    const auto put = Json::parse(platform::encodePut(key, value, StoreLease(0)));
+                    items.push_back({ { "key", key }, { "value", put["writes"][0]["value"] }, { "revision", 5 } });
+                }
+            }
             return reply(exchange, { { "items", items }, { "truncated", false }, { "current_rev", 5 } });
         }
         if (call.target.starts_with("/sequoiafold/kv-watch")) {
@@ -437,6 +445,17 @@
     cr_expect_eq(deployment.platform.starts, 1, "what was refused never ran");
 }
 
+Test(Platform, strangersItemsOfTheStoreTakeNoEntryDown, .timeout = 60)
+{
+    Deployment deployment;
+    // Without the store an entry asks the peers that it has read of.
+    deployment.platform.isStoreDown = true;
+    constexpr Milliseconds outage { 2500 };
+    std::this_thread::sleep_for(outage);
+    const auto result = deployment.send("POST", "/p/00000000000000aa", Deployment::job(2)).get();
+    cr_expect_eq(statusOf(result), 200, "%s", bodyOf(result).c_str());
+}
+
 Test(Platform, aRestartedAgentAndAStoreOutageAreOvercome, .timeout = 90)
 {
     Deployment deployment;
