Requests count as repeated only once a route is known; one long wait no longer makes all others look short

A caller that waits 12 s came while little was known of the route; the average started anew from that one request, all usual ones then counted as short, and short ones are not learned from. Traced by job-answered: waited_before_ms of 1300 to 3748 on first requests, slack_ms=-1072 at submission.

Ruled out: agents shared out (the late jobs had no refused orders and no wait for room).

Now: nothing counts as short before 30 requests.

--- a/include/sequoia/CallerPatience.h
+++ b/include/sequoia/CallerPatience.h
@@ -18,7 +18,7 @@
         0
     }; ///< Callers send again no sooner than this after the first time; from the deployment.
     double memory = 100; ///< Requests over which the usual time of a route is averaged.
-    double fewRequests = 30; ///< Until so many have come, a much longer time starts the average anew.
+    double fewRequests = 30; ///< Until so many have come, nothing counts as short, and a much longer time starts anew.
     double shareMemory = 1000; ///< Requests over which the share of short ones is averaged.
     double mostShort = 0.1; ///< Where more requests than this share are short, short times are usual and tell nothing.
     size_t maxRoutes = 1024; ///< Routes beyond this many are not learned.
--- a/src/CallerPatience.cpp
+++ b/src/CallerPatience.cpp
@@ -29,7 +29,7 @@
         / (route.requests + m_limits.priorRequests);
     const double reach = m_limits.deviations * std::sqrt(variance);
     const double least = route.mean - reach;
-    const bool isShort = route.requests > 0 && time < least;
+    const bool isShort = route.requests >= m_limits.fewRequests && time < least;
     route.shortShare += ((isShort ? 1.0 : 0.0) - route.shortShare) / m_limits.shareMemory;
     if (isShort && route.shortShare <= m_limits.mostShort)
         return std::max(Milliseconds(static_cast<int64_t>(std::exp(least))) - budget, m_limits.resendPause);
--- a/tests/LearningTest.cpp
+++ b/tests/LearningTest.cpp
@@ -220,7 +220,7 @@
 ParameterizedTestParameters(CallerPatience, noticesRepeatedRequestsOfTheKindsPlayed)
 {
     // Callers wait 1,500 ms and three times the objective of their job; work is log-normal with a deviation of 0.4.
-    static BudgetRow rows[] = { { "scan", 60, 0.98 }, { "fill", 200, 0.8 } };
+    static BudgetRow rows[] = { { "scan", 60, 0.98 }, { "fill", 200, 0.8 }, { "reroute", 900, 0 } };
     return cr_make_param_array(BudgetRow, rows, sizeof(rows) / sizeof(BudgetRow));
 }
 
@@ -235,6 +235,8 @@
     CallerPatienceLimits limits;
     limits.resendPause = resendPause;
     CallerPatience model(limits);
+    // One caller waits much longer than the others; they are not to be taken for repeated ones.
+    model.waitedBefore("route", Milliseconds(15000));
     int wrong = 0;
     for (int i = 0; i < 1000; ++i)
         wrong += model.waitedBefore("route", budget()).count() > 0 ? 1 : 0;
