--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -27,9 +27,7 @@
     Milliseconds beat { 100 }; ///< Longest quiet time on a link with runs.
     Milliseconds idleBeat { 800 }; ///< Longest quiet time on a link without.
     Milliseconds idleSilence { 2000 }; ///< A link without runs that is silent this long is closed.
-    Milliseconds keptRoom {
-        5
-    }; ///< Room is kept for an entry that waits for this time: a round trip to it, and its turn.
+    Milliseconds keptRoom { 5 }; ///< Room is kept for an entry that waits: a round trip to it, and its turn.
     Milliseconds updatePeriod { 40 }; ///< An entry hears of changed room at most this often.
     Milliseconds resultMemory { 10000 }; ///< Ends of runs are remembered for entries that link again.
     Milliseconds longestLease { 1050 }; ///< No lease of an earlier process lives longer; from the deployment.
