--- a/include/sequoia/CallerPatience.h
+++ b/include/sequoia/CallerPatience.h
@@ -14,9 +14,7 @@
     double deviations = 2.75; ///< A time so far below the usual one, in the logarithm, is none of a first request.
     double priorSpread = 0.3; ///< Deviation of the logarithm of times until more is known.
     double priorRequests = 1; ///< Weight of that belief.
-    Milliseconds resendPause {
-        0
-    }; ///< Callers send again no sooner than this after the first time; from the deployment.
+    Milliseconds resendPause { 0 }; ///< Callers send again no sooner than this; from the deployment.
     double memory = 100; ///< Requests over which the usual time of a route is averaged.
     double fewRequests = 30; ///< Until so many have come, nothing counts as short, and a much longer time starts anew.
     double shareMemory = 1000; ///< Requests over which the share of short ones is averaged.
