Tests: SEQUOIA_KEEP_LOGS keeps the logs of the processes of a test cluster

Cause: the red row kill-entry+freeze-agent was seen once, and its logs were deleted with the processes. With the variable set, each process copies its log and output to that folder when it ends.

--- a/tests/TestCluster.cpp
+++ b/tests/TestCluster.cpp
@@ -8,6 +8,7 @@
 #include <csignal>
 #include <deque>
 #include <fcntl.h>
+#include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
 #include <future>
@@ -138,10 +139,22 @@
         ::kill(m_pid, SIGKILL);
         wait();
     }
+    keepLog();
     unlink(m_outPath.c_str());
     unlink(m_logPath.c_str());
 }
 
+void Process::keepLog() const
+{
+    const char* folder = std::getenv("SEQUOIA_KEEP_LOGS");
+    if (folder == nullptr)
+        return;
+    const auto base
+        = std::filesystem::path(folder) / (m_name + "-" + std::filesystem::path(m_logPath).filename().string());
+    std::filesystem::copy_file(m_logPath, base.string() + ".log");
+    std::filesystem::copy_file(m_outPath, base.string() + ".out");
+}
+
 std::string Process::waitListening(const std::string& field)
 {
     const auto until = Clock::now() + startTimeout;
--- a/tests/TestCluster.h
+++ b/tests/TestCluster.h
@@ -33,6 +33,9 @@
     pid_t pid() const { return m_pid; }
 
 private:
+    /** Copies the log and the output into the folder that SEQUOIA_KEEP_LOGS names, if it is set. */
+    void keepLog() const;
+
     std::string m_name;
     std::string m_outPath;
     std::string m_logPath;
