An unanswered start is sent again to the same server

Change: the agent sends the start again, three times in all; the server ignores a call for a run that it has or had. A refusal of a repeated start fences the run.

--- /dev/null
+++ b/include/sequoia/CallTimeModel.h
@@ -0,0 +1,39 @@
+/** @file CallTimeModel.h Learns how long a server takes to answer a call at most. */
+#pragma once
+
+#include <sequoia/Time.h>
+
+namespace sequoia {
+
+/** Parameters of the model. */
+struct CallTimeModelLimits {
+    Milliseconds initial { 25 }; ///< Before the first answer.
+    Milliseconds min { 10 }; ///< Timers and the scheduling of two processes add about this much.
+    Milliseconds max { 50 };
+    Milliseconds halfLife { 5000 }; ///< Time in which a long answer time loses half of its influence.
+    double margin = 1.25; ///< Factor between the longest recent answer time and the time-out.
+};
+
+/**
+ * Time-out of a call that may be repeated: a little above the longest answer time of the last seconds. If calls get no
+ * answer, the time-out stays, as there is nothing to learn from them.
+ */
+class CallTimeModel {
+public:
+    explicit CallTimeModel(const CallTimeModelLimits& limits = {});
+
+    /** A call was answered after this time. */
+    void learn(Microseconds answerTime, TimePoint now);
+    /** Time after which a call without an answer should be repeated. */
+    Milliseconds timeout(TimePoint now) const;
+
+private:
+    /** The longest answer time, which shrinks with its age. */
+    double peakMs(TimePoint now) const;
+
+    CallTimeModelLimits m_limits;
+    double m_peakMs = 0;
+    TimePoint m_peakAt {}; ///< When `m_peakMs` was observed; zero before the first answer.
+};
+
+} // namespace sequoia
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <sequoia/AgentCore.h>
+#include <sequoia/CallTimeModel.h>
 #include <sequoia/Metrics.h>
 #include <sequoia/Resources.h>
 #include <sequoia/SpeedModel.h>
@@ -19,7 +20,9 @@
     Milliseconds lease { 700 }; ///< The server ends runs by itself this long after it received the last renewal.
     Milliseconds pollWait { 150 }; ///< The server answers a poll at the latest after this time.
     Milliseconds pollTimeout { 120 }; ///< Added to `pollWait`; after both, the poll counts as lost.
-    Milliseconds startTimeout { 50 }; ///< Time-out of a start call; the run is then fenced.
+    Milliseconds startTimeout { 50 }; ///< Longest time-out of a start call; usually shorter, see CallTimeModel.h.
+    /** A start call without an answer is repeated until it has been sent this often; the run is then fenced. */
+    uint32_t maxStartCalls = 3;
     Milliseconds stopTimeout { 100 }; ///< Time-out of a stop call; the call is then repeated.
     /** Share added to a lease before the agent takes it as ended; deployments guarantee that server clocks are at most
      * 2% slow. */
@@ -135,7 +138,8 @@
     uint64_t failed = 0;
     uint64_t stopped = 0;
     uint64_t lost = 0;
-    uint64_t unansweredStarts = 0; ///< Start calls without an answer.
+    uint64_t repeatedStarts = 0; ///< Start calls that were sent again.
+    uint64_t unansweredStarts = 0; ///< Runs that were fenced because no start call was answered.
     uint64_t polls = 0;
     uint64_t incarnations = 0; ///< Incarnations of the server that were seen.
     uint64_t messagesSent = 0;
@@ -206,6 +210,9 @@
     struct Run {
         RunState state = RunState::Starting;
         Resources resources;
+        std::string payload; ///< For another start call; empty once one was answered.
+        uint32_t startCalls = 0;
+        TimePoint startCalled {}; ///< When the last start call was sent.
         Incarnation owner {}; ///< Entry that ordered the run; zero if unknown.
         Milliseconds estimate {};
         TimePoint ordered {};
@@ -249,9 +256,13 @@
     Resources freeFor(const EntryLink& link, TimePoint now) const;
     void onOrder(LinkId link, const wire::RunOrderT& order, TimePoint now);
     wire::Refusal refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const;
+    /** Sends a start call; the server ignores a repeated one if it has the run, or had it. */
+    void callStart(const RunId& id, Run& run, TimePoint now);
     void onStops(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
     void onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
     void stopRun(const RunId& id, Run& run, TimePoint now);
+    /** Stops a run that a start call may have started; it is over once a stop was answered and a poll shows no run. */
+    void fenceRun(const RunId& id, Run& run, TimePoint now);
     void endRun(
         const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal, const std::string& reason, TimePoint now);
     void endAll(const std::string& reason, TimePoint now);
@@ -313,6 +324,7 @@
     std::map<LinkId, EntryLink> m_links;
     std::map<Incarnation, TimePoint> m_lostOwners; ///< Entries with runs and without a link: when it was closed.
     SpeedModel m_speed;
+    CallTimeModel m_callTime;
     std::array<WorkId, 8> m_sampledJobs {}; ///< Latest jobs of which a run was selected as a sample; a ring buffer.
     size_t m_nextSampled = 0;
     uint64_t m_pollNumber = 0;
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -58,6 +58,7 @@
     : m_self(self)
     , m_limits(limits)
     , m_health(limits.health)
+    , m_callTime({ .initial = limits.startTimeout / 2, .max = limits.startTimeout })
 {
 }
 
@@ -278,14 +279,22 @@
     }
     auto& run = m_runs[id];
     run.resources = resources;
+    run.payload = order.payload;
     run.owner = link.entry;
     run.estimate = Milliseconds(order.estimate_ms);
     run.ordered = now;
     run.isSample = selectSample(id.task.job);
     m_used += resources;
     ++link.runs;
+    callStart(id, run, now);
+}
+
+void RunGate::callStart(const RunId& id, Run& run, TimePoint now)
+{
+    ++run.startCalls;
+    run.startCalled = now;
     m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(m_limits.lease * (1 + m_limits.clockDriftMargin)));
-    m_effects.add(StartRun { id, order.payload, m_server->instance, m_fence, m_limits.lease, m_limits.startTimeout });
+    m_effects.add(StartRun { id, run.payload, m_server->instance, m_fence, m_limits.lease, m_callTime.timeout(now) });
 }
 
 void RunGate::startAnswered(const RunId& id, StartOutcome outcome, TimePoint now)
@@ -295,8 +304,11 @@
     if (it == m_runs.end())
         return;
     auto& run = it->second;
-    if (outcome != StartOutcome::NoAnswer)
+    if (outcome != StartOutcome::NoAnswer) {
         m_startSeconds.add({}, now - run.ordered);
+        m_callTime.learn(toMicroseconds(now - run.startCalled), now);
+        run.payload.clear();
+    }
     switch (outcome) {
     case StartOutcome::Started:
         run.started = now;
@@ -306,14 +318,13 @@
         }
         return;
     case StartOutcome::NoAnswer:
-        ++m_counters.unansweredStarts;
-        recordRun(LogLevel::Info, "start-unanswered", id, run, "", now);
-        if (run.state == RunState::Starting) {
-            run.state = RunState::Fencing;
-            run.nextStop = now;
-            tickStops(now);
+        if (run.state == RunState::Starting && run.startCalls < m_limits.maxStartCalls
+            && state(now) != wire::GateState::Closed) {
+            ++m_counters.repeatedStarts;
+            callStart(id, run, now);
+            return;
         }
-        return;
+        return fenceRun(id, run, now);
     case StartOutcome::Unhealthy:
         if (m_health.recordFailure(healthKey(id), "server refuses runs", now))
             sendReports(now);
@@ -322,9 +333,22 @@
         break;
     }
     recordRun(LogLevel::Info, "start-refused", id, run, wire::EnumNameRefusal(refusalFor(outcome)), now);
+    if (run.startCalls > 1)
+        return fenceRun(id, run, now); // An earlier call may have started the run, or may still do so.
     endRun(id, wire::RunOutcome::NotStarted, refusalFor(outcome), "", now);
 }
 
+void RunGate::fenceRun(const RunId& id, Run& run, TimePoint now)
+{
+    ++m_counters.unansweredStarts;
+    recordRun(LogLevel::Info, "start-unanswered", id, run, "", now);
+    if (run.state != RunState::Starting)
+        return;
+    run.state = RunState::Fencing;
+    run.nextStop = now;
+    tickStops(now);
+}
+
 void RunGate::stopRun(const RunId& id, Run& run, TimePoint now)
 {
     if (run.state == RunState::Fencing || run.state == RunState::Stopping)
