--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -20,6 +20,10 @@
     Milliseconds lease { 700 }; ///< The server ends runs by itself this long after it received the last renewal.
     Milliseconds pollWait { 150 }; ///< The server answers a poll at the latest after this time.
     Milliseconds pollTimeout { 120 }; ///< Added to `pollWait`; after both, the poll counts as lost.
+    /** While calls get lost, so many polls wait at the same time that an end is reported late with this chance at most.
+     */
+    double maxLateReportShare = 0.02;
+    size_t maxWaitingPolls = 3; ///< Upper bound of the number of polls that wait at the same time.
     Milliseconds startTimeout { 50 }; ///< Longest time-out of a start call; usually shorter, see CallTimeModel.h.
     /** A start call without an answer is repeated until it has been sent this often; the run is then fenced. */
     uint32_t maxStartCalls = 3;
@@ -283,6 +287,12 @@
     void updateSpeedEstimate(Run& run, TimePoint now);
     void startIncarnation(int64_t startedMs, TimePoint now);
     void poll(Milliseconds wait, TimePoint now);
+    /** Number of polls that should wait at the same time, from the share of lost calls. */
+    size_t waitingPollsWanted() const;
+    /** Sends polls until as many wait as are wanted. */
+    void sendWaitingPolls(TimePoint now);
+    /** Updates the share of lost calls. */
+    void recordCall(bool isAnswered);
     /** All further calls carry this fence. */
     void setFence(int64_t fence);
     /** Uses a higher fence, at least `minimum`, for all further calls, and polls at once. */
@@ -331,6 +341,8 @@
     int64_t m_fence = 0; ///< Higher than that of an earlier process of this agent; 0 until the server's clock is known.
     uint64_t m_fencedFromPoll = 0; ///< First poll that carries the fence.
     std::set<uint64_t> m_pendingPolls; ///< Polls without an answer yet.
+    uint64_t m_lastListedPoll = 0; ///< The latest poll that was answered with a listing.
+    double m_lostCallShare = 0; ///< Share of start calls and polls without an answer, smoothed.
     bool m_isPollLost = false; ///< The last poll had no answer: polls don't renew leases until one is answered.
     TimePoint m_nextPoll {};
     TimePoint m_lastPoll {}; ///< When the last poll was sent.
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -2,6 +2,7 @@
 #include <sequoia/RunGate.h>
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace sequoia {
@@ -304,6 +305,7 @@
     if (it == m_runs.end())
         return;
     auto& run = it->second;
+    recordCall(outcome != StartOutcome::NoAnswer);
     if (outcome != StartOutcome::NoAnswer) {
         m_startSeconds.add({}, now - run.ordered);
         m_callTime.learn(toMicroseconds(now - run.startCalled), now);
@@ -388,6 +390,28 @@
     m_effects.add(PollServer { m_pollNumber, m_fence, lease, wait, wait + m_limits.pollTimeout, m_seenUpTo });
 }
 
+void RunGate::recordCall(bool isAnswered)
+{
+    constexpr double weight = 0.05;
+    m_lostCallShare += ((isAnswered ? 0.0 : 1.0) - m_lostCallShare) * weight;
+}
+
+size_t RunGate::waitingPollsWanted() const
+{
+    if (m_lostCallShare <= m_limits.maxLateReportShare)
+        return 1;
+    if (m_lostCallShare >= 1)
+        return m_limits.maxWaitingPolls;
+    const double n = std::ceil(std::log(m_limits.maxLateReportShare) / std::log(m_lostCallShare));
+    return static_cast<size_t>(std::min(n, static_cast<double>(m_limits.maxWaitingPolls)));
+}
+
+void RunGate::sendWaitingPolls(TimePoint now)
+{
+    while (m_pendingPolls.size() < waitingPollsWanted())
+        poll(m_limits.pollWait, now);
+}
+
 void RunGate::setFence(int64_t fence)
 {
     constexpr int64_t maxFence = int64_t(1) << 52; // All JSON readers keep integers up to this exact.
@@ -408,6 +432,8 @@
 {
     detectSuspension(now);
     m_pendingPolls.erase(number);
+    if (outcome != PollOutcome::Refused)
+        recordCall(outcome != PollOutcome::NoAnswer);
     const bool wasFresh = isListingFresh(now);
     if (outcome == PollOutcome::Refused) {
         m_nextPoll = now + m_limits.pollTimeout;
@@ -420,8 +446,12 @@
     } else if (outcome == PollOutcome::NoAnswer) {
         if (!m_isPollLost)
             m_effects.record(LogLevel::Info, "look-unanswered", { { "look", static_cast<int64_t>(number) } });
-        m_isPollLost = true;
-        m_nextPoll = now;
+        if (number > m_lastListedPoll) {
+            m_isPollLost = true;
+            m_nextPoll = now;
+        } else {
+            sendWaitingPolls(now); // The server has answered a later poll.
+        }
     } else if (outcome == PollOutcome::StaleFence) {
         if (number >= m_fencedFromPoll)
             raiseFence(listing.clock.value_or(Milliseconds(0)).count() + 1, now);
@@ -430,14 +460,18 @@
         m_isPollLost = false;
         m_isServerGone = false;
         m_lastListed = now;
+        m_lastListedPoll = std::max(m_lastListedPoll, number);
         if (listing.startedMs != m_serverStartedMs)
             startIncarnation(listing.startedMs, now);
         if (m_fence == 0 && listing.clock)
             raiseFence(listing.clock->count() + 1, now);
+        const auto seenBefore = m_seenUpTo;
         processEnds(listing, now);
         processRunning(number, listing, now);
-        if (m_pendingPolls.empty())
-            poll(m_limits.pollWait, now);
+        // A new end answers all waiting polls: those without an answer by now are on their way or lost.
+        if (m_seenUpTo > seenBefore)
+            m_pendingPolls.clear();
+        sendWaitingPolls(now);
     }
     if (!wasFresh || state(now) != m_reportedState)
         sendReports(now);
