--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -23,7 +23,7 @@
     /** While calls get lost, so many polls wait at the same time that an end is reported late with this chance at most.
      */
     double maxLateReportShare = 0.02;
-    size_t maxWaitingPolls = 3; ///< Upper bound of the number of polls that wait at the same time.
+    size_t maxWaitingPolls = 2; ///< Upper bound of the number of polls that wait at the same time.
     Milliseconds startTimeout { 50 }; ///< Longest time-out of a start call; usually shorter, see CallTimeModel.h.
     /** A start call without an answer is repeated until it has been sent this often; the run is then fenced. */
     uint32_t maxStartCalls = 3;
