--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -1,11 +1,15 @@
 /** @file PlacementBench.cpp Simulates heavy loads and faults, and prints what callers get. */
+#include "Tunables.h"
+
 #include <ClusterSimulation.h>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <boost/program_options.hpp>
+#include <cmath>
 #include <fmt/format.h>
 #include <iostream>
+#include <nlohmann/json.hpp>
 
 namespace {
 
@@ -50,6 +54,25 @@
             kind.failingShare = 0.05;
         out.push_back(failing);
     }
+    for (const double load : { 1.0, 1.5, 1.8 }) {
+        auto scenario = akwScenario(fmt::format("akw load {:.2f}", load));
+        scenario.load = load;
+        out.push_back(scenario);
+    }
+    for (const double share : { 0.05, 0.3 }) {
+        auto scenario = akwScenario(fmt::format("akw {:.0f}% of calls lost", share * 100));
+        scenario.lateOrders = scenario.lostPolls = share;
+        out.push_back(scenario);
+    }
+    auto joined = akwScenario("akw joined bursts");
+    joined.bursts = { { "", 1.3, Milliseconds(4000), Milliseconds(4000) },
+        { "fill", 1.8, Milliseconds(5500), Milliseconds(4000) },
+        { "scan", 1.8, Milliseconds(6300), Milliseconds(3800) } };
+    joined.load = 1.3;
+    out.push_back(joined);
+    auto outage = akwScenario("akw all lose power");
+    outage.powerLoss = Milliseconds(10000);
+    out.push_back(outage);
     for (const double load : { 0.7, 1.0, 1.25 }) {
         auto scenario = largeScenario(fmt::format("large load {:.2f}", load));
         scenario.load = load;
@@ -130,6 +153,67 @@
 
 } // namespace
 
+/** Runs scenarios with seeds from 1; the reports of a scenario follow one another. */
+std::vector<SimulationReport> runAll(
+    const std::vector<Scenario>& scenarios, uint64_t seeds, size_t threads, const SimulationTuning& tuning)
+{
+    std::vector<SimulationReport> reports(scenarios.size() * seeds);
+    boost::asio::thread_pool pool(threads);
+    for (size_t i = 0; i < reports.size(); ++i) {
+        boost::asio::post(pool, [&, i] {
+            auto scenario = scenarios[i / seeds];
+            scenario.seed = i % seeds + 1;
+            reports[i] = simulate(scenario, tuning);
+        });
+    }
+    pool.join();
+    return reports;
+}
+
+/** Mean of paired differences, and its standard error. */
+struct PairedDifference {
+    double mean = 0;
+    double standardError = 0;
+};
+
+PairedDifference compare(const SimulationReport* before, const SimulationReport* after, uint64_t seeds)
+{
+    const auto n = static_cast<double>(seeds);
+    double sum = 0;
+    double squares = 0;
+    for (uint64_t i = 0; i < seeds; ++i) {
+        const double difference = after[i].valueShare() - before[i].valueShare();
+        sum += difference;
+        squares += difference * difference;
+    }
+    const double variance = seeds > 1 ? (squares - sum * sum / n) / (n - 1) : 0;
+    return { sum / n, std::sqrt(std::max(variance, 0.0) / n) };
+}
+
+/** Switches each mechanism off and prints what that changes in each scenario. */
+void printAblation(
+    const std::vector<Scenario>& scenarios, uint64_t seeds, size_t threads, const SimulationTuning& tuning, bool asJson)
+{
+    const auto whole = runAll(scenarios, seeds, threads, tuning);
+    nlohmann::ordered_json rows = nlohmann::ordered_json::array();
+    for (const auto& mechanism : bench::mechanisms()) {
+        auto without = tuning;
+        for (const auto& assignment : mechanism.switchOff)
+            bench::applyTunable(without, assignment);
+        const auto reports = runAll(scenarios, seeds, threads, without);
+        for (size_t i = 0; i < scenarios.size(); ++i) {
+            const auto change = compare(&whole[i * seeds], &reports[i * seeds], seeds);
+            rows.push_back({ { "mechanism", mechanism.name }, { "scenario", scenarios[i].name },
+                { "change", change.mean }, { "standard_error", change.standardError }, { "plays", seeds } });
+            if (!asJson)
+                fmt::print("{:<32}{:<32}{:>+8.4f} +- {:.4f}  {} plays\n", mechanism.name, scenarios[i].name,
+                    change.mean, change.standardError, seeds);
+        }
+    }
+    if (asJson)
+        std::cout << rows.dump(1) << "\n";
+}
+
 int main(int argc, char** argv)
 {
     namespace options = boost::program_options;
@@ -139,7 +223,11 @@
         "run only scenarios whose name contains this text")("seeds", options::value<uint64_t>()->default_value(4),
         "number of simulations of each scenario, with seeds from 1")(
         "threads", options::value<size_t>()->default_value(3), "number of simulations that run in parallel")(
-        "perfect-view", "run each scenario also with a single entry that sees everything at once");
+        "perfect-view", "run each scenario also with a single entry that sees everything at once")("set",
+        options::value<std::vector<std::string>>()->composing()->default_value({}, ""),
+        "change a parameter of the code: name=value; may be repeated")(
+        "ablate", "switch each mechanism off in turn; prints the change of worth, paired by seed")(
+        "json", "print the ablation as JSON");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, described), given);
@@ -161,16 +249,19 @@
             chosen.push_back(withPerfectView(chosen.back()));
     }
     const auto seeds = given["seeds"].as<uint64_t>();
-    std::vector<SimulationReport> reports(chosen.size() * seeds);
-    boost::asio::thread_pool pool(given["threads"].as<size_t>());
-    for (size_t i = 0; i < reports.size(); ++i) {
-        boost::asio::post(pool, [&, i] {
-            auto scenario = chosen[i / seeds];
-            scenario.seed = i % seeds + 1;
-            reports[i] = simulate(scenario);
-        });
+    const auto threads = given["threads"].as<size_t>();
+    SimulationTuning tuning;
+    for (const auto& assignment : given["set"].as<std::vector<std::string>>()) {
+        if (const auto error = bench::applyTunable(tuning, assignment); !error.empty()) {
+            fmt::print(stderr, "--set: {}\n", error);
+            return 2;
+        }
     }
-    pool.join();
+    if (given.contains("ablate")) {
+        printAblation(chosen, seeds, threads, tuning, given.contains("json"));
+        return 0;
+    }
+    const auto reports = runAll(chosen, seeds, threads, tuning);
     fmt::print(
         "{:<28}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>8}{:>8}  by kind: in time/late/refused/failed/given up\n",
         "scenario", "worth", "worst", "kind", "served", "resp", "size", "strand", "refus", "msg/run", "waste");
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -344,7 +344,9 @@
         DispatcherHooks hooks { [this](const auto& candidates, const auto& request) {
                                    return choosePlacement(candidates, request, m_tuning.placement);
                                },
-            [this](const auto& job, const auto& load) { return admit(job, load, m_tuning.placement); } };
+            [this](const auto& job, const auto& load) {
+                return m_tuning.predictsWaits ? admit(job, load, m_tuning.placement) : Admission();
+            } };
         m_entries[i] = std::make_unique<Dispatcher>(m_tuning.dispatcher, m_tuning.placement, hooks);
         m_entries[i]->setEntries(m_scenario.entries, i);
     }
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -137,6 +137,7 @@
     DispatcherLimits dispatcher = simulationDispatcherLimits();
     RunGateLimits gate;
     TaskPlacementLimits placement;
+    bool predictsWaits = true; ///< Otherwise every job is admitted as if it were in time.
 };
 
 /**
