--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -190,6 +190,20 @@
     return { sum / n, std::sqrt(std::max(variance, 0.0) / n) };
 }
 
+/** Prints a row for each simulation, for comparisons that are paired by seed. */
+void printJson(const std::vector<Scenario>& scenarios, const std::vector<SimulationReport>& reports, uint64_t seeds)
+{
+    nlohmann::ordered_json rows = nlohmann::ordered_json::array();
+    for (size_t i = 0; i < reports.size(); ++i) {
+        const auto& report = reports[i];
+        rows.push_back({ { "scenario", scenarios[i / seeds].name }, { "seed", i % seeds + 1 },
+            { "worth", report.valueShare() }, { "worst_windows", report.worstWindowsShare() },
+            { "worst_kind", report.worstKindShare() }, { "served", report.servedShare() },
+            { "largest", report.worstLargeJobRatio() }, { "violations", report.violations.size() } });
+    }
+    std::cout << rows.dump(1) << "\n";
+}
+
 /** Switches each mechanism off and prints what that changes in each scenario. */
 void printAblation(
     const std::vector<Scenario>& scenarios, uint64_t seeds, size_t threads, const SimulationTuning& tuning, bool asJson)
@@ -227,7 +241,7 @@
         options::value<std::vector<std::string>>()->composing()->default_value({}, ""),
         "change a parameter of the code: name=value; may be repeated")(
         "ablate", "switch each mechanism off in turn; prints the change of worth, paired by seed")(
-        "json", "print the ablation as JSON");
+        "json", "print a row for each simulation, or the ablation, as JSON");
     options::variables_map given;
     try {
         options::store(options::parse_command_line(argc, argv, described), given);
@@ -262,6 +276,10 @@
         return 0;
     }
     const auto reports = runAll(chosen, seeds, threads, tuning);
+    if (given.contains("json")) {
+        printJson(chosen, reports, seeds);
+        return 0;
+    }
     fmt::print(
         "{:<28}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>8}{:>8}  by kind: in time/late/refused/failed/given up\n",
         "scenario", "worth", "worst", "kind", "served", "resp", "size", "strand", "refus", "msg/run", "waste");
