--- a/include/sequoia/CallTimeModel.h
+++ b/include/sequoia/CallTimeModel.h
@@ -7,9 +7,8 @@
 
 /** Parameters of the model. */
 struct CallTimeModelLimits {
-    Milliseconds initial { 25 }; ///< Before the first answer.
-    Milliseconds min { 10 }; ///< Timers and the scheduling of two processes add about this much.
-    Milliseconds max { 50 };
+    Milliseconds min { 25 }; ///< Shortest time-out; also the one before the first answer.
+    Milliseconds max { 50 }; ///< Longest time-out.
     Milliseconds halfLife { 5000 }; ///< Time in which a long answer time loses half of its influence.
     double margin = 1.25; ///< Factor between the longest recent answer time and the time-out.
 };
--- a/src/CallTimeModel.cpp
+++ b/src/CallTimeModel.cpp
@@ -26,10 +26,8 @@
 
 Milliseconds CallTimeModel::timeout(TimePoint now) const
 {
-    if (m_peakAt == TimePoint())
-        return std::min(m_limits.initial, m_limits.max);
     const auto learned = Milliseconds(static_cast<int64_t>(std::ceil(peakMs(now) * m_limits.margin)));
-    return std::clamp(learned, std::min(m_limits.min, m_limits.max), m_limits.max);
+    return std::clamp(learned, m_limits.min, m_limits.max);
 }
 
 } // namespace sequoia
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -59,7 +59,7 @@
     : m_self(self)
     , m_limits(limits)
     , m_health(limits.health)
-    , m_callTime({ .initial = limits.startTimeout / 2, .max = limits.startTimeout })
+    , m_callTime({ .min = limits.startTimeout / 2, .max = limits.startTimeout })
 {
 }
 
