--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -64,12 +64,7 @@
         scenario.lateOrders = scenario.lostPolls = share;
         out.push_back(scenario);
     }
-    auto joined = akwScenario("akw joined bursts");
-    joined.bursts = { { "", 1.3, Milliseconds(4000), Milliseconds(4000) },
-        { "fill", 1.8, Milliseconds(5500), Milliseconds(4000) },
-        { "scan", 1.8, Milliseconds(6300), Milliseconds(3800) } };
-    joined.load = 1.3;
-    out.push_back(joined);
+    out.push_back(joinedBurstsScenario("akw joined bursts"));
     auto outage = akwScenario("akw all lose power");
     outage.powerLoss = Milliseconds(10000);
     out.push_back(outage);
@@ -84,17 +79,6 @@
     return out;
 }
 
-/** The same load and faults with one entry that sees everything at once: an upper bound for every policy. */
-Scenario withPerfectView(Scenario scenario)
-{
-    scenario.name += " (perfect view)";
-    scenario.entries = 1;
-    scenario.linkDelay = Microseconds(1);
-    scenario.serverDelay = Microseconds(2);
-    scenario.estimateSpread = 0;
-    return scenario;
-}
-
 /** Sums over the seeds of a scenario, and all violations; the columns of the output, from `valueShare` to `wasted`. */
 struct Summary {
     size_t simulations = 0;
--- a/bench/Tunables.cpp
+++ b/bench/Tunables.cpp
@@ -18,7 +18,7 @@
 {
     static const std::vector<Tunable> all {
         { "start_calls", [](auto& t, double v) { t.gate.maxStartCalls = static_cast<uint32_t>(v); } },
-        { "waiting_polls", [](auto& t, double v) { t.gate.maxWaitingPolls = static_cast<size_t>(v); } },
+        { "waiting_polls", [](auto& t, double v) { t.gate.pollsWhileCallsGetLost = static_cast<size_t>(v); } },
         { "reservation_ms", [](auto& t, double v) { t.gate.reservationTime = ms(v); } },
         { "relink_grace_ms", [](auto& t, double v) { t.gate.relinkGrace = ms(v); } },
         { "quarantine_failures",
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -20,10 +20,10 @@
     Milliseconds lease { 700 }; ///< The server ends runs by itself this long after it received the last renewal.
     Milliseconds pollWait { 150 }; ///< The server answers a poll at the latest after this time.
     Milliseconds pollTimeout { 120 }; ///< Added to `pollWait`; after both, the poll counts as lost.
-    /** While calls get lost, so many polls wait at the same time that an end is reported late with this chance at most.
-     */
-    double maxLateReportShare = 0.02;
-    size_t maxWaitingPolls = 2; ///< Upper bound of the number of polls that wait at the same time.
+    /** If a greater share of calls gets lost, several polls wait at the same time: one that is lost would otherwise
+     * hide the ends of runs until its time-out. */
+    double maxLostCallShare = 0.02;
+    size_t pollsWhileCallsGetLost = 2; ///< Number of polls that wait at the same time then.
     Milliseconds startTimeout { 50 }; ///< Longest time-out of a start call; usually shorter, see CallTimeModel.h.
     /** A start call without an answer is repeated until it has been sent this often; the run is then fenced. */
     uint32_t maxStartCalls = 3;
@@ -143,7 +143,7 @@
     uint64_t stopped = 0;
     uint64_t lost = 0;
     uint64_t repeatedStarts = 0; ///< Start calls that were sent again.
-    uint64_t unansweredStarts = 0; ///< Runs that were fenced because no start call was answered.
+    uint64_t unansweredStarts = 0; ///< Start calls without an answer.
     uint64_t polls = 0;
     uint64_t incarnations = 0; ///< Incarnations of the server that were seen.
     uint64_t messagesSent = 0;
--- a/model/room.pml
+++ b/model/room.pml
@@ -12,7 +12,7 @@
  * Properties: no two runs of a task beside one another, no server over its room, no start after a success was noted.
  *
  * Each -D leaves one mechanism out; the verifier must then find a violation:
- *   NO_STOP NO_FENCE NO_RAISE NO_LIFE NO_SETTLE SHORT_WAIT OLD_LISTING EARLY_ROOM NO_OWNER_STOP
+ *   NO_STOP NO_FENCE NO_RAISE NO_LIFE NO_SETTLE SHORT_WAIT OLD_LISTING EARLY_ROOM NO_OWNER_STOP REFUSAL_PROVES
  */
 #ifndef TASKS
 #define TASKS 1
@@ -79,6 +79,12 @@
 byte startLeft[KEYS]; /* until the start is refused as late */
 byte startLife[KEYS];
 byte startFence[KEYS];
+bool isRepeated[KEYS]; /* the start was sent again */
+/* The first start of a run, once it was sent again: carried out any time later, without an answer. */
+bool lateSent[KEYS];
+byte lateLeft[KEYS];
+byte lateLife[KEYS];
+byte lateFence[KEYS];
 bool stopSent[KEYS];
 byte look[SERVERS]; /* 0 none, 1 sent, 2 listed */
 byte lookFence[SERVERS];
@@ -209,6 +215,11 @@
 {
     startSent[k] = false;
     if
+    :: ran[k] == 1 && IS_FOR_LIFE(k) && HAS_FENCE(k) && !fenced[k] -> /* the server has the run already */
+        if
+        :: isAnswered && gate[k] == 1 -> gate[k] = 2; isSettled[k] = true
+        :: else
+        fi
     :: (startLeft[k] > 0 || lease[where[k]] > 0) && IS_FOR_LIFE(k) && HAS_FENCE(k) && !fenced[k] && ran[k] == 0 ->
         ran[k] = 1;
         seenFence[where[k]] = (startFence[k] > seenFence[where[k]] -> startFence[k] : seenFence[where[k]]);
@@ -220,13 +231,33 @@
         fi
     :: else ->
         if
+#ifdef REFUSAL_PROVES
         :: isAnswered && gate[k] != 0 -> endRun(k, 2)
+#else
+        :: isAnswered && gate[k] != 0 && !isRepeated[k] -> endRun(k, 2)
+        :: isAnswered && gate[k] == 1 && isRepeated[k] -> gate[k] = 3; stopSent[k] = true
+#endif
         :: else
         fi
     fi;
     startLeft[k] = 0; startLife[k] = 0; startFence[k] = 0; isLate[k] = false
 }
 
+/* The server gets the first start of a run that was sent again. */
+inline onLateStart(k)
+{
+    lateSent[k] = false;
+    if
+    :: (lateLeft[k] > 0 || lease[where[k]] > 0) && lateLife[k] == life[where[k]] && lateFence[k] >= seenFence[where[k]] && !fenced[k] && ran[k] == 0 ->
+        ran[k] = 1;
+        seenFence[where[k]] = (lateFence[k] > seenFence[where[k]] -> lateFence[k] : seenFence[where[k]]);
+        lease[where[k]] = (lateLeft[k] > lease[where[k]] -> lateLeft[k] : lease[where[k]]);
+        checkStart(k)
+    :: else
+    fi;
+    lateLeft[k] = 0; lateLife[k] = 0; lateFence[k] = 0
+}
+
 inline onStop(k, isAnswered)
 {
     stopSent[k] = false;
@@ -317,7 +348,20 @@
         reply[k] = 0
     }
     :: d_step { orderSent[k] && linked[where[k]] -> onOrder(k, where[k]) }
-    /* RunGate::startAnswered: no answer in time */
+    /* RunGate::startAnswered: no answer in time, the start is sent again */
+    :: d_step {
+        gate[k] == 1 && !isRepeated[k] && (cut[where[k]] || isLate[k]) ->
+        isRepeated[k] = true;
+        lateSent[k] = startSent[k];
+        lateLeft[k] = (startSent[k] -> startLeft[k] : 0);
+        lateLife[k] = (startSent[k] -> startLife[k] : 0);
+        lateFence[k] = (startSent[k] -> startFence[k] : 0);
+        isLate[k] = false;
+        startSent[k] = true; startLeft[k] = LEASE; startLife[k] = gateLife[where[k]]; startFence[k] = fence[where[k]];
+        gateLease[where[k]] = LEASE
+    }
+    :: d_step { lateSent[k] -> onLateStart(k) }
+    /* RunGate::startAnswered: no answer in time, the run is fenced */
     :: d_step {
         gate[k] == 1 && (cut[where[k]] || isLate[k]) ->
 #ifdef NO_STOP
@@ -464,7 +508,10 @@
         j = 0;
         i = 0;
         do
-        :: i < KEYS -> startLeft[i] = (startLeft[i] > 0 -> startLeft[i] - 1 : 0); i++
+        :: i < KEYS ->
+            startLeft[i] = (startLeft[i] > 0 -> startLeft[i] - 1 : 0);
+            lateLeft[i] = (lateLeft[i] > 0 -> lateLeft[i] - 1 : 0);
+            i++
         :: else -> break
         od;
         i = 0
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -272,7 +272,7 @@
     out.counter("runs_stopped_total", "Runs that were stopped.", n.stopped);
     out.counter("runs_lost_total", "Runs whose end was not seen.", n.lost);
     out.counter("starts_repeated_total", "Start calls that were sent again.", n.repeatedStarts);
-    out.counter("starts_unanswered_total", "Runs fenced because no start call was answered.", n.unansweredStarts);
+    out.counter("starts_unanswered_total", "Starts without an answer.", n.unansweredStarts);
     out.counter("looks_total", "Looks at the backend server.", n.polls);
     out.counter("server_lives_total", "Lives of the backend server.", n.incarnations);
     out.counter("messages_sent_total", "Messages to entries.", n.messagesSent);
--- /dev/null
+++ b/src/RunGatePolls.cpp
@@ -0,0 +1,189 @@
+/** @file RunGatePolls.cpp Polls of a run gate: leases, fences, and what the server's listings show. */
+#include <sequoia/RunGate.h>
+
+#include <algorithm>
+
+namespace sequoia {
+
+namespace {
+
+    wire::RunOutcome toOutcome(EndKind kind)
+    {
+        switch (kind) {
+        case EndKind::Done:
+            return wire::RunOutcome::Done;
+        case EndKind::Failed:
+            return wire::RunOutcome::Failed;
+        case EndKind::Stopped:
+            return wire::RunOutcome::Stopped;
+        case EndKind::Lapsed:
+            return wire::RunOutcome::Lost;
+        }
+        return wire::RunOutcome::Lost;
+    }
+
+    std::string_view nameOf(EndKind kind)
+    {
+        constexpr std::array<std::string_view, 4> names { "done", "failed", "stopped", "lapsed" };
+        return names.at(static_cast<size_t>(kind));
+    }
+
+} // namespace
+
+void RunGate::poll(Milliseconds wait, TimePoint now)
+{
+    // Until recovery is complete, leases aren't renewed, so that runs of an earlier process end.
+    const auto lease = m_isPollLost || !m_isRecovered ? Milliseconds(0) : m_limits.lease;
+    if (lease.count() > 0)
+        m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(lease * (1 + m_limits.clockDriftMargin)));
+    m_lastPoll = now;
+    m_pendingPolls.insert(++m_pollNumber);
+    ++m_counters.polls;
+    m_effects.add(PollServer { m_pollNumber, m_fence, lease, wait, wait + m_limits.pollTimeout, m_seenUpTo });
+}
+
+void RunGate::recordCall(bool isAnswered)
+{
+    constexpr double weight = 0.05; // Averages over about 20 calls, less than a second of a busy server.
+    m_lostCallShare += ((isAnswered ? 0.0 : 1.0) - m_lostCallShare) * weight;
+}
+
+size_t RunGate::waitingPollsWanted() const
+{
+    return m_lostCallShare > m_limits.maxLostCallShare ? m_limits.pollsWhileCallsGetLost : 1;
+}
+
+void RunGate::sendWaitingPolls(TimePoint now)
+{
+    while (m_pendingPolls.size() < waitingPollsWanted())
+        poll(m_limits.pollWait, now);
+}
+
+void RunGate::setFence(int64_t fence)
+{
+    constexpr int64_t maxFence = int64_t(1) << 52; // All JSON readers keep integers up to this exact.
+    m_fence = std::min(fence, maxFence);
+    m_fencedFromPoll = m_pollNumber + 1;
+}
+
+void RunGate::raiseFence(int64_t minimum, TimePoint now)
+{
+    // Fences are derived from the server's clock, which is monotonic, so that each process of an agent gets a higher
+    // one than the process before it. If the server has seen a fence from an earlier incarnation whose clock was ahead,
+    // doubling exceeds it after a few polls.
+    setFence(std::max(m_fence * 2, minimum));
+    m_nextPoll = now;
+}
+
+void RunGate::pollAnswered(uint64_t number, PollOutcome outcome, const Listing& listing, TimePoint now)
+{
+    detectSuspension(now);
+    m_pendingPolls.erase(number);
+    if (outcome != PollOutcome::Refused)
+        recordCall(outcome != PollOutcome::NoAnswer);
+    const bool wasFresh = isListingFresh(now);
+    if (outcome == PollOutcome::Refused) {
+        m_nextPoll = now + m_limits.pollTimeout;
+        m_isRecovered = true; // The server's process has ended, and its runs with it.
+        if (!m_isServerGone) {
+            m_effects.record(LogLevel::Warning, "server-gone", { { "runs", static_cast<int64_t>(m_runs.size()) } });
+            m_isServerGone = true;
+        }
+        endAll("server-gone", now);
+    } else if (outcome == PollOutcome::NoAnswer) {
+        if (!m_isPollLost)
+            m_effects.record(LogLevel::Info, "look-unanswered", { { "look", static_cast<int64_t>(number) } });
+        if (number > m_lastListedPoll) {
+            m_isPollLost = true;
+            m_nextPoll = now;
+        } else {
+            sendWaitingPolls(now); // The server has answered a later poll.
+        }
+    } else if (outcome == PollOutcome::StaleFence) {
+        if (number >= m_fencedFromPoll)
+            raiseFence(listing.clock.value_or(Milliseconds(0)).count() + 1, now);
+        m_effects.record(LogLevel::Info, "look-outranked", { { "next_fence", m_fence } });
+    } else if (listing.startedMs >= m_serverStartedMs) {
+        m_isPollLost = false;
+        m_isServerGone = false;
+        m_lastListed = now;
+        m_lastListedPoll = std::max(m_lastListedPoll, number);
+        if (listing.startedMs != m_serverStartedMs)
+            startIncarnation(listing.startedMs, now);
+        if (m_fence == 0 && listing.clock)
+            raiseFence(listing.clock->count() + 1, now);
+        const auto seenBefore = m_seenUpTo;
+        processEnds(listing, now);
+        processRunning(number, listing, now);
+        // A new end answers all waiting polls: those without an answer by now are on their way or lost.
+        if (m_seenUpTo > seenBefore)
+            m_pendingPolls.clear();
+        sendWaitingPolls(now);
+    }
+    if (!wasFresh || state(now) != m_reportedState)
+        sendReports(now);
+}
+
+void RunGate::processEnds(const Listing& listing, TimePoint now)
+{
+    for (const auto& end : listing.ended) {
+        if (end.number <= m_seenUpTo)
+            continue;
+        m_seenUpTo = end.number;
+        const auto it = m_runs.find(end.id);
+        if (it == m_runs.end())
+            continue;
+        if (end.kind == EndKind::Done) {
+            updateSpeedEstimate(it->second, now);
+            m_effects.record(LogLevel::Debug, "run-done",
+                { { "job", end.id.task.job }, { "task", toString(end.id.task) },
+                    { "estimate_ms", it->second.estimate.count() },
+                    { "start_ms", toMilliseconds(it->second.started - it->second.ordered).count() },
+                    { "ms", toMilliseconds(now - it->second.ordered).count() } });
+            if (m_health.recordSuccess())
+                m_effects.record(LogLevel::Info, "quarantine-ended", {});
+        } else if (end.kind == EndKind::Failed) {
+            recordRun(LogLevel::Info, "run-failed", end.id, it->second, "", now);
+            m_health.recordFailure(healthKey(end.id), "runs fail", now);
+        } else if (end.kind == EndKind::Lapsed) {
+            recordRun(LogLevel::Warning, "run-lapsed", end.id, it->second, "", now);
+        }
+        endRun(end.id, toOutcome(end.kind), wire::Refusal::None, std::string(nameOf(end.kind)), now);
+    }
+}
+
+void RunGate::processRunning(uint64_t number, const Listing& listing, TimePoint now)
+{
+    std::set<RunId> running;
+    for (const auto& listed : listing.running) {
+        running.insert(listed.id);
+        const auto it = m_runs.find(listed.id);
+        if (it != m_runs.end()) {
+            it->second.isListed = true;
+            continue;
+        }
+        if (m_unknownRuns.insert(listed.id).second) {
+            m_effects.record(LogLevel::Warning, "unknown-run",
+                { { "job", listed.id.task.job }, { "task", toString(listed.id.task) },
+                    { "run", static_cast<int64_t>(raw(listed.id.run)) } });
+        }
+        m_effects.add(StopRun { listed.id, "", m_fence, m_limits.stopTimeout });
+    }
+    std::erase_if(m_unknownRuns, [&](const RunId& id) { return !running.contains(id); });
+    const bool isFenced = m_fence == 0 || number >= m_fencedFromPoll;
+    if (m_unknownRuns.empty() && isFenced)
+        m_isRecovered = true;
+    std::vector<RunId> missing;
+    for (const auto& [id, run] : m_runs) {
+        if (run.firstConclusivePoll > 0 && number >= run.firstConclusivePoll && !running.contains(id))
+            missing.push_back(id);
+    }
+    for (const auto& id : missing) {
+        const auto& run = m_runs.at(id);
+        const bool hasStarted = run.isListed || run.started != TimePoint();
+        endRun(id, hasStarted ? wire::RunOutcome::Lost : wire::RunOutcome::NotStarted,
+            hasStarted ? wire::Refusal::None : wire::Refusal::Unanswered, "not-listed", now);
+    }
+}
+
+} // namespace sequoia
--- a/src/SettingsTables.cpp
+++ b/src/SettingsTables.cpp
@@ -192,7 +192,7 @@
         number<S>("owner_silence_ms", &S::owner_silence_ms, 500, 50, 60000,
             "Runs of an entry from which nothing arrives for this time are stopped, ms."),
         number<S>("start_timeout_ms", &S::start_timeout_ms, 50, 5, 60000,
-            "A start that has no answer after this time is fenced off, ms."),
+            "Longest time-out of a start call, ms. A call without an answer is repeated; then the run is fenced off."),
         number<S>("server_connections", &S::server_connections, 32, 4, 64,
             "Maximum number of connections to the backend server."),
         number<S>("quarantine_failures", &S::quarantine_failures, 3, 1, 1000,
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -1014,6 +1014,26 @@
     return scenario;
 }
 
+Scenario joinedBurstsScenario(std::string name)
+{
+    auto scenario = akwScenario(std::move(name));
+    scenario.load = 1.3;
+    scenario.bursts = { { "", 1.3, Milliseconds(4000), Milliseconds(4000) },
+        { "fill", 1.8, Milliseconds(5500), Milliseconds(4000) },
+        { "scan", 1.8, Milliseconds(6300), Milliseconds(3800) } };
+    return scenario;
+}
+
+Scenario withPerfectView(Scenario scenario)
+{
+    scenario.name += " (perfect view)";
+    scenario.entries = 1;
+    scenario.linkDelay = Microseconds(1);
+    scenario.serverDelay = Microseconds(2);
+    scenario.estimateSpread = 0;
+    return scenario;
+}
+
 Scenario snevaernScenario(std::string name)
 {
     Scenario scenario;
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -153,6 +153,10 @@
 Scenario snevaernScenario(std::string name);
 /** The load of the second deployment on three entries and on servers that differ in size and speed. */
 Scenario akwScenario(std::string name);
+/** Bursts of all jobs, of short ones and of long ones that come at the same time, at 1.3 times the usual load. */
+Scenario joinedBurstsScenario(std::string name);
+/** The same load and faults with one entry that sees everything at once: an upper bound for every policy. */
+Scenario withPerfectView(Scenario scenario);
 /** Load of the large deployment: 160 servers, and 35 entries that get unequal shares of the requests. */
 Scenario largeScenario(std::string name);
 
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -268,6 +268,30 @@
     cr_expect_eq(fixture.starts.size(), 3U);
 }
 
+struct CallTimeRow {
+    char name[40];
+    int answeredMs; ///< Answer time of a call, 0 for none.
+    int laterMs; ///< Time since then.
+    int expectedMs;
+};
+
+ParameterizedTestParameters(CallTimeModel, timeoutFollowsTheLongestAnswerTime)
+{
+    static CallTimeRow rows[] = { { "no call yet", 0, 0, 25 }, { "fast server", 4, 0, 25 },
+        { "slow server", 32, 0, 40 }, { "very slow server", 90, 0, 50 }, { "slow, a half-life ago", 64, 5000, 40 },
+        { "slow, long ago", 64, 60000, 25 } };
+    return cr_make_param_array(CallTimeRow, rows, sizeof(rows) / sizeof(CallTimeRow));
+}
+
+ParameterizedTest(CallTimeRow* row, CallTimeModel, timeoutFollowsTheLongestAnswerTime)
+{
+    CallTimeModel model;
+    if (row->answeredMs > 0)
+        model.learn(Milliseconds(row->answeredMs), start);
+    const auto timeout = model.timeout(start + Milliseconds(row->laterMs));
+    cr_expect_eq(timeout.count(), row->expectedMs, "%s: %d ms", row->name, static_cast<int>(timeout.count()));
+}
+
 Test(RunGate, unansweredStartIsSentAgainToTheSameServer)
 {
     Fixture fixture;
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -281,6 +281,8 @@
         { "empty queue", 0, 0, 0, 0, 0, 0, 1500, inTime },
         { "short queue", 10000, 10000, 100, 0, 0, 0, 1500, inTime },
         { "queue longer than the objective, but not than its caller", 50000, 50000, 100, 0, 0, 0, 1500, late },
+        { "queue longer than the late limit, but not than its caller", 70000, 70000, 100, 0, 0, 0, 1500, reject },
+        { "past the late limit, queue shorter than its caller waits", 20000, 20000, 100, 0, 0, 700, 800, late },
         { "queue longer than its caller waits", 200000, 200000, 100, 0, 0, 0, 1500, reject },
         { "more urgent work takes most of the capacity", 5000, 5000, 100, 90, 90, 0, 1500, late },
         { "queue only behind the job", 0, 200000, 100, 0, 0, 0, 1500, inTime },
@@ -390,6 +392,24 @@
     }
 }
 
+/**
+ * Joined bursts bring more work than the servers can do. Jobs that would end too late to be worth anything must not
+ * take room from others: callers get at least 97% of what one entry with a perfect view would give them.
+ */
+Test(ClusterSimulation, joinedBurstsServeNearlyAsMuchAsAPerfectView, .timeout = 120)
+{
+    constexpr uint64_t seeds = 6;
+    double earned = 0;
+    double possible = 0;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        auto scenario = joinedBurstsScenario("joined bursts");
+        scenario.seed = seed;
+        earned += simulate(scenario).valueShare();
+        possible += simulate(withPerfectView(scenario)).valueShare();
+    }
+    cr_expect_geq(earned, 0.97 * possible, "worth %.3f, with a perfect view %.3f", earned / seeds, possible / seeds);
+}
+
 /**
  * Servers leave a share of all calls unanswered and carry them out seconds later. A call that gets lost must cost its
  * job little time, and the server little room.
