--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -135,8 +135,6 @@
         fmt::print("    VIOLATION {}\n", sum.violations[i]);
 }
 
-} // namespace
-
 /** Runs scenarios with seeds from 1; the reports of a scenario follow one another. */
 std::vector<SimulationReport> runAll(
     const std::vector<Scenario>& scenarios, uint64_t seeds, size_t threads, const SimulationTuning& tuning)
@@ -212,6 +210,8 @@
         std::cout << rows.dump(1) << "\n";
 }
 
+} // namespace
+
 int main(int argc, char** argv)
 {
     namespace options = boost::program_options;
--- a/include/sequoia/CallTimeModel.h
+++ b/include/sequoia/CallTimeModel.h
@@ -1,4 +1,4 @@
-/** @file CallTimeModel.h Learns how long a server takes to answer a call at most. */
+/** @file CallTimeModel.h Time-out of calls to a server, learned from its answer times. */
 #pragma once
 
 #include <sequoia/Time.h>
@@ -7,15 +7,15 @@
 
 /** Parameters of the model. */
 struct CallTimeModelLimits {
-    Milliseconds min { 25 }; ///< Shortest time-out; also the one before the first answer.
+    Milliseconds min { 25 }; ///< Shortest time-out, and the one before the first answer.
     Milliseconds max { 50 }; ///< Longest time-out.
     Milliseconds halfLife { 5000 }; ///< Time in which a long answer time loses half of its influence.
     double margin = 1.25; ///< Factor between the longest recent answer time and the time-out.
 };
 
 /**
- * Time-out of a call that may be repeated: a little above the longest answer time of the last seconds. If calls get no
- * answer, the time-out stays, as there is nothing to learn from them.
+ * Time-out of a call that may be repeated: a little above the longest answer time of the last seconds. Calls without an
+ * answer are not counted: they show nothing about how long an answer takes.
  */
 class CallTimeModel {
 public:
