--- a/src/TaskPlacement.cpp
+++ b/src/TaskPlacement.cpp
@@ -165,8 +165,7 @@
     out.predictedWait = predictWait(load.queuedWork, load.capacity, load.arrivalRate * limits.lateOvertakingShare);
     // An answer after the late limit is worth nothing, so a job that can still meet the limit isn't kept for longer.
     const auto toLateLimit = slackToLateLimit(job, limits);
-    const auto slack
-        = toLateLimit.count() >= 0 ? toLateLimit : std::max(slackToDeadline(job, limits), Milliseconds(0));
+    const auto slack = toLateLimit.count() >= 0 ? toLateLimit : std::max(slackToDeadline(job, limits), Milliseconds(0));
     out.decision = out.predictedWait <= slack ? AdmissionDecision::Late : AdmissionDecision::Reject;
     if (out.decision == AdmissionDecision::Reject)
         out.retryAfter = out.predictedWait - slack;
