--- a/bench/Tunables.cpp
+++ b/bench/Tunables.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    using test::SimulationTuning;
-
     Milliseconds ms(double value) { return Milliseconds(static_cast<int64_t>(value)); }
 
 } // namespace
