--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -193,9 +193,10 @@
     {
         if (m_runs.erase(id) == 0)
             return;
+        m_endedRuns.insert(id);
         m_ended.push_back({ ++m_lastEnd, id.first, id.second, how, "" });
-        if (m_pendingPoll)
-            reply(std::exchange(m_pendingPoll, nullptr), listing(m_pollSeenUpTo));
+        for (const auto& poll : std::exchange(m_pendingPolls, {}))
+            reply(poll, listing(m_pollSeenUpTo));
     }
 
     void server(const HttpServerRequest& call, const HttpExchangePtr& exchange)
@@ -209,10 +210,10 @@
         m_highestFence = fence;
         if (call.target == "/sequoiafold/hold") {
             m_pollSeenUpTo = body.value("seen_upto", uint64_t(0));
-            m_pendingPoll = exchange;
+            m_pendingPolls.insert(exchange);
             const auto answer = [this, exchange] {
-                if (m_pendingPoll == exchange)
-                    reply(std::exchange(m_pendingPoll, nullptr), listing(m_pollSeenUpTo));
+                if (m_pendingPolls.erase(exchange) > 0)
+                    reply(exchange, listing(m_pollSeenUpTo));
             };
             if (!m_ended.empty() && m_ended.back()[0].get<uint64_t>() > m_pollSeenUpTo)
                 answer();
@@ -226,7 +227,9 @@
             runAfter(Milliseconds(20), [this, id] { endRun(id, "stopped"); });
             return reply(exchange, { { "clock_ms", 1 } });
         }
-        if (m_stoppedRuns.contains(id))
+        if (m_runs.contains(id)) // A repeated call: the server answers as to the first one and starts nothing.
+            return reply(exchange, { { "clock_ms", toMilliseconds(Clock::now().time_since_epoch()).count() } });
+        if (m_stoppedRuns.contains(id) || m_endedRuns.contains(id))
             return reply(exchange, { { "clock_ms", 1 }, { "reason", "old" } }, 409);
         for (const auto& [other, run] : m_runs)
             duplicateStarts += other.first == id.first ? 1 : 0;
@@ -248,9 +251,10 @@
     /** Higher than the agent's first fence, as after an earlier agent process whose clock was ahead. */
     int64_t m_highestFence = 2 * toMilliseconds(Clock::now().time_since_epoch()).count();
     std::set<std::pair<std::string, int>> m_stoppedRuns;
+    std::set<std::pair<std::string, int>> m_endedRuns;
     std::vector<Json> m_ended;
     uint64_t m_lastEnd = 0;
-    HttpExchangePtr m_pendingPoll;
+    std::set<HttpExchangePtr> m_pendingPolls;
     uint64_t m_pollSeenUpTo = 0;
     std::vector<HttpExchangePtr> m_unansweredExchanges;
 };
