The play with lost calls also checks the worth against a perfect view

Change: the stated target of 97% of the perfect view is checked as well, seed by seed; the old bound stays.

--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -425,6 +425,9 @@
         cr_expect(report.violations.empty(), "seed %d: %s", static_cast<int>(seed),
             report.violations.empty() ? "" : report.violations.front().c_str());
         cr_expect_geq(report.servedShare(), 0.92, "seed %d: served %.3f", static_cast<int>(seed), report.servedShare());
+        const double possible = simulate(withPerfectView(scenario)).valueShare();
+        cr_expect_geq(report.valueShare(), 0.97 * possible, "seed %d: worth %.3f, with a perfect view %.3f",
+            static_cast<int>(seed), report.valueShare(), possible);
     }
 }
 
