Logs and counters tell whether a run outlived its declared end

A second run follows a proof that the one before is over, and nothing in logs or metrics told whether such a proof was true.

No decision changes.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -63,6 +63,7 @@
     uint64_t failedRuns = 0;
     uint64_t lostRuns = 0; ///< Runs that were stopped, or that ended without a result.
     uint64_t stragglers = 0; ///< Runs stopped as stragglers.
+    uint64_t ownerlessRuns = 0; ///< Runs that an agent reported as running after their job had ended here.
     uint64_t demands = 0; ///< Demand messages sent.
     uint64_t resourceUpdates = 0; ///< RoomUpdate messages, which agents send without a run result.
     uint64_t messagesSent = 0;
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -146,6 +146,8 @@
     uint64_t unansweredStarts = 0; ///< Start calls without an answer.
     uint64_t polls = 0;
     uint64_t incarnations = 0; ///< Incarnations of the server that were seen.
+    uint64_t refutedServerEnds = 0; ///< Ends of the server's process that a later listing of that process refuted.
+    std::map<std::string, uint64_t> outlivedRuns; ///< Runs that were listed after their end, by the reason of the end.
     uint64_t messagesSent = 0;
 
     /** Orders refused, for any reason. */
@@ -234,6 +236,7 @@
         wire::RunOutcome outcome {};
         std::string reason;
         TimePoint expires {};
+        uint64_t lastPoll = 0; ///< The last poll that was sent before the end; the listing of a later one refutes it.
     };
 
     struct EntryLink {
@@ -275,6 +278,8 @@
     void reserveFreed(std::optional<LinkId> resultLink, TimePoint now);
     void processEnds(const Listing& listing, TimePoint now);
     void processRunning(uint64_t number, const Listing& listing, TimePoint now);
+    /** Records a listed run that this process doesn't know, or has taken for over. */
+    void recordUnknownRun(uint64_t number, const RunId& id);
     /** Writes the free resources for an entry, and the server's slowness, into a message to it. */
     template <typename Message> void fillResources(Message& message, EntryLink& link, TimePoint now);
     void sendResult(LinkId link, const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal,
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -238,9 +238,18 @@
 {
     auto& agent = m_agents[index];
     updateResources(agent, result, now);
-    if (result.id == nullptr || result.outcome == wire::RunOutcome::Running)
+    if (result.id == nullptr)
         return;
     const auto id = fromWire(*result.id);
+    if (result.outcome == wire::RunOutcome::Running) {
+        if (findJob(id.task.job) == nullptr) {
+            ++m_counters.ownerlessRuns;
+            m_effects.record(LogLevel::Warning, "run-ownerless",
+                { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
+                    { "agent", agent.name } });
+        }
+        return;
+    }
     if (agent.runs.erase(id) == 0)
         return;
     auto* job = findJob(id.task.job);
--- a/src/Explain.cpp
+++ b/src/Explain.cpp
@@ -23,8 +23,8 @@
     constexpr uint64_t contextWindowUs = 2'000'000; // State changes that old may still have affected the request.
 
     const std::set<std::string_view> stateEventKinds { "agent-state", "agent-linked", "agent-unlinked", "gate-state",
-        "server-gone", "server-left", "server-life", "owner-lost", "suspended", "store-lost", "store-regained",
-        "configuration", "started", "stopping", "stopped", "quarantine-trial", "quarantine-ended" };
+        "server-gone", "server-left", "server-life", "server-end-refuted", "owner-lost", "suspended", "store-lost",
+        "store-regained", "configuration", "started", "stopping", "stopped", "quarantine-trial", "quarantine-ended" };
 
     /** Time of an event, ms. A job's trace is logged when the job ends; `ago_ms` is the age of its events by then. */
     int64_t happenedAtMs(const TimeLineEvent& event)
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -275,6 +275,11 @@
     out.counter("starts_unanswered_total", "Starts without an answer.", n.unansweredStarts);
     out.counter("looks_total", "Looks at the backend server.", n.polls);
     out.counter("server_lives_total", "Lives of the backend server.", n.incarnations);
+    out.counter("server_ends_refuted_total", "Ends of the server's process that its later listing refuted.",
+        n.refutedServerEnds);
+    for (const auto& [reason, count] : n.outlivedRuns)
+        out.counter("runs_outlived_total", "Runs listed after the agent had taken them for over, by the reason.", count,
+            { { "reason", reason } });
     out.counter("messages_sent_total", "Messages to entries.", n.messagesSent);
     addProcessCounters(out, m_links, m_output, m_failures, "entries");
     out.counter("store_failures_total", "Calls of the store without a good reply.", m_store.calls().failures);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -397,7 +397,7 @@
     default:
         break;
     }
-    m_endedRuns[id] = { outcome, reason, now + m_limits.resultRetention };
+    m_endedRuns[id] = { outcome, reason, now + m_limits.resultRetention, m_pollNumber };
     m_runSeconds.add({ { "outcome", wire::EnumNameRunOutcome(outcome) } }, now - run.ordered);
     const auto link = linkOf(run.owner);
     if (link)
@@ -426,8 +426,9 @@
             stopRun(id, it->second, now);
             continue;
         }
-        const auto [ended, isNew] = m_endedRuns.try_emplace(
-            id, EndedRun { wire::RunOutcome::Stopped, "stopped before it arrived", now + m_limits.resultRetention });
+        const auto [ended, isNew] = m_endedRuns.try_emplace(id,
+            EndedRun {
+                wire::RunOutcome::Stopped, "stopped before it arrived", now + m_limits.resultRetention, m_pollNumber });
         sendResult(link, id, ended->second.outcome, wire::Refusal::None, ended->second.reason, {}, now);
     }
 }
@@ -440,8 +441,8 @@
             sendResult(link, id, wire::RunOutcome::Running, wire::Refusal::None, "", {}, now);
             continue;
         }
-        const auto [ended, isNew] = m_endedRuns.try_emplace(
-            id, EndedRun { wire::RunOutcome::NotStarted, "never arrived", now + m_limits.resultRetention });
+        const auto [ended, isNew] = m_endedRuns.try_emplace(id,
+            EndedRun { wire::RunOutcome::NotStarted, "never arrived", now + m_limits.resultRetention, m_pollNumber });
         sendResult(link, id, ended->second.outcome, isNew ? wire::Refusal::NeverArrived : wire::Refusal::None,
             ended->second.reason, {}, now);
     }
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -105,6 +105,10 @@
         m_effects.record(LogLevel::Info, "look-outranked", { { "next_fence", m_fence } });
     } else if (listing.startedMs >= m_serverStartedMs) {
         m_isPollLost = false;
+        if (m_isServerGone && listing.startedMs == m_serverStartedMs) {
+            ++m_counters.refutedServerEnds;
+            m_effects.record(LogLevel::Warning, "server-end-refuted", { { "born", listing.startedMs } });
+        }
         m_isServerGone = false;
         m_lastListed = now;
         m_lastListedPoll = std::max(m_lastListedPoll, number);
@@ -152,6 +156,18 @@
     }
 }
 
+void RunGate::recordUnknownRun(uint64_t number, const RunId& id)
+{
+    const auto ended = m_endedRuns.find(id);
+    const bool isRefuted = ended != m_endedRuns.end() && number > ended->second.lastPoll;
+    const auto reason = isRefuted ? ended->second.reason : std::string();
+    if (isRefuted)
+        ++m_counters.outlivedRuns[reason];
+    m_effects.record(LogLevel::Warning, isRefuted ? "run-outlived" : "unknown-run",
+        { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
+            { "reason", reason } });
+}
+
 void RunGate::processRunning(uint64_t number, const Listing& listing, TimePoint now)
 {
     std::set<RunId> running;
@@ -162,11 +178,8 @@
             it->second.isListed = true;
             continue;
         }
-        if (m_unknownRuns.insert(listed.id).second) {
-            m_effects.record(LogLevel::Warning, "unknown-run",
-                { { "job", listed.id.task.job }, { "task", toString(listed.id.task) },
-                    { "run", static_cast<int64_t>(raw(listed.id.run)) } });
-        }
+        if (m_unknownRuns.insert(listed.id).second)
+            recordUnknownRun(number, listed.id);
         m_effects.add(StopRun { listed.id, "", m_fence, m_limits.stopTimeout });
     }
     std::erase_if(m_unknownRuns, [&](const RunId& id) { return !running.contains(id); });
