A refused connection beside an open one is no end of the server's process

What callers would see: two runs of one task. An agent took a refused connection for the end of its server's process and reported all its runs as lost at once, so that entries started them elsewhere. A process that has closed its listener, or a refusal on the way, refuses new connections while the process and its runs live on.

Cause: a refusal proves that no connection can be made, not that the process has ended; class of fault: one symptom taken for a proof. Change: the client reports a refusal as such only if the peer has closed all connections of before; otherwise the call counts as not sent, and the runs end with their lease or are listed. A restarted agent, which has no connections, took a refusal for the end of its recovery; it now waits until the leases of before have ended.

--- a/include/sequoia/AsyncHttp.h
+++ b/include/sequoia/AsyncHttp.h
@@ -118,7 +118,7 @@
 
 /** Why a request got no reply. */
 enum class HttpFault : uint8_t {
-    Refused, ///< The connection was refused.
+    Refused, ///< The connection was refused, and the peer has closed all others.
     NotSent, ///< Connecting failed otherwise or timed out; the server has not seen the request.
     NoAnswer ///< An established connection failed or timed out; the server may have processed the request.
 };
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -101,7 +101,7 @@
 /** Result of a poll. */
 enum class PollOutcome : uint8_t {
     Listed,
-    Refused, ///< Connection refused: the server's process has ended.
+    Refused, ///< Connection refused and no other open: the server's process has ended.
     StaleFence, ///< The server has seen a higher fence; its listing holds the clock only.
     NoAnswer
 };
--- a/src/AsyncHttp.cpp
+++ b/src/AsyncHttp.cpp
@@ -384,7 +384,7 @@
             stream->expires_at(call.deadline);
             auto [ec] = co_await stream->async_connect(m_endpoint, completionToken);
             if (ec == asio::error::connection_refused)
-                co_return HttpFault::Refused;
+                co_return hasOpenConnection() ? HttpFault::NotSent : HttpFault::Refused;
             if (ec)
                 co_return HttpFault::NotSent;
             stream->socket().set_option(tcp::no_delay(true), ec);
@@ -398,6 +398,7 @@
         request.body() = std::move(call.request.body);
         request.prepare_payload();
         stream->expires_at(call.deadline);
+        const ActiveStream active(m_activeStreams, *stream);
         auto [sendError, sent] = co_await http::async_write(*stream, request, completionToken);
         if (sendError)
             co_return HttpFault::NoAnswer;
@@ -417,6 +418,33 @@
         co_return reply;
     }
 
+    /** Registers the connection of a call as long as the call lasts. */
+    class ActiveStream {
+    public:
+        ActiveStream(std::set<beast::tcp_stream*>& streams, beast::tcp_stream& stream)
+            : m_streams(streams)
+            , m_position(streams.insert(&stream).first)
+        {
+        }
+        ~ActiveStream() { m_streams.erase(m_position); }
+        ActiveStream(const ActiveStream&) = delete;
+        ActiveStream& operator=(const ActiveStream&) = delete;
+
+    private:
+        std::set<beast::tcp_stream*>& m_streams;
+        std::set<beast::tcp_stream*>::iterator m_position;
+    };
+
+    /** Whether a connection is left that the peer has not closed: its process lives, though it accepts no new ones. */
+    bool hasOpenConnection()
+    {
+        const auto isOpen = [](beast::tcp_stream& stream) { return !hasPeerClosed(stream.socket()); };
+        return std::any_of(
+                   m_idleStreams.begin(), m_idleStreams.end(), [&](const Stream& idle) { return isOpen(*idle); })
+            || std::any_of(
+                m_activeStreams.begin(), m_activeStreams.end(), [&](auto* active) { return isOpen(*active); });
+    }
+
     /** Takes an idle connection that the peer has not closed; null if there is none. */
     Stream takeIdle()
     {
@@ -438,6 +466,7 @@
     size_t m_maxConnections;
     size_t m_activeConnections = 0;
     std::vector<Stream> m_idleStreams;
+    std::set<beast::tcp_stream*> m_activeStreams; ///< Connections of calls without an answer yet.
     std::deque<Call> m_pendingCalls;
 };
 
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -84,7 +84,6 @@
     const bool wasFresh = isListingFresh(now);
     if (outcome == PollOutcome::Refused) {
         m_nextPoll = now + m_limits.pollTimeout;
-        m_isRecovered = true; // The server's process has ended, and its runs with it.
         if (!m_isServerGone) {
             m_effects.record(LogLevel::Warning, "server-gone", { { "runs", static_cast<int64_t>(m_runs.size()) } });
             m_isServerGone = true;
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -320,6 +320,41 @@
     }
 }
 
+struct RefusalRow {
+    char name[32];
+    bool keepsConnection; ///< A call still waits on a connection of before.
+    HttpFault expected;
+};
+
+ParameterizedTestParameters(AsyncHttp, refusalBesideAnOpenConnectionIsNoEndOfTheProcess)
+{
+    static RefusalRow rows[] = {
+        { "nothing is left open", false, HttpFault::Refused },
+        { "a call is waiting", true, HttpFault::NotSent },
+    };
+    return cr_make_param_array(RefusalRow, rows, sizeof(rows) / sizeof(RefusalRow));
+}
+
+ParameterizedTest(RefusalRow* row, AsyncHttp, refusalBesideAnOpenConnectionIsNoEndOfTheProcess, .timeout = 20)
+{
+    EchoServer echo;
+    AsyncHttpClient client(echo.loop, echo.address, 2);
+    std::promise<HttpResult> waiting;
+    if (row->keepsConnection) {
+        client.call({ "GET", "/wait", "", {} }, Milliseconds(10000),
+            [&](HttpResult result) { waiting.set_value(std::move(result)); });
+        echo.arrived.get_future().wait();
+    }
+    echo.server().stopListening();
+    const auto result = callAndWait(client, { "GET", "/x", "", {} }, Milliseconds(2000));
+    cr_assert(std::holds_alternative<HttpFault>(result), "%s", row->name);
+    cr_expect(std::get<HttpFault>(result) == row->expected, "%s", row->name);
+    if (!row->keepsConnection)
+        return;
+    echo.pendingExchange->reply({ 200, "", "text/plain", {} });
+    cr_expect(std::holds_alternative<HttpReply>(waiting.get_future().get()), "the process was alive");
+}
+
 Test(LineWriter, blockedReaderDropsLinesWithoutBlockingTheWriter, .timeout = 30)
 {
     int ends[2];
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -578,6 +578,20 @@
     cr_expect(fixture.reportedState == wire::GateState::Closed);
 }
 
+Test(RunGate, refusedFirstPollDoesNotCompleteRecovery)
+{
+    Fixture fixture;
+    RunGate restarted(Incarnation(8), fixture.limits);
+    restarted.tick(fixture.now);
+    restarted.pollAnswered(1, PollOutcome::Refused, {}, fixture.now);
+    cr_expect_not(restarted.isRecovered(), "the leases of an earlier process may keep runs alive behind a closed port");
+    for (const auto until = fixture.now + fixture.limits.maxLease; fixture.now < until;) {
+        fixture.now += Milliseconds(20);
+        restarted.tick(fixture.now);
+    }
+    cr_expect(restarted.isRecovered());
+}
+
 Test(RunGate, serverRestartEndsAllRunsAndResetsEndNumbers)
 {
     Fixture fixture;
