--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -30,16 +30,49 @@
 
 } // namespace
 
-void RunGate::poll(Milliseconds wait, TimePoint now)
+TimePoint RunGate::leaseLimit() const
 {
-    // Until recovery is complete, leases aren't renewed, so that runs of an earlier process end.
-    const auto lease = m_isPollLost || !m_isRecovered ? Milliseconds(0) : m_limits.lease;
+    auto limit = TimePoint::max();
+    for (const auto& [id, link] : m_links) {
+        if (link.runs > 0)
+            limit = std::min(limit, link.lastHeard + m_limits.ownerBound());
+    }
+    for (const auto& [id, run] : m_runs) {
+        limit = std::min(limit, run.overBy);
+        if (const auto owner = m_lostOwners.find(run.owner); owner != m_lostOwners.end())
+            limit = std::min(limit, owner->second.lastHeard + m_limits.ownerBound());
+    }
+    for (const auto& [id, overBy] : m_unknownRuns)
+        limit = std::min(limit, overBy);
+    return limit;
+}
+
+Milliseconds RunGate::grantableLease(TimePoint now) const
+{
+    const auto limit = leaseLimit();
+    if (limit <= now)
+        return Milliseconds(0);
+    return std::min(m_limits.lease, toMilliseconds((limit - now) / (1 + m_limits.clockDriftMargin)));
+}
+
+TimePoint RunGate::grantLease(TimePoint now)
+{
+    const auto lease = grantableLease(now);
     if (lease.count() > 0)
         m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(lease * (1 + m_limits.clockDriftMargin)));
+    return now + lease;
+}
+
+void RunGate::poll(Milliseconds wait, TimePoint now)
+{
+    std::optional<TimePoint> leaseEnd;
+    // Until recovery is complete, leases aren't renewed, so that runs of an earlier process end.
+    if (!m_isPollLost && m_isRecovered)
+        leaseEnd = grantLease(now);
     m_lastPoll = now;
     m_pendingPolls.insert(++m_pollNumber);
     ++m_counters.polls;
-    m_effects.add(PollServer { m_pollNumber, m_fence, lease, wait, wait + m_limits.pollTimeout, m_seenUpTo });
+    m_effects.add(PollServer { m_pollNumber, m_fence, leaseEnd, wait, wait + m_limits.pollTimeout, m_seenUpTo });
 }
 
 void RunGate::recordCall(bool isAnswered)
@@ -111,13 +144,16 @@
         m_isServerGone = false;
         m_lastListed = now;
         m_lastListedPoll = std::max(m_lastListedPoll, number);
+        const bool isReplaced = m_serverStartedMs > 0 && listing.startedMs != m_serverStartedMs;
         if (listing.startedMs != m_serverStartedMs)
-            startIncarnation(listing.startedMs, now);
+            startIncarnation(listing, now);
         if (m_fence == 0 && listing.clock)
             raiseFence(listing.clock->count() + 1, now);
         const auto seenBefore = m_seenUpTo;
         processEnds(listing, now);
         processRunning(number, listing, now);
+        if (isReplaced)
+            poll(Milliseconds(0), now); // Brings the fence, and decides the runs that were started after this poll.
         // A new end answers all waiting polls: those without an answer by now are on their way or lost.
         if (m_seenUpTo > seenBefore)
             m_pendingPolls.clear();
@@ -175,13 +211,14 @@
         const auto it = m_runs.find(listed.id);
         if (it != m_runs.end()) {
             it->second.isListed = true;
+            it->second.serverStartedMs = m_serverStartedMs;
             continue;
         }
-        if (m_unknownRuns.insert(listed.id).second)
+        if (m_unknownRuns.try_emplace(listed.id, now + m_limits.stopBound()).second)
             recordUnknownRun(number, listed.id);
         m_effects.add(StopRun { listed.id, "", m_fence, m_limits.stopTimeout });
     }
-    std::erase_if(m_unknownRuns, [&](const RunId& id) { return !running.contains(id); });
+    std::erase_if(m_unknownRuns, [&](const auto& unknown) { return !running.contains(unknown.first); });
     const bool isFenced = m_fence == 0 || number >= m_fencedFromPoll;
     if (m_unknownRuns.empty() && isFenced)
         m_isRecovered = true;
@@ -192,6 +229,12 @@
     }
     for (const auto& id : missing) {
         const auto& run = m_runs.at(id);
+        if (run.serverStartedMs != m_serverStartedMs) {
+            const std::string reason = "server-restarted";
+            recordRun(LogLevel::Warning, "run-lost", id, run, reason, now);
+            endRun(id, wire::RunOutcome::Lost, wire::Refusal::None, reason, now);
+            continue;
+        }
         const bool hasStarted = run.isListed || run.started != TimePoint();
         endRun(id, hasStarted ? wire::RunOutcome::Lost : wire::RunOutcome::NotStarted,
             hasStarted ? wire::Refusal::None : wire::Refusal::Unanswered, "not-listed", now);
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -85,7 +85,7 @@
         Listing listing(uint64_t seenUpTo);
         /** The server's own clock, which starts at zero when it restarts. */
         Milliseconds clock() const;
-        void renew(TimePoint leaseEnd) { m_leaseEnd = std::max(m_leaseEnd, leaseEnd); }
+        void renew(TimePoint leaseEnd);
         /** Ends all runs if the lease has ended. */
         void endRunsOfEndedLease();
         void crash();
@@ -95,6 +95,7 @@
         Resources used() const { return m_used; }
         bool isUp() const { return m_isUp; }
         int64_t startedMs() const { return m_startedMs; }
+        bool hasSeenFence() const { return m_fence > 0; }
         bool hasEndAfter(uint64_t number) const { return !m_ended.empty() && m_ended.back().number > number; }
         bool isUnreachable = false;
         bool isHanging = false;
@@ -201,6 +202,8 @@
         double rate(size_t kind) const;
         void submit(WorkId id, size_t entry);
         void answered(WorkId id, const WorkAnswer& answer);
+        /** Carries out a call of an agent to its server, perhaps after a delay. */
+        void call(size_t agent, std::function<void()> send);
         void startRun(size_t i, const StartRun& action);
         void stopRun(size_t i, const StopRun& action);
         void poll(size_t i, const PollServer& action);
@@ -309,6 +312,15 @@
         return out;
     }
 
+    void SimulatedServer::renew(TimePoint leaseEnd)
+    {
+        endRunsOfEndedLease();
+        if (leaseEnd <= m_leaseEnd)
+            return;
+        m_leaseEnd = leaseEnd;
+        m_simulation.events.add(leaseEnd, [this] { endRunsOfEndedLease(); });
+    }
+
     void SimulatedServer::endRunsOfEndedLease()
     {
         if (m_simulation.events.now() < m_leaseEnd)
@@ -336,6 +348,7 @@
         ++m_startedMs;
         m_startedAt = m_simulation.events.now();
         m_fence = 0;
+        m_leaseEnd = {};
         isUnreachable = false;
     }
 
@@ -519,17 +532,29 @@
             else if (auto* close = std::get_if<CloseLink>(&effect))
                 closeLink(close->link, false);
             else if (auto* run = std::get_if<StartRun>(&effect))
-                startRun(i, *run);
+                call(i, [this, i, action = *run] { startRun(i, action); });
             else if (auto* stop = std::get_if<StopRun>(&effect))
                 stopRun(i, *stop);
             else if (auto* poll = std::get_if<PollServer>(&effect))
-                this->poll(i, *poll);
+                call(i, [this, i, action = *poll] { this->poll(i, action); });
         }
     }
 
+    void ClusterSimulation::call(size_t agent, std::function<void()> send)
+    {
+        if (!chance(m_scenario.heldCalls))
+            return send();
+        const Milliseconds delay { std::uniform_int_distribution<>(50, 600)(m_generator) };
+        events.add(
+            events.now() + delay, [this, agent, send = std::move(send), incarnation = m_gateIncarnations[agent]] {
+                if (m_gates[agent] && m_gateIncarnations[agent] == incarnation)
+                    send();
+            });
+    }
+
     void ClusterSimulation::startRun(size_t i, const StartRun& action)
     {
-        const auto leaseEnd = events.now() + action.lease;
+        const auto leaseEnd = action.leaseEnd;
         const auto answer = [this, i, id = action.id](StartOutcome outcome, Microseconds delay) {
             events.add(events.now() + delay, [this, i, id, outcome, incarnation = m_gateIncarnations[i]] {
                 if (!m_gates[i] || m_gateIncarnations[i] != incarnation)
@@ -547,9 +572,13 @@
                 const auto delay = Milliseconds(std::uniform_int_distribution<>(2000, 12000)(m_generator));
                 events.add(events.now() + delay,
                     [this, i, id = action.id, fence = action.fence, startedMs = server.startedMs(), leaseEnd] {
-                        // A start names the server process that it is meant for; a restarted server ignores it.
-                        if (m_servers[i]->isUp() && m_servers[i]->startedMs() == startedMs)
-                            m_servers[i]->start(id, fence, leaseEnd);
+                        auto& server = *m_servers[i];
+                        const bool isRestarted = server.startedMs() != startedMs;
+                        // No agent can keep a restarted server from obeying the first call that it gets.
+                        if (!server.isUp() || (isRestarted && !server.hasSeenFence()))
+                            return;
+                        // The clock of a restarted server starts at zero: it shortens the lease to the longest allowed.
+                        server.start(id, fence, isRestarted ? events.now() + m_tuning.gate.maxLease : leaseEnd);
                     });
             }
             return answer(StartOutcome::NoAnswer, action.timeout);
@@ -576,7 +605,7 @@
                 applyGateEffects(i);
             });
         };
-        if (!m_servers[i]->isUp())
+        if (!m_servers[i]->isUp() || chance(m_scenario.lostStops))
             return answer(false, action.timeout);
         if (chance(m_scenario.lateOrders)) {
             events.add(events.now() + Milliseconds(5000), [this, i, id = action.id, fence = action.fence] {
@@ -615,15 +644,17 @@
             clockOnly.clock = server.clock();
             return result(PollOutcome::StaleFence, clockOnly, m_scenario.serverDelay);
         }
-        if (action.lease.count() > 0)
-            server.renew(events.now() + action.lease);
+        if (action.leaseEnd)
+            server.renew(*action.leaseEnd);
         const auto isDone = std::make_shared<bool>(false);
         const auto startedMs = server.startedMs();
         const auto finish = [this, i, result, isDone, startedMs, seen = action.seenUpTo] {
             if (std::exchange(*isDone, true))
                 return;
             auto& server = *m_servers[i];
-            if (!server.isUp() || server.startedMs() != startedMs)
+            if (server.isUp() && server.startedMs() != startedMs)
+                return result(PollOutcome::NoAnswer, {}, m_scenario.serverDelay);
+            if (!server.isUp())
                 return result(
                     server.isUnreachable ? PollOutcome::NoAnswer : PollOutcome::Refused, {}, m_scenario.serverDelay);
             result(PollOutcome::Listed, server.listing(seen), m_scenario.serverDelay / 2);
@@ -815,7 +846,6 @@
             events.add(simulationStart + Milliseconds(i), [this, i] { ping(i); });
             auto onTick = std::make_shared<std::function<void()>>();
             *onTick = [this, i, onTick, tick] {
-                m_servers[i]->endRunsOfEndedLease();
                 if (m_gates[i]) {
                     m_gates[i]->tick(events.now());
                     applyGateEffects(i);
@@ -865,6 +895,13 @@
                     server.isHanging = fault.kind == ServerFaultKind::Hang;
                     server.isFailing = fault.kind == ServerFaultKind::Fail;
                     server.slowFactor = fault.kind == ServerFaultKind::Slow ? fault.factor : 1;
+                    if (fault.kind == ServerFaultKind::Replaced) {
+                        const auto waiting = std::exchange(server.onEnd, {});
+                        server.crash();
+                        server.restart();
+                        for (const auto& breakPoll : waiting)
+                            breakPoll();
+                    }
                     if (fault.kind == ServerFaultKind::Crash || fault.kind == ServerFaultKind::Unreachable)
                         server.crash();
                 });
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -485,3 +485,57 @@
         cr_expect_geq(report.servedShare(), 0.5, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
     }
 }
+
+/** Callers of a killed entry send their jobs again, while servers answer polls but hardly any stop gets through. */
+Test(ClusterSimulation, runsOfLostEntriesNeverOverlapTheirReplacementsWhileStopsGetLost, .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        auto scenario = mingaScenario("entries are killed and cut off while stops get lost on slow servers");
+        scenario.seed = seed;
+        scenario.load = 0.5;
+        scenario.lostStops = 0.95;
+        std::vector<size_t> servers(scenario.servers);
+        std::iota(servers.begin(), servers.end(), size_t(0));
+        scenario.faults = { { ServerFaultKind::Slow, servers, Milliseconds(2000), scenario.length, 3 } };
+        for (size_t i = 0; i < 5; ++i)
+            scenario.entryKills.emplace_back(i % scenario.entries, Milliseconds(3000 + 3000 * i));
+        scenario.entryPartitions = { { 0, Milliseconds(5000) }, { 1, Milliseconds(13000) } };
+        const auto report = simulate(scenario);
+        for (const auto& violation : report.violations)
+            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
+        cr_expect_geq(report.servedShare(), 0.2, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+    }
+}
+
+/** A start that is sent to a server may reach its next process, which has the same id and has seen no fence. */
+Test(ClusterSimulation, startsThatReachTheNextServerProcessNeverOverlapTheirReplacements, .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        auto scenario = mingaScenario("server processes are replaced, starts and stops take effect late");
+        scenario.seed = seed;
+        scenario.lateOrders = 0.1;
+        for (size_t i = 0; i < 6 * scenario.servers; ++i)
+            scenario.faults.push_back(
+                { ServerFaultKind::Replaced, { i % scenario.servers }, Milliseconds(1000 + 250 * i), Milliseconds(0) });
+        const auto report = simulate(scenario);
+        for (const auto& violation : report.violations)
+            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
+        cr_expect_geq(report.servedShare(), 0.7, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+    }
+}
+
+/** Agents that send some calls late must not take leases for ended that those calls renew. */
+Test(ClusterSimulation, leasesOfCallsThatAreSentLateEndInTime, .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        auto scenario = mingaScenario("calls are sent late, polls get lost");
+        scenario.seed = seed;
+        scenario.load = 0.5;
+        scenario.heldCalls = 0.3;
+        scenario.lostPolls = 0.6;
+        const auto report = simulate(scenario);
+        for (const auto& violation : report.violations)
+            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
+        cr_expect_geq(report.servedShare(), 0.3, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+    }
+}
