A job that is sent again waits for the ends of its earlier runs

A caller's connection breaks just as its job arrives; the entry has ordered the runs, sees the caller gone, ends the job and sends stops. The caller sends the same job again 10 ms later, to the same entry, which orders its tasks anew on other servers while the earlier runs are still being stopped (33 to 48 ms). The entry knew better: the results of the earlier runs had not arrived.

Cause: the record of an ended job kept the run numbers, not the runs; class of fault: what one holder of a task knows of its runs is forgotten with the holder. Now a job that comes again adopts the runs that are not proved to be over: its tasks wait for their results, a run that had finished before its stop counts, any other is followed by a new one.

The row "sent again at once" of runsOfResetConnectionsNeverOverlapTheirResubmission and the three rows of resubmittedJobWaitsForTheEndOfItsEarlierRuns failed with the call of adoptRuns taken out and pass now.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -229,6 +229,9 @@
 
     /** Fills in a new job: its tasks, expected times, and the steps that are ready at once. */
     void initializeJob(Job& job, WorkSpec spec, RoutePolicy route, Milliseconds budget, TimePoint now);
+    /** A job that was submitted again waits for the ends of its earlier runs, which are being stopped, before its tasks
+     * start anew. */
+    void adoptRuns(Job& job, TimePoint now);
     /** Reason for which a new job is refused; empty if it can be accepted. */
     std::string_view rejectionReason(const Job& job) const;
     /** Whether an agent is linked and its server is large enough and labelled for a task of a step. */
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -127,6 +127,30 @@
         if (job.spec.steps[i].dependsOn.empty())
             makeReady(job, i);
     }
+    if (m_endedJobs.contains(job.spec.id))
+        adoptRuns(job, now);
+}
+
+void Dispatcher::adoptRuns(Job& job, TimePoint now)
+{
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        for (const auto& id : m_agents[i].runs) {
+            if (id.task.job != job.spec.id || raw(id.task.step) >= job.steps.size()
+                || raw(id.task.index) >= job.steps[raw(id.task.step)].tasks.size())
+                continue;
+            auto& step = job.steps[raw(id.task.step)];
+            auto& task = step.tasks[raw(id.task.index)];
+            std::erase(step.ready, raw(id.task.index));
+            task.state = TaskState::Ordered;
+            task.run = id.run;
+            task.agent = i;
+            task.orderedAt = now;
+            task.isStopping = true;
+            ++job.orders;
+            job.firstOrderAt = now;
+            traceRun("run-adopted", job, id, m_agents[i], "", now);
+        }
+    }
 }
 
 bool Dispatcher::couldRun(const Job& job, size_t step, const AgentView& agent) const
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -405,7 +405,13 @@
             const WorkId id { raw(waiter) };
             m_waiters.erase(waiter);
             m_entries[entry]->callerGone(id, waiter, events.now());
-            resubmit(id, drawEntry());
+            if (m_scenario.quickResend)
+                events.add(events.now() + *m_scenario.quickResend, [this, id, entry] {
+                    if (!job(id).isAnswered)
+                        submit(id, entry);
+                });
+            else
+                resubmit(id, drawEntry());
         }
         applyEntryEffects(entry);
         for (size_t i = 0; i < m_gates.size(); ++i)
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -457,3 +457,45 @@
     cr_expect(fixture.stops.back() == run, "%s", row->name);
     cr_expect_eq(fixture.orders.size(), 1U, "%s: the task must not run again before its run is over", row->name);
 }
+
+struct ResubmittedRow {
+    char name[32];
+    wire::RunOutcome outcome; ///< Of the earlier run, after the job was submitted again.
+    bool isAgentLost; ///< The agent is lost instead of reporting the outcome.
+    size_t orders; ///< Expected in all.
+};
+
+ParameterizedTestParameters(Dispatcher, resubmittedJobWaitsForTheEndOfItsEarlierRuns)
+{
+    static ResubmittedRow rows[] = {
+        { "stopped", wire::RunOutcome::Stopped, false, 2 },
+        { "done before its stop", wire::RunOutcome::Done, false, 1 },
+        { "agent out of reach", wire::RunOutcome::Lost, true, 2 },
+    };
+    return cr_make_param_array(ResubmittedRow, rows, sizeof(rows) / sizeof(ResubmittedRow));
+}
+
+ParameterizedTest(ResubmittedRow* row, Dispatcher, resubmittedJobWaitsForTheEndOfItsEarlierRuns)
+{
+    DispatcherFixture fixture;
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    const auto run = fixture.orders.back();
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    fixture.answers.clear();
+    fixture.now += Milliseconds(10);
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    fixture.advance(Milliseconds(40));
+    cr_assert_eq(fixture.orders.size(), 1U, "%s: the earlier run is still being stopped", row->name);
+    if (row->isAgentLost) {
+        fixture.dispatcher.linkClosed(LinkId(fixture.agentByRun.at(run)), fixture.now);
+        fixture.now += DispatcherLimits().runLapse + Milliseconds(20);
+        fixture.tick();
+    } else {
+        fixture.end(run, row->outcome);
+    }
+    cr_expect_eq(fixture.orders.size(), row->orders, "%s: %zu orders", row->name, fixture.orders.size());
+    cr_expect_eq(fixture.answers.contains(1), row->outcome == wire::RunOutcome::Done, "%s", row->name);
+    if (row->orders == 2)
+        cr_expect_gt(raw(fixture.orders.back().run), raw(run.run), "%s", row->name);
+}
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -468,12 +468,25 @@
 }
 
 /** Callers of reset connections send their jobs again, while the agents that run them have lost their links, too. */
-Test(ClusterSimulation, runsOfResetConnectionsNeverOverlapTheirResubmission, .timeout = 60)
+struct ResetRow {
+    char name[24];
+    int resendMs; ///< To the same entry after this time; 0 for the usual delay, to any entry.
+};
+
+ParameterizedTestParameters(ClusterSimulation, runsOfResetConnectionsNeverOverlapTheirResubmission)
+{
+    static ResetRow rows[] = { { "sent again later", 0 }, { "sent again at once", 10 } };
+    return cr_make_param_array(ResetRow, rows, sizeof(rows) / sizeof(ResetRow));
+}
+
+ParameterizedTest(ResetRow* row, ClusterSimulation, runsOfResetConnectionsNeverOverlapTheirResubmission, .timeout = 60)
 {
     for (uint64_t seed = 1; seed <= 3; ++seed) {
         auto scenario = mingaScenario("connections are reset while servers are slow");
         scenario.seed = seed;
         scenario.load = 0.5;
+        if (row->resendMs > 0)
+            scenario.quickResend = Milliseconds(row->resendMs);
         std::vector<size_t> servers(scenario.servers);
         std::iota(servers.begin(), servers.end(), size_t(0));
         scenario.faults = { { ServerFaultKind::Slow, servers, Milliseconds(2000), scenario.length, 3 } };
@@ -481,8 +494,9 @@
             scenario.connectionResets.emplace_back(i % scenario.entries, Milliseconds(3000 + 1500 * i));
         const auto report = simulate(scenario);
         for (const auto& violation : report.violations)
-            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
-        cr_expect_geq(report.servedShare(), 0.5, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+            cr_expect_fail("%s, seed %d: %s", row->name, static_cast<int>(seed), violation.c_str());
+        cr_expect_geq(report.servedShare(), 0.5, "%s, seed %d: served %f", row->name, static_cast<int>(seed),
+            report.servedShare());
     }
 }
 
