The announced end of a server ends no run

What callers would see: two runs of one task. An agent took all runs for lost as soon as its server announced its end. The process may not have ended by then; and the announcement names the server's id only, which the next process may have, so that a late one ended the runs of a process that was at work.

Cause: the same as for a new process of the server: news of an end was taken for its proof. Now the gate closes, no lease is renewed, and a poll goes out at once: a refused connection, a listing, or the end of the lease decides. A process that answers reopens the gate.

Evidence: announcedEndOfTheServerEndsRunsOnlyWithAProof (three rows) failed on the code before.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -362,7 +362,7 @@
     LabelledHistograms m_startSeconds;
     std::optional<ServerReport> m_server;
     int64_t m_serverStartedMs = 0; ///< Incarnation of the server that the runs belong to; 0 until it is known.
-    bool m_isServerGone = false; ///< Its process has ended: it refused a connection or announced its end.
+    bool m_isServerGone = false; ///< It refused a connection, or announced its end, and hasn't answered since.
     bool m_isDraining = false; ///< This agent drains, not the server.
     bool m_isRecovered = false;
     std::optional<TimePoint> m_oldLeasesEnd; ///< By then all leases that an earlier process gave have ended.
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -131,7 +131,9 @@
         return;
     m_effects.record(LogLevel::Info, "server-left", { { "instance", instance } });
     m_isServerGone = true;
-    endAll("server-left", now);
+    // The process may not have ended yet, or it may be the one before under the same id: a refused connection, a
+    // listing or the end of the lease decides.
+    poll(Milliseconds(0), now);
     sendReports(now);
 }
 
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -66,8 +66,9 @@
 void RunGate::poll(Milliseconds wait, TimePoint now)
 {
     std::optional<TimePoint> leaseEnd;
-    // Until recovery is complete, leases aren't renewed, so that runs of an earlier process end.
-    if (!m_isPollLost && m_isRecovered)
+    // Until recovery is complete, leases aren't renewed, so that runs of an earlier process end; nor are those of a
+    // server that has left, which may not answer any more.
+    if (!m_isPollLost && m_isRecovered && !m_isServerGone)
         leaseEnd = grantLease(now);
     m_lastPoll = now;
     m_pendingPolls.insert(++m_pollNumber);
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -823,6 +823,51 @@
     cr_expect_eq(fixture.gate.runs(), 0U, "%s", row->name);
 }
 
+struct LeavingRow {
+    char name[40];
+    PollOutcome outcome; ///< Of the polls after the announcement.
+    bool isOver;
+};
+
+ParameterizedTestParameters(RunGate, announcedEndOfTheServerEndsRunsOnlyWithAProof)
+{
+    static LeavingRow rows[] = {
+        { "connection refused", PollOutcome::Refused, true },
+        { "still at work, or an earlier process", PollOutcome::Listed, false },
+        { "no answer", PollOutcome::NoAnswer, false },
+    };
+    return cr_make_param_array(LeavingRow, rows, sizeof(rows) / sizeof(LeavingRow));
+}
+
+ParameterizedTest(LeavingRow* row, RunGate, announcedEndOfTheServerEndsRunsOnlyWithAProof)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.answerPolls(listingOf({ runId(1) }));
+    const auto since = fixture.now;
+    const auto polls = fixture.polls.size();
+    fixture.gate.serverLeft("i-1", fixture.now);
+    fixture.collectEffects();
+    cr_expect_not(fixture.outcome(runId(1)).has_value(), "%s: its process may go on", row->name);
+    cr_expect(fixture.reportedState == wire::GateState::Closed, "%s", row->name);
+    cr_expect_eq(fixture.polls.size(), polls + 1, "%s: polled at once", row->name);
+    cr_expect_eq(fixture.lastLease.count(), 0, "%s", row->name);
+    fixture.answerPolls(listingOf({ runId(1) }), row->outcome);
+    cr_expect_eq(fixture.outcome(runId(1)).has_value(), row->isOver, "%s", row->name);
+    while (fixture.gate.runs() > 0 && fixture.now - since < Milliseconds(2000)) {
+        fixture.now += Milliseconds(20);
+        fixture.sendHeartbeats();
+        fixture.gate.tick(fixture.now);
+        fixture.answerPolls(listingOf({ runId(1) }), row->outcome);
+    }
+    const bool isAlive = row->outcome == PollOutcome::Listed;
+    cr_expect_eq(fixture.gate.runs(), isAlive ? 1U : 0U, "%s", row->name);
+    cr_expect_eq(fixture.reportedState == wire::GateState::Open, isAlive, "%s", row->name);
+    if (!isAlive)
+        cr_expect_leq(toMilliseconds(fixture.now - since).count(), 750, "%s: with its lease at the latest", row->name);
+}
+
 Test(RunGate, lostPollAnswerDoesNotMarkRunsOverdue)
 {
     Fixture fixture;
