The model of runs loses stops while polls are answered

The model assumed that stops and polls of an agent get through together, which hid that a lost stop kept the run of a lost owner alive. MUTES gives times in which stops to a server are lost or arrive late without an answer; the agent's bound of leases is in the model, NO_CAP leaves it out and is caught (two tasks runs at once, with a broken link and with an ended owner). A look may now be answered in any tick after the one in which it was sent, whatever lease it carries.

The variant NO_OWNER_STOP isn't caught by itself any more: the bound of leases ends the runs of a lost owner without stops. It is checked as holding, and as caught together with NO_CAP. SHORT_WAIT shortens the owner's wait only, not the agent's bound.

--- a/model/room.pml
+++ b/model/room.pml
@@ -7,12 +7,13 @@
  * Time goes by in ticks, as countdowns. A message between an agent and its server that are not cut from each other is
  * carried out within the tick; in a cut, or if it is late, it may be carried out at any later time, and its answer is
  * lost. A start that comes after its lease is carried out if the server's lease was renewed meanwhile, the worst reading of the interface.
- * Assumed: stops and looks of an agent get through, or not, together.
+ * Stops of an agent may get lost, or arrive at any later time, while its other calls are answered (MUTES).
  *
  * Properties: no two runs of a task beside one another, no server over its room, no start after a success was noted.
  *
  * Each -D leaves one mechanism out; the verifier must then find a violation:
- *   NO_STOP NO_FENCE NO_RAISE NO_LIFE NO_SETTLE SHORT_WAIT OLD_LISTING EARLY_ROOM NO_OWNER_STOP REFUSAL_PROVES
+ *   NO_STOP NO_FENCE NO_RAISE NO_LIFE NO_SETTLE SHORT_WAIT OLD_LISTING EARLY_ROOM NO_OWNER_STOP REFUSAL_PROVES NO_CAP
+ * but NO_OWNER_STOP only together with NO_CAP: the bound of leases holds without stops.
  */
 #ifndef TASKS
 #define TASKS 1
@@ -29,6 +30,9 @@
 #ifndef LATES
 #define LATES 1 /* starts that are carried out late */
 #endif
+#ifndef MUTES
+#define MUTES 0 /* times in which stops to a server get lost */
+#endif
 #ifndef UNLINKS
 #define UNLINKS 1 /* links between owner and agents that break */
 #endif
@@ -40,6 +44,7 @@
 
 #define LEASE 2 /* ticks for which a start or look lets a server run */
 #define FRESH 1 /* ticks without an answered look after which the gate is closed */
+#define BOUND 5 /* ticks after which an agent's runs of a lost owner have to be over: LAPSE */
 #define OWNER_WAIT 1 /* ticks after which an agent stops the runs of a lost owner */
 #ifdef SHORT_WAIT
 #define LAPSE 2
@@ -60,6 +65,8 @@
 byte ownerLost[SERVERS]; /* countdown at the owner; only while not linked */
 byte agentLost[SERVERS]; /* countdown at the agent for the owner of before */
 bool isOwnerLost[SERVERS];
+byte bound[SERVERS]; /* countdown at the agent to when the runs of a lost owner have to be over; only if isBounded */
+bool isBounded[SERVERS];
 
 /* Gate of an agent: 0 none, 1 starting, 2 running, 3 fencing, 4 stopping. */
 byte gate[KEYS];
@@ -74,6 +81,7 @@
 
 /* Between agent and server. */
 bool cut[SERVERS];
+bool mute[SERVERS]; /* stops don't get through */
 bool startSent[KEYS];
 bool isLate[KEYS]; /* the start is carried out any time later, without an answer */
 byte startLeft[KEYS]; /* until the start is refused as late */
@@ -89,6 +97,7 @@
 byte look[SERVERS]; /* 0 none, 1 sent, 2 listed */
 byte lookFence[SERVERS];
 byte lookLeft[SERVERS]; /* lease that the look carries */
+bool isNewLook[SERVERS]; /* sent in this tick */
 bool lookCounts[KEYS]; /* settled when the look was sent */
 byte listed[KEYS]; /* the server's state of it when it made the listing */
 byte listedLife[SERVERS];
@@ -100,7 +109,7 @@
 byte life[SERVERS];
 byte seenFence[SERVERS]; /* highest, in this life of the server */
 
-byte cuts, unlinks, crashes, lates;
+byte cuts, mutes, unlinks, crashes, lates;
 byte i, j, sameTask, sameServer; /* used within single steps only */
 byte isOpen, unsettledBefore;
 
@@ -155,7 +164,7 @@
 /* What a look carried is set to one value, for fewer states. */
 inline forgetLook(s)
 {
-    look[s] = 0; lookLeft[s] = 0; lookFence[s] = 0; listedLife[s] = 0;
+    look[s] = 0; lookLeft[s] = 0; isNewLook[s] = false; lookFence[s] = 0; listedLife[s] = 0;
     EACH_OF(s, true, lookCounts[i] = false; listed[i] = 0)
 }
 
@@ -173,6 +182,10 @@
     :: !isOwnerLost[s] -> isOwnerLost[s] = true; agentLost[s] = OWNER_WAIT
     :: else
     fi;
+    if
+    :: !isBounded[s] -> isBounded[s] = true; bound[s] = BOUND
+    :: else
+    fi;
     EACH_OF(s, true, orderSent[i] = false; reply[i] = 0)
 }
 
@@ -180,16 +193,20 @@
 #define OPEN_AT(s, k) (order[k] == 1 && where[k] == s)
 #define RUN_AT(s, k) (gate[k] != 0 && where[k] == s)
 /* A tick can't pass yet: what is not cut is carried out within the tick, and a lost owner's runs are stopped. */
-#define DUE_OF(k) (!cut[where[k]] && ((startSent[k] && !isLate[k]) || stopSent[k] || gate[k] == 1 || (gate[k] >= 3 && !isSettled[k])))
+#define DUE_OF(k) (!cut[where[k]] && ((startSent[k] && !isLate[k]) || (stopSent[k] && !mute[where[k]]) || gate[k] == 1 || (gate[k] >= 3 && !isSettled[k] && !mute[where[k]])))
 #define OWNER_DUE(s) (isOwnerLost[s] && agentLost[s] == 0)
 /* With runs one look is always open; it is answered a tick after it was sent, or given up in a cut before its lease
  * ends. Runs end with their lease. */
-#define LOOK_DUE(s) ((look[s] == 0 && hasRuns(s)) || (look[s] != 0 && (cut[s] -> lookLeft[s] == 1 : lookLeft[s] < LEASE)) || (gateLease[s] == 0 && hasRuns(s)))
+#define LOOK_DUE(s) ((look[s] == 0 && hasRuns(s)) || (look[s] != 0 && (cut[s] -> lookLeft[s] == 1 : !isNewLook[s])) || (gateLease[s] == 0 && hasRuns(s)))
+/* Its task may be started elsewhere. */
+#define NEEDS_BOUND(s, k) (gate[k] != 0 && where[k] == s && (gate[k] >= 3 || !linked[s] || runOwner[k] != ownerLife))
 #if KEYS > 3
+#define needsBound(s) (NEEDS_BOUND(s, 0) || NEEDS_BOUND(s, 1) || NEEDS_BOUND(s, 2) || NEEDS_BOUND(s, 3))
 #define hasOpen(s) (OPEN_AT(s, 0) || OPEN_AT(s, 1) || OPEN_AT(s, 2) || OPEN_AT(s, 3))
 #define hasRuns(s) (RUN_AT(s, 0) || RUN_AT(s, 1) || RUN_AT(s, 2) || RUN_AT(s, 3))
 #define isRunDue (DUE_OF(0) || DUE_OF(1) || DUE_OF(2) || DUE_OF(3))
 #else
+#define needsBound(s) (NEEDS_BOUND(s, 0) || NEEDS_BOUND(s, 1))
 #define hasOpen(s) (OPEN_AT(s, 0) || OPEN_AT(s, 1))
 #define hasRuns(s) (RUN_AT(s, 0) || RUN_AT(s, 1))
 #define isRunDue (DUE_OF(0) || DUE_OF(1))
@@ -200,6 +217,13 @@
 #define isDue (isRunDue || OWNER_DUE(0) || LOOK_DUE(0))
 #endif
 
+/* RunGate::grantLease */
+#ifdef NO_CAP
+#define GRANT(s) LEASE
+#else
+#define GRANT(s) (isBounded[s] && bound[s] < LEASE && needsBound(s) -> bound[s] : LEASE)
+#endif
+
 #ifdef NO_LIFE
 #define IS_FOR_LIFE(k) true
 #else
@@ -357,8 +381,8 @@
         lateLife[k] = (startSent[k] -> startLife[k] : 0);
         lateFence[k] = (startSent[k] -> startFence[k] : 0);
         isLate[k] = false;
-        startSent[k] = true; startLeft[k] = LEASE; startLife[k] = gateLife[where[k]]; startFence[k] = fence[where[k]];
-        gateLease[where[k]] = LEASE
+        startSent[k] = true; startLeft[k] = GRANT(where[k]); startLife[k] = gateLife[where[k]]; startFence[k] = fence[where[k]];
+        gateLease[where[k]] = (startLeft[k] > gateLease[where[k]] -> startLeft[k] : gateLease[where[k]])
     }
     :: d_step { lateSent[k] -> onLateStart(k) }
     /* RunGate::startAnswered: no answer in time, the run is fenced */
@@ -377,8 +401,8 @@
     :: d_step { startSent[k] && (cut[where[k]] || isLate[k]) -> onStart(k, false) }
     :: d_step { startSent[k] && !isLate[k] && lates < LATES -> lates++; isLate[k] = true }
     /* The server gets a stop */
-    :: d_step { stopSent[k] -> onStop(k, true) }
-    :: d_step { stopSent[k] && cut[where[k]] -> onStop(k, false) }
+    :: d_step { stopSent[k] && !mute[where[k]] -> onStop(k, true) }
+    :: d_step { stopSent[k] && (cut[where[k]] || mute[where[k]]) -> onStop(k, false) }
     :: d_step { ran[k] == 1 -> ran[k] = 3 }
     :: d_step { ran[k] == 1 -> ran[k] = 2 }
     od
@@ -406,7 +430,8 @@
         look[s] == 0 && (hasRuns(s) || isUnsettled[s]) ->
         look[s] = 1;
         lookFence[s] = fence[s];
-        lookLeft[s] = (lookLost[s] || isUnsettled[s] -> 0 : LEASE);
+        isNewLook[s] = true;
+        lookLeft[s] = (lookLost[s] || isUnsettled[s] -> 0 : GRANT(s));
         gateLease[s] = (lookLeft[s] > gateLease[s] -> lookLeft[s] : gateLease[s]);
 #ifdef OLD_LISTING
         EACH_OF(s, gate[i] != 0, lookCounts[i] = true)
@@ -454,6 +479,8 @@
     /* Faults */
     :: d_step { cuts < CUTS && !cut[s] -> cuts++; cut[s] = true }
     :: d_step { cut[s] -> cut[s] = false }
+    :: d_step { mutes < MUTES && !mute[s] -> mutes++; mute[s] = true }
+    :: d_step { mute[s] -> mute[s] = false }
     :: d_step { unlinks < UNLINKS && linked[s] -> unlinks++; unlink(s) }
     /* A server ends and another life is at its address: nothing runs, nothing is remembered */
     :: d_step {
@@ -473,6 +500,7 @@
         :: else
         fi;
         isOwnerLost[s] = false; agentLost[s] = 0;
+        isBounded[s] = false; bound[s] = 0;
         forgetLook(s);
         lookLost[s] = false; gateLease[s] = 0; gateLife[s] = life[s];
 #ifndef NO_SETTLE
@@ -496,6 +524,9 @@
             agentLost[j] = (agentLost[j] > 0 -> agentLost[j] - 1 : 0);
             gateLease[j] = (gateLease[j] > 0 -> gateLease[j] - 1 : 0);
             lookLeft[j] = (lookLeft[j] > 0 -> lookLeft[j] - 1 : 0);
+            isNewLook[j] = false;
+            isBounded[j] = isBounded[j] && (needsBound(j) || !linked[j]);
+            bound[j] = (isBounded[j] && bound[j] > 0 -> bound[j] - 1 : 0);
             stale[j] = (!cut[j] -> 0 : (stale[j] <= FRESH -> stale[j] + 1 : stale[j]));
             lease[j] = (lease[j] > 0 -> lease[j] - 1 : 0);
             EACH_OF(j, ran[i] == 1 && lease[j] == 0, ran[i] = 2) /* lapsed */;
