--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -1,11 +1,11 @@
 /** @file PlatformTest.cpp Runs the platform's entry and agent as real processes, with stand-ins for the store and for a
  * backend server. */
+#include "PlatformStandins.h"
+
 #include <Codec.h>
 
-#include <sequoia/AsyncHttp.h>
 #include <sequoia/HttpService.h>
 
-#include <arpa/inet.h>
 #include <boost/asio/steady_timer.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -17,46 +17,16 @@
 #include <nlohmann/json.hpp>
 #include <set>
 #include <spawn.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
 using namespace sequoia;
+using namespace sequoia::testing;
 using Json = nlohmann::json;
 
 namespace {
 
 constexpr Milliseconds callTimeout { 5000 };
 
-/** A reserved port: it is bound, but not listening, so that no other process gets it before the one under test. */
-class ReservedAddress {
-public:
-    ReservedAddress()
-        : m_socket(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        const int yes = 1;
-        setsockopt(m_socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
-        sockaddr_in at {};
-        at.sin_family = AF_INET;
-        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        cr_assert_eq(bind(m_socket, reinterpret_cast<sockaddr*>(&at), sizeof(at)), 0);
-        socklen_t size = sizeof(at);
-        getsockname(m_socket, reinterpret_cast<sockaddr*>(&at), &size);
-        port = ntohs(at.sin_port);
-        text = fmt::format("127.0.0.1:{}", port);
-    }
-    ~ReservedAddress() { close(m_socket); }
-    ReservedAddress(const ReservedAddress&) = delete;
-    ReservedAddress& operator=(const ReservedAddress&) = delete;
-
-    uint16_t port = 0;
-    std::string text;
-
-private:
-    int m_socket;
-};
-
 /** A process that is killed at the end of the test. */
 class Program {
 public:
@@ -352,18 +322,6 @@
     std::thread m_pings;
 };
 
-int statusOf(const HttpResult& result)
-{
-    const auto* reply = std::get_if<HttpReply>(&result);
-    return reply == nullptr ? 0 : reply->status;
-}
-
-std::string bodyOf(const HttpResult& result)
-{
-    const auto* reply = std::get_if<HttpReply>(&result);
-    return reply == nullptr ? "" : reply->body;
-}
-
 } // namespace
 
 Test(Platform, servesJobsWithinServerCapacity, .timeout = 60)
