--- a/tests/TestCluster.cpp
+++ b/tests/TestCluster.cpp
@@ -3,6 +3,7 @@
 
 #include <sequoia/HttpService.h>
 
+#include <climits>
 #include <condition_variable>
 #include <criterion/criterion.h>
 #include <csignal>
@@ -103,6 +104,8 @@
                 dup2(in, STDIN_FILENO);
                 dup2(out, STDOUT_FILENO);
                 dup2(log, STDERR_FILENO);
+                // Sockets of the test's own HTTP servers and proxies are not closed on exec.
+                close_range(STDERR_FILENO + 1, UINT_MAX, 0);
                 execv(argv[0], argv);
                 _exit(127);
             }
