RunGate: a start is sent again only if it still fits

What a worker would see: a server that has shrunk was told to start a run over its new capacity, some milliseconds after its report.

Cause: startAnswered sent an unanswered start again without a look at the capacity. The call before may have been lost, so that the repeated one starts the run.

Why this works: the sum of all runs, the unanswered one included, has to fit into the present capacity; otherwise the run is fenced by a stop, as after the last call. Its room counts until the stop and a listing show that it is over.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -259,6 +259,8 @@
 
     void detectSuspension(TimePoint now);
     bool isListingFresh(TimePoint now) const;
+    /** Resources that the runs may take together. */
+    Resources capacity() const;
     Resources freeResources() const;
     Resources freeFor(const EntryLink& link, TimePoint now) const;
     void onOrder(LinkId link, const wire::RunOrderT& order, TimePoint now);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -147,11 +147,13 @@
         endAll("server-restarted", now);
 }
 
+Resources RunGate::capacity() const { return total(); }
+
 Resources RunGate::freeResources() const
 {
     if (!m_server)
         return {};
-    auto usable = m_server->total;
+    auto usable = capacity();
     // Each failed job in a row, from the second one on, halves the usable processors, so that a failing server affects
     // few jobs. A trial isn't reduced, as it is a single run.
     constexpr size_t maxHalvings = 16;
@@ -299,8 +301,9 @@
         return;
     case StartOutcome::NoAnswer:
         ++m_counters.unansweredStarts;
+        // The server may have shrunk since the call before, which may not have started the run.
         if (run.state == RunState::Starting && run.startCalls < m_limits.maxStartCalls
-            && state(now) != wire::GateState::Closed) {
+            && state(now) != wire::GateState::Closed && m_used.fitsIn(capacity())) {
             ++m_counters.repeatedStarts;
             recordRun(LogLevel::Debug, "start-repeated", id, run, "", now);
             callStart(id, run, now);
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -38,12 +38,21 @@
         report.instance = "i-1";
         report.startedMs = startedMs;
         report.service = "service";
-        report.total = { 10000, 1000, 0 };
+        report.labels = labels;
+        report.total = capacity;
         report.isDraining = isDraining;
         report.sequence = ++sequence;
         gate.serverAnnounced(report, now);
     }
 
+    /** The server announces another capacity. */
+    void changeCapacity(const Resources& total)
+    {
+        capacity = total;
+        announce();
+        collectEffects();
+    }
+
     void linkEntry(LinkId link, uint64_t entry)
     {
         wire::WelcomeT welcome;
@@ -98,6 +107,20 @@
         collectEffects();
     }
 
+    /** An entry tells that tasks wait. */
+    void demand(LinkId link, int64_t cpu, Milliseconds slack, uint32_t tasks = 1)
+    {
+        wire::DemandT demand;
+        demand.tasks = tasks;
+        demand.smallest = std::make_unique<wire::Room>(toWire(Resources { cpu, 64, 0 }));
+        demand.slack_ms = static_cast<int32_t>(slack.count());
+        demand.valid_ms = 1000;
+        wire::BodyUnion body;
+        body.Set(std::move(demand));
+        gate.receive(link, body, now);
+        collectEffects();
+    }
+
     void stop(LinkId link, const RunId& id)
     {
         wire::RunStopT stop;
@@ -155,6 +178,8 @@
     RunGateLimits limits;
     RunGate gate;
     TimePoint now = start;
+    Resources capacity { 10000, 1000, 0 };
+    std::vector<std::string> labels;
     uint64_t sequence = 0;
     uint64_t lastPoll = 0;
     uint64_t lastSeenUpTo = 0;
@@ -168,17 +193,21 @@
     std::map<RunId, wire::RunOutcome> results;
     std::map<RunId, wire::Refusal> refusals;
     std::map<LinkId, Resources> free;
+    std::map<LinkId, Resources> total;
+    size_t messages = 0;
     wire::GateState reportedState = wire::GateState::Closed;
 
 private:
     void recordMessage(const SendMessage& send)
     {
+        ++messages;
         if (const auto* result = send.body.AsRunResult()) {
             results[fromWire(*result->id)] = result->outcome;
             refusals[fromWire(*result->id)] = result->refusal;
             free[send.link] = fromWire(result->free.get());
         } else if (const auto* report = send.body.AsRoomReport()) {
             reportedState = report->state;
+            total[send.link] = fromWire(report->total.get());
             free[send.link] = fromWire(report->free.get());
         } else if (const auto* update = send.body.AsRoomUpdate())
             free[send.link] = fromWire(update->free.get());
@@ -752,3 +781,40 @@
     cr_expect_eq(static_cast<int>(fixture.refusals[runId(1)]), row->refusal, "%s", row->name);
     cr_expect_eq(fixture.gate.used().cpu, 0, "%s", row->name);
 }
+
+struct ShrunkStartRow {
+    char name[40];
+    Resources capacity;
+    bool isRepeated;
+};
+
+ParameterizedTestParameters(RunGate, unansweredStartIsNotRepeatedIfItNoLongerFits)
+{
+    static ShrunkStartRow rows[] = {
+        { "same capacity", { 10000, 1000, 0 }, true },
+        { "both runs just fit", { 8000, 128, 0 }, true },
+        { "fewer processors than both runs take", { 7999, 1000, 0 }, false },
+        { "less memory than both runs take", { 10000, 127, 0 }, false },
+    };
+    return cr_make_param_array(ShrunkStartRow, rows, sizeof(rows) / sizeof(ShrunkStartRow));
+}
+
+/** The first call may have been lost, so that the repeated one would start the run and overcommit the server. */
+ParameterizedTest(ShrunkStartRow* row, RunGate, unansweredStartIsNotRepeatedIfItNoLongerFits)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.order(firstLink, runId(2));
+    fixture.changeCapacity(row->capacity);
+    fixture.answerStart(runId(2), StartOutcome::NoAnswer);
+    cr_expect_eq(fixture.starts.size(), row->isRepeated ? 3U : 2U, "%s", row->name);
+    cr_expect_eq(fixture.stops.size(), row->isRepeated ? 0U : 1U, "%s: the run is fenced", row->name);
+    cr_expect_not(fixture.outcome(runId(2)).has_value(), "%s: the first call may still start the run", row->name);
+    if (row->isRepeated)
+        return;
+    fixture.gate.stopAnswered(runId(2), true, fixture.now);
+    fixture.answerPoll(listingOf({ runId(1) }));
+    cr_expect(fixture.outcome(runId(2)) == wire::RunOutcome::NotStarted, "%s", row->name);
+    cr_expect_eq(fixture.gate.used().cpu, 4000, "%s", row->name);
+}
