Entries are told at once when a server's capacity, labels or service change

What callers would see: jobs admitted, refused ("no-server-fits") and placed by a capacity that the server no longer has, until the gate's state changed for another reason; after a restart of the server as another kind also tasks ordered by its old labels. A server that has grown was reported only as free room, within 40 ms or more, to all entries at the same time.

Cause: RunGate::serverAnnounced sent reports only if the gate's state changed. A restart that the server announces itself leaves the gate open.

Why this works: any change of what entries are told of the server is reported. Room that the server has gained is first reserved for the entry with the most urgent waiting task, as room that a run frees is. Entries log `agent-state` with a new capacity.

--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -218,11 +218,12 @@
 void Dispatcher::onReport(size_t index, const wire::RoomReportT& report, TimePoint now)
 {
     auto& agent = m_agents[index];
-    const bool isChanged = agent.state != report.state;
+    const auto total = fromWire(report.total.get());
+    const bool isChanged = agent.state != report.state || agent.total != total;
     agent.service = report.service;
     agent.labels = report.labels;
     agent.state = report.state;
-    agent.total = fromWire(report.total.get());
+    agent.total = total;
     agent.serverStartedMs = report.server_life;
     agent.slownessSamples = report.samples;
     updateResources(agent, report, now);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -105,6 +105,8 @@
         return false;
     if (m_server && report.startedMs < m_server->startedMs)
         return false;
+    const bool isChanged = !isSame || report.total != m_server->total || report.service != m_server->service
+        || report.labels != m_server->labels;
     const bool wasDraining = m_server && m_server->isDraining;
     const bool isRestarted
         = m_server && m_server->instance == report.instance && report.startedMs > m_server->startedMs;
@@ -117,7 +119,9 @@
     m_isServerGone = false;
     if (isRestarted && report.startedMs > m_serverStartedMs)
         startIncarnation(report.startedMs, now);
-    if (state(now) != m_reportedState)
+    if (isChanged)
+        reserveFreed(std::nullopt, now); // Of what a larger server has, as of what a run frees.
+    if (isChanged || state(now) != m_reportedState)
         sendReports(now);
     return true;
 }
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -45,6 +45,20 @@
         deliver(i, std::move(report));
     }
 
+    /** An agent reports another capacity of its server; `free` are the processors that no run uses. */
+    void reportCapacity(size_t agent, int64_t cpu, int64_t free, uint32_t ordersSeen = 1000)
+    {
+        wire::RoomReportT report;
+        report.service = "service";
+        report.labels = { "label" + std::to_string(agent) };
+        report.state = wire::GateState::Open;
+        report.total = std::make_unique<wire::Room>(static_cast<uint32_t>(cpu), 1000, 1);
+        report.free = std::make_unique<wire::Room>(static_cast<uint32_t>(free), 1000, 1);
+        report.orders_seen = ordersSeen;
+        report.slowness = 1;
+        deliver(agent, std::move(report));
+    }
+
     /** Delivers a message of an agent. */
     template <typename Message> void deliver(size_t agent, Message message)
     {
@@ -457,3 +471,19 @@
     cr_expect(fixture.stops.back() == run, "%s", row->name);
     cr_expect_eq(fixture.orders.size(), 1U, "%s: the task must not run again before its run is over", row->name);
 }
+
+/** Orders on their way when a server shrinks take room that its report doesn't know of. */
+Test(Dispatcher, ordersUnderWayCountAgainstAShrunkServer)
+{
+    DispatcherFixture fixture(1);
+    fixture.submit(1, stepOf(1, 4000));
+    fixture.submit(2, stepOf(1, 4000));
+    cr_assert_eq(fixture.orders.size(), 2U);
+    fixture.reportCapacity(0, 6000, 2000, 1); // The agent has seen the first of the two orders.
+    cr_expect_eq(fixture.dispatcher.agents().front().free.cpu, -2000);
+    cr_expect_eq(fixture.dispatcher.agents().front().total.cpu, 6000);
+    fixture.submit(3, stepOf(1, 1000));
+    cr_expect_eq(fixture.orders.size(), 2U);
+    fixture.reportCapacity(0, 6000, 2000, 2); // It has refused the second one.
+    cr_expect_eq(fixture.orders.size(), 3U);
+}
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -818,3 +818,96 @@
     cr_expect(fixture.outcome(runId(2)) == wire::RunOutcome::NotStarted, "%s", row->name);
     cr_expect_eq(fixture.gate.used().cpu, 4000, "%s", row->name);
 }
+
+struct ChangeRow {
+    char name[40];
+    Resources total;
+    char label[8];
+    int64_t startedMs; ///< Incarnation of the server; 1 is the one before.
+    bool isReported;
+};
+
+ParameterizedTestParameters(RunGate, entriesLearnOfAChangedServerAtOnce)
+{
+    static ChangeRow rows[] = {
+        { "nothing changed", { 10000, 1000, 0 }, "", 1, false },
+        { "fewer processors", { 9900, 1000, 0 }, "", 1, true },
+        { "more processors", { 20000, 1000, 0 }, "", 1, true },
+        { "less memory", { 10000, 500, 0 }, "", 1, true },
+        { "an accelerator", { 10000, 1000, 1 }, "", 1, true },
+        { "a label", { 10000, 1000, 0 }, "fast", 1, true },
+        { "restarted with another capacity", { 5000, 1000, 0 }, "", 2, true },
+        { "restarted as it was", { 10000, 1000, 0 }, "", 2, true },
+    };
+    return cr_make_param_array(ChangeRow, rows, sizeof(rows) / sizeof(ChangeRow));
+}
+
+ParameterizedTest(ChangeRow* row, RunGate, entriesLearnOfAChangedServerAtOnce)
+{
+    Fixture fixture;
+    const auto before = fixture.messages;
+    fixture.capacity = row->total;
+    if (row->label[0] != 0)
+        fixture.labels = { row->label };
+    fixture.total.clear();
+    fixture.announce(false, row->startedMs);
+    fixture.collectEffects();
+    cr_expect_eq(fixture.messages - before, row->isReported ? 2U : 0U, "%s", row->name);
+    if (!row->isReported)
+        return;
+    for (const auto link : { firstLink, secondLink })
+        cr_expect_eq(fixture.total[link], row->total, "%s: an entry is told of %s", row->name,
+            toString(fixture.total[link]).c_str());
+}
+
+struct LatePingRow {
+    char name[40];
+    int64_t startedMs;
+    uint64_t sequence;
+};
+
+ParameterizedTestParameters(RunGate, overtakenPingDoesNotBringBackItsCapacity)
+{
+    static LatePingRow rows[] = {
+        { "same incarnation", 2, 49 },
+        { "same ping twice", 2, 50 },
+        { "earlier incarnation, higher sequence", 1, 90 },
+    };
+    return cr_make_param_array(LatePingRow, rows, sizeof(rows) / sizeof(LatePingRow));
+}
+
+ParameterizedTest(LatePingRow* row, RunGate, overtakenPingDoesNotBringBackItsCapacity)
+{
+    Fixture fixture;
+    fixture.sequence = 49;
+    fixture.capacity = { 5000, 1000, 0 };
+    fixture.announce(false, 2);
+    auto listing = listingOf({});
+    listing.startedMs = 2;
+    fixture.answerPoll(listing);
+    fixture.sequence = row->sequence - 1;
+    fixture.capacity = { 10000, 1000, 0 };
+    fixture.announce(false, row->startedMs);
+    fixture.collectEffects();
+    cr_expect_eq(fixture.gate.total().cpu, 5000, "%s", row->name);
+    fixture.order(firstLink, runId(1), 6000);
+    cr_expect(fixture.starts.empty(), "%s", row->name);
+    fixture.order(firstLink, runId(2), 5000);
+    cr_expect_eq(fixture.starts.size(), 1U, "%s", row->name);
+}
+
+/** All entries would otherwise order at once what only one of them can get. */
+Test(RunGate, grownServerIsReservedForTheMostUrgentEntryAtOnce)
+{
+    Fixture fixture;
+    fixture.changeCapacity({ 4000, 1000, 0 });
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.demand(firstLink, 4000, Milliseconds(500));
+    fixture.demand(secondLink, 4000, Milliseconds(10));
+    fixture.changeCapacity({ 8000, 1000, 0 });
+    cr_expect_eq(fixture.free[secondLink].cpu, 4000);
+    cr_expect_eq(fixture.free[firstLink].cpu, 0);
+    fixture.order(secondLink, runId(2));
+    cr_expect_eq(fixture.starts.size(), 2U);
+}
