An overcommitted resource leaves nothing free, for gate and entries alike

What callers would see: tasks that need no accelerator, or little memory, ordered again and again from a server whose accelerators or memory have shrunk below what its runs take; the gate refuses each order.

Cause: messages carry no negative amounts. The entry was told of the other resources as free and of 0 of the overcommitted one, which fits a task that needs none of it, while the gate compares with the negative amount. timesFitting, with which entries place, ignored negative amounts of what a task doesn't need, unlike fitsIn.

Why this works: gate and messages use one figure, freeFor, which is nothing at all while any resource is overcommitted; timesFitting agrees with fitsIn.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -262,6 +262,7 @@
     /** Resources that the runs may take together. */
     Resources capacity() const;
     Resources freeResources() const;
+    /** Resources that an entry may use; none at all while any of them is overcommitted. */
     Resources freeFor(const EntryLink& link, TimePoint now) const;
     void onOrder(LinkId link, const wire::RunOrderT& order, TimePoint now);
     wire::Refusal refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const;
--- a/src/Resources.cpp
+++ b/src/Resources.cpp
@@ -11,7 +11,7 @@
     int64_t timesFitting(int64_t part, int64_t whole, int64_t limit)
     {
         if (part <= 0)
-            return limit;
+            return whole < 0 ? 0 : limit;
         return std::clamp<int64_t>(whole / part, 0, limit);
     }
 
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -173,7 +173,9 @@
         if (&other != &link && other.reservedUntil > now)
             free -= other.reserved;
     }
-    return free;
+    // Nothing may start while any of the resources is overcommitted, which a message couldn't say with negative
+    // amounts.
+    return Resources().fitsIn(free) ? free : Resources();
 }
 
 void RunGate::receive(LinkId link, const wire::BodyUnion& body, TimePoint now)
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -782,6 +782,48 @@
     cr_expect_eq(fixture.gate.used().cpu, 0, "%s", row->name);
 }
 
+struct ShrinkRow {
+    char name[32];
+    Resources before;
+    Resources shrunk;
+};
+
+ParameterizedTestParameters(RunGate, shrunkServerStartsNothingUntilItsRunsFit)
+{
+    static ShrinkRow rows[] = {
+        { "processors", { 10000, 1000, 0 }, { 7000, 1000, 0 } },
+        { "memory", { 12000, 1000, 0 }, { 12000, 100, 0 } },
+        { "everything", { 10000, 1000, 0 }, { 0, 0, 0 } },
+    };
+    return cr_make_param_array(ShrinkRow, rows, sizeof(rows) / sizeof(ShrinkRow));
+}
+
+ParameterizedTest(ShrinkRow* row, RunGate, shrunkServerStartsNothingUntilItsRunsFit)
+{
+    Fixture fixture;
+    fixture.changeCapacity(row->before);
+    for (uint64_t job = 1; job <= 2; ++job) {
+        fixture.order(firstLink, runId(job));
+        fixture.answerStart(runId(job), StartOutcome::Started);
+    }
+    fixture.changeCapacity(row->shrunk);
+    for (const auto link : { firstLink, secondLink })
+        cr_expect_eq(fixture.free[link], Resources(), "%s: an entry is told of %s", row->name,
+            toString(fixture.free[link]).c_str());
+    fixture.order(secondLink, runId(3), 1000);
+    cr_expect(fixture.refusals[runId(3)] == wire::Refusal::NoRoom, "%s", row->name);
+    cr_expect_eq(fixture.starts.size(), 2U, "%s", row->name);
+    cr_expect(fixture.stops.empty(), "%s: runs at work go on", row->name);
+    cr_expect_eq(fixture.gate.runs(), 2U, "%s", row->name);
+    fixture.answerPoll(listingOf({}, { { 1, runId(1), EndKind::Done }, { 2, runId(2), EndKind::Done } }));
+    fixture.order(secondLink, runId(4), 1000);
+    const bool fits = Resources { 1000, 64, 0 }.fitsIn(row->shrunk);
+    cr_expect_eq(fixture.starts.size(), fits ? 3U : 2U, "%s", row->name);
+    fixture.changeCapacity(row->before);
+    fixture.order(secondLink, runId(5), 1000);
+    cr_expect_eq(fixture.starts.back(), runId(5), "%s: the server has grown again", row->name);
+}
+
 struct ShrunkStartRow {
     char name[40];
     Resources capacity;
@@ -819,6 +861,24 @@
     cr_expect_eq(fixture.gate.used().cpu, 4000, "%s", row->name);
 }
 
+/** Room that was reserved for an entry may be gone when its order arrives. */
+Test(RunGate, reservationOfAShrunkServerStartsNothing)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1), 5000);
+    fixture.order(firstLink, runId(2), 5000);
+    fixture.demand(secondLink, 5000, Milliseconds(10));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.answerPoll(listingOf({ runId(2) }, { { 1, runId(1), EndKind::Done } }));
+    cr_assert_eq(fixture.free[secondLink].cpu, 5000);
+    fixture.changeCapacity({ 6000, 1000, 0 });
+    cr_expect_eq(fixture.free[secondLink].cpu, 1000);
+    cr_expect_eq(fixture.free[firstLink], Resources(), "negative free resources are reported as none");
+    fixture.order(secondLink, runId(3), 5000);
+    cr_expect(fixture.refusals[runId(3)] == wire::Refusal::NoRoom);
+    cr_expect_eq(fixture.starts.size(), 2U);
+}
+
 struct ChangeRow {
     char name[40];
     Resources total;
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -52,6 +52,8 @@
         { "limited by the maximum", { 1, 1, 0 }, { 100, 100, 0 }, 7, 7 },
         { "no resources needed", { 0, 0, 0 }, { 0, 0, 0 }, 7, 7 },
         { "overcommitted", { 1000, 1, 0 }, { -5, 100, 0 }, 7, 0 },
+        { "accelerators overcommitted", { 1000, 1, 0 }, { 5000, 100, -1 }, 7, 0 },
+        { "memory overcommitted", { 1000, 0, 0 }, { 5000, -1, 0 }, 7, 0 },
     };
     return cr_make_param_array(FitCountRow, rows, sizeof(rows) / sizeof(FitCountRow));
 }
