RunGate: no further starts where the server has just refused one for room

What was seen: between a shrink and the server's next report, up to 1.5 s later, a server that guards its capacity refused start after start: the refusal told the entry the room that the last report promised, and the entry sent the task there again at once. Each refusal costs a price and a round trip.

Cause: the gate took the last report for true although the server's answer had refuted it.

Why this works: a refusal limits the runs to what they took at that time, until the server reports or restarts. Entries are told of the smaller room with the refusal, and of the reported one with the next report. An end makes room for a trial again. The cost: a server that refuses a task while it runs nothing stays empty until its report.

Evidence: RunGateTest refusalForRoomStopsOrdersUntilARunEndsOrTheServerReports failed on, passes now.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -330,6 +330,8 @@
     LabelledHistograms m_runSeconds;
     LabelledHistograms m_startSeconds;
     std::optional<ServerReport> m_server;
+    /** What the runs took when the server refused another one for want of room; limits them until its next report. */
+    std::optional<Resources> m_roomLimit;
     int64_t m_serverStartedMs = 0; ///< Incarnation of the server that the runs belong to; 0 until it is known.
     bool m_isServerGone = false; ///< Its process has ended: it refused a connection or announced its end.
     bool m_isDraining = false; ///< This agent drains, not the server.
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -106,7 +106,7 @@
     if (m_server && report.startedMs < m_server->startedMs)
         return false;
     const bool isChanged = !isSame || report.total != m_server->total || report.service != m_server->service
-        || report.labels != m_server->labels;
+        || report.labels != m_server->labels || m_roomLimit.has_value();
     const bool wasDraining = m_server && m_server->isDraining;
     const bool isRestarted
         = m_server && m_server->instance == report.instance && report.startedMs > m_server->startedMs;
@@ -116,6 +116,7 @@
                 { "total", toString(report.total) }, { "draining", report.isDraining ? "true" : "false" } });
     }
     m_server = report;
+    m_roomLimit.reset();
     m_isServerGone = false;
     if (isRestarted && report.startedMs > m_serverStartedMs)
         startIncarnation(report.startedMs, now);
@@ -145,13 +146,14 @@
     const bool isFirst = m_serverStartedMs == 0;
     m_serverStartedMs = startedMs;
     m_seenUpTo = 0;
+    m_roomLimit.reset();
     m_unknownRuns.clear();
     m_speed.reset(); // The new incarnation may run on another kind of VM.
     if (!isFirst)
         endAll("server-restarted", now);
 }
 
-Resources RunGate::capacity() const { return total(); }
+Resources RunGate::capacity() const { return componentwiseMin(total(), m_roomLimit.value_or(total())); }
 
 Resources RunGate::freeResources() const
 {
@@ -320,6 +322,10 @@
         if (m_health.recordFailure(healthKey(id), "server refuses runs", now))
             sendReports(now);
         break;
+    case StartOutcome::NoRoom:
+        // The server has shrunk since its last report, so that it would refuse the next runs as well.
+        m_roomLimit = componentwiseMin(capacity(), m_used - run.resources);
+        break;
     default:
         break;
     }
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -971,3 +971,31 @@
     fixture.order(secondLink, runId(2));
     cr_expect_eq(fixture.starts.size(), 2U);
 }
+
+/**
+ * A server that guards its capacity refuses what doesn't fit before the gate knows of the shrink. Orders that follow at
+ * once would be refused as well, until its next report.
+ */
+Test(RunGate, refusalForRoomStopsOrdersUntilARunEndsOrTheServerReports)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.order(firstLink, runId(2));
+    fixture.answerStart(runId(2), StartOutcome::NoRoom);
+    cr_expect(fixture.refusals[runId(2)] == wire::Refusal::NoRoom);
+    cr_expect_eq(fixture.free[firstLink], Resources(), "%s", toString(fixture.free[firstLink]).c_str());
+    fixture.order(secondLink, runId(3), 1000);
+    cr_expect(fixture.refusals[runId(3)] == wire::Refusal::NoRoom);
+    cr_expect_eq(fixture.starts.size(), 2U, "no start call for a run that the server would refuse");
+    fixture.answerPoll(listingOf({}, { { 1, runId(1), EndKind::Done } }));
+    fixture.order(firstLink, runId(4), 3000);
+    cr_expect_eq(fixture.starts.size(), 3U, "the room of a run that has ended is used");
+    fixture.order(firstLink, runId(5), 2000);
+    cr_expect_eq(fixture.starts.size(), 3U);
+    fixture.announce();
+    fixture.collectEffects();
+    cr_expect_eq(fixture.free[firstLink].cpu, 7000, "the entries are told what the server reports");
+    fixture.order(firstLink, runId(6), 7000);
+    cr_expect_eq(fixture.starts.size(), 4U);
+}
