A waiting job that no server is large enough for any more is refused at once

What callers would see: a job that waits when the only servers large enough for it shrink is held until its predicted wait or its deadline ends it, while the same job sent then is refused at once.

Cause: the size was compared only when a job was submitted.

Why this works: a report of a smaller capacity compares the waiting jobs without orders again, and answers `no-server-fits` with a time to retry, as at submission. Servers without a link count with their last capacity, and agents that don't know their server yet as large enough, so that a broken link or a restarted agent refuses nothing. Jobs with orders go on until their deadline. Once a server has grown, jobs are taken and waiting ones ordered with its report.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -231,8 +231,12 @@
     void initializeJob(Job& job, WorkSpec spec, RoutePolicy route, Milliseconds budget, TimePoint now);
     /** Reason for which a new job is refused; empty if it can be accepted. */
     std::string_view rejectionReason(const Job& job) const;
-    /** Whether an agent is linked and its server is large enough and labelled for a task of a step. */
+    /** Whether an agent's server is large enough and labelled for a task of a step. */
     bool couldRun(const Job& job, size_t step, const AgentView& agent) const;
+    /** Whether each task could run on a server as it was last reported, or on one that isn't known yet. */
+    bool mayFitLater(const Job& job) const;
+    /** Refuses the waiting jobs that no server is large enough for any more. */
+    void refuseWhatFitsNoServer(TimePoint now);
     std::optional<size_t> agentOf(LinkId link) const;
     /** Recomputes which agents this entry orders from first. */
     void updatePreferredAgents();
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -132,7 +132,7 @@
 bool Dispatcher::couldRun(const Job& job, size_t step, const AgentView& agent) const
 {
     const auto& spec = job.spec.steps[step];
-    return agent.isLinked && agent.service == job.route.service && spec.resources.fitsIn(agent.total)
+    return agent.service == job.route.service && spec.resources.fitsIn(agent.total)
         && agent.hasLabel(spec.requiredLabel);
 }
 
@@ -145,14 +145,37 @@
     if (m_settledAt == TimePoint() || m_lastTick < m_settledAt)
         return ""; // Agents are still being discovered.
     for (size_t i = 0; i < job.steps.size(); ++i) {
-        const bool isPossible = std::any_of(
-            m_agents.begin(), m_agents.end(), [&](const AgentView& agent) { return couldRun(job, i, agent); });
+        const bool isPossible = std::any_of(m_agents.begin(), m_agents.end(),
+            [&](const AgentView& agent) { return agent.isLinked && couldRun(job, i, agent); });
         if (!isPossible)
             return "no-server-fits";
     }
     return "";
 }
 
+bool Dispatcher::mayFitLater(const Job& job) const
+{
+    for (size_t i = 0; i < job.steps.size(); ++i) {
+        const bool isPossible = std::any_of(m_agents.begin(), m_agents.end(),
+            [&](const AgentView& agent) { return agent.service.empty() || couldRun(job, i, agent); });
+        if (!isPossible)
+            return false;
+    }
+    return true;
+}
+
+void Dispatcher::refuseWhatFitsNoServer(TimePoint now)
+{
+    std::vector<WorkId> refused;
+    for (const auto& key : m_queue) {
+        const auto& job = m_jobs.at(key.job);
+        if (job.orders == 0 && !mayFitLater(job))
+            refused.push_back(key.job);
+    }
+    for (const auto id : refused)
+        finish(id, { WorkStatus::NotRun, "no-server-fits", unavailableRetryDelay }, now);
+}
+
 void Dispatcher::callerGone(WorkId id, WaiterId waiter, TimePoint now)
 {
     auto* job = findJob(id);
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -220,6 +220,7 @@
     auto& agent = m_agents[index];
     const auto total = fromWire(report.total.get());
     const bool isChanged = agent.state != report.state || agent.total != total;
+    const bool hasShrunk = !agent.total.fitsIn(total);
     agent.service = report.service;
     agent.labels = report.labels;
     agent.state = report.state;
@@ -233,6 +234,8 @@
         { { "agent", agent.name }, { "state", wire::EnumNameGateState(agent.state) }, { "reason", report.reason },
             { "total", toString(agent.total) }, { "free", toString(agent.free) },
             { "slowness_percent", static_cast<int64_t>(agent.slowness * 100) } });
+    if (hasShrunk)
+        refuseWhatFitsNoServer(now);
 }
 
 bool Dispatcher::isWanted(const RunId& id)
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -472,6 +472,70 @@
     cr_expect_eq(fixture.orders.size(), 1U, "%s: the task must not run again before its run is over", row->name);
 }
 
+struct CapacityRow {
+    char name[48];
+    int64_t firstCpu; ///< Processors of the first server after the change; the second one is full.
+    int64_t secondCpu;
+    bool isSecondLinked;
+    bool isRefused; ///< Jobs that need 8 of 10 cores are refused, the waiting one and another.
+    bool isOrdered; ///< The waiting job is ordered.
+};
+
+ParameterizedTestParameters(Dispatcher, changedCapacityDecidesAtOnceWhatFits)
+{
+    static CapacityRow rows[] = {
+        { "unchanged", agentCpu, agentCpu, true, false, false },
+        { "one server has shrunk", 4000, agentCpu, true, false, false },
+        { "both servers have shrunk", 4000, 4000, true, true, false },
+        { "a server without a link would be large enough", 4000, agentCpu, false, false, false },
+        { "one server has grown", 2 * agentCpu, 4000, true, false, true },
+    };
+    return cr_make_param_array(CapacityRow, rows, sizeof(rows) / sizeof(CapacityRow));
+}
+
+ParameterizedTest(CapacityRow* row, Dispatcher, changedCapacityDecidesAtOnceWhatFits)
+{
+    DispatcherFixture fixture(2);
+    for (size_t i = 0; i < 2; ++i)
+        fixture.reportCapacity(i, agentCpu, 0);
+    fixture.submit(1, stepOf(1, 8000, Milliseconds(500)), Milliseconds(4000));
+    cr_assert(fixture.orders.empty());
+    if (!row->isSecondLinked)
+        fixture.dispatcher.linkClosed(LinkId(1), fixture.now);
+    fixture.reportCapacity(0, row->firstCpu, std::max<int64_t>(row->firstCpu - agentCpu, 0));
+    if (row->isSecondLinked)
+        fixture.reportCapacity(1, row->secondCpu, 0);
+    cr_expect_eq(!fixture.orders.empty(), row->isOrdered, "%s", row->name);
+    fixture.now += Milliseconds(20);
+    fixture.tick();
+    cr_expect_eq(fixture.answers.contains(1), row->isRefused, "%s: the waiting job", row->name);
+    if (!row->isRefused)
+        return;
+    fixture.submit(2, stepOf(1, 8000, Milliseconds(500)), Milliseconds(4000));
+    cr_assert(fixture.answers.contains(2), "%s", row->name);
+    for (const auto id : { 1, 2 }) {
+        cr_expect(fixture.answers.at(id).status == WorkStatus::NotRun, "%s", row->name);
+        cr_expect_eq(fixture.answers.at(id).reason, "no-server-fits", "%s", row->name);
+        cr_expect_gt(fixture.answers.at(id).retryAfter.count(), 0, "%s: the server may grow again", row->name);
+    }
+    fixture.reportCapacity(0, agentCpu, agentCpu);
+    fixture.submit(3, stepOf(1, 8000));
+    cr_expect_eq(fixture.orders.size(), 1U, "%s: nothing stays refused", row->name);
+}
+
+/** A waiting job of a type whose agents have just restarted must not be refused before they know their servers. */
+Test(Dispatcher, agentWithoutAServerRefusesNoWaitingJob)
+{
+    DispatcherFixture fixture(1);
+    fixture.reportCapacity(0, agentCpu, 0);
+    fixture.submit(1, stepOf(1, 8000, Milliseconds(500)), Milliseconds(4000));
+    fixture.deliver(0, wire::RoomReportT());
+    fixture.tick();
+    cr_expect_not(fixture.answers.contains(1));
+    fixture.reportCapacity(0, agentCpu, agentCpu);
+    cr_expect_eq(fixture.orders.size(), 1U);
+}
+
 /** Orders on their way when a server shrinks take room that its report doesn't know of. */
 Test(Dispatcher, ordersUnderWayCountAgainstAShrunkServer)
 {
