A play in which servers shrink to half and grow again

ClusterSimulation: servers can offer a part of their capacity for a time and may guard it. Runs at work go on; a larger capacity counts at once.

--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -73,7 +73,9 @@
         SimulatedServer(ClusterSimulation& simulation, size_t index, Resources total, double slowness)
             : m_simulation(simulation)
             , m_index(index)
+            , m_size(total)
             , m_total(total)
+            , m_judgedTotal(total)
             , m_slowness(slowness)
         {
         }
@@ -86,6 +88,10 @@
         /** The server's own clock, which starts at zero when it restarts. */
         Milliseconds clock() const;
         void renew(TimePoint leaseEnd) { m_leaseEnd = std::max(m_leaseEnd, leaseEnd); }
+        /** Changes the capacity to a part of the server's size. A smaller one is judged once it was announced. */
+        void scale(double factor);
+        /** The agent was told the present capacity: starts that arrive from now on must fit. */
+        void judgeTotal() { m_judgedTotal = m_total; }
         /** Ends all runs if the lease has ended. */
         void endRunsOfEndedLease();
         void crash();
@@ -107,7 +113,9 @@
 
         ClusterSimulation& m_simulation;
         size_t m_index;
+        Resources m_size;
         Resources m_total;
+        Resources m_judgedTotal; ///< The capacity that the agent knows, or a larger present one.
         double m_slowness;
         bool m_isUp = true;
         int64_t m_startedMs = 1;
@@ -164,6 +172,8 @@
         EventQueue events;
 
         SimulatedJob& job(WorkId id) { return m_jobs.at(id); }
+        bool guardsCapacity() const { return m_scenario.guardsCapacity; }
+        void countStartWithoutRoom() { ++m_report.startsWithoutRoom; }
         bool chance(double share) { return share > 0 && std::uniform_real_distribution<>(0, 1)(m_generator) < share; }
 
         void taskBegins(const TaskId& task, size_t server)
@@ -254,8 +264,12 @@
             return StartOutcome::Expired;
         renew(leaseEnd);
         auto& job = m_simulation.job(id.task.job);
+        if (m_simulation.guardsCapacity() && !(m_used + job.resources).fitsIn(m_total)) {
+            m_simulation.countStartWithoutRoom();
+            return StartOutcome::NoRoom;
+        }
         m_used += job.resources;
-        if (!m_used.fitsIn(m_total))
+        if (!m_used.fitsIn(m_judgedTotal))
             m_simulation.violation(fmt::format("server {} overcommitted: {}", m_index, toString(m_used)));
         m_simulation.taskBegins(id.task, m_index);
         const auto token = ++m_lastToken;
@@ -317,6 +331,14 @@
             end(m_runs.begin()->first, m_runs.begin()->second.token, EndKind::Lapsed);
     }
 
+    void SimulatedServer::scale(double factor)
+    {
+        m_total = { static_cast<int64_t>(static_cast<double>(m_size.cpu) * factor),
+            static_cast<int64_t>(static_cast<double>(m_size.memory) * factor), m_size.accelerators };
+        if (m_judgedTotal.fitsIn(m_total))
+            judgeTotal();
+    }
+
     void SimulatedServer::crash()
     {
         m_isUp = false;
@@ -646,6 +668,11 @@
             report.sequence = ++m_pings;
             m_gates[i]->serverAnnounced(report, events.now());
             applyGateEffects(i);
+            // Calls that were sent before the report arrive within this time.
+            events.add(events.now() + m_scenario.serverDelay, [this, i, total = report.total] {
+                if (m_servers[i]->total() == total)
+                    m_servers[i]->judgeTotal();
+            });
         }
     }
 
@@ -877,6 +904,12 @@
                 });
             }
         }
+        for (const auto& change : m_scenario.capacityChanges) {
+            for (const auto i : change.servers) {
+                events.add(at(change.at), [this, i, factor = change.factor] { m_servers[i]->scale(factor); });
+                events.add(at(change.at + change.length), [this, i] { m_servers[i]->scale(1); });
+            }
+        }
         for (const auto& [agent, when] : m_scenario.agentKills) {
             constexpr Milliseconds restartTime { 150 };
             events.add(at(when), [this, agent = agent] { killGate(agent, restartTime); });
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -41,6 +41,14 @@
     double factor = 6; ///< Factor on run times, for Slow.
 };
 
+/** Period in which servers offer a part of their capacity; runs at work go on. */
+struct CapacityChange {
+    std::vector<size_t> servers;
+    Milliseconds at {};
+    Milliseconds length {};
+    double factor = 0.5; ///< Factor on the capacity.
+};
+
 /** Period of higher load. */
 struct Burst {
     std::string kind; ///< Kind of job; empty for all.
@@ -77,6 +85,8 @@
     double lostReplies = 0; ///< Share of starts that take effect but get no answer.
     std::vector<Burst> bursts;
     std::vector<ServerFault> faults;
+    std::vector<CapacityChange> capacityChanges;
+    bool guardsCapacity = false; ///< Servers reject starts that don't fit; otherwise they start whatever they are told.
     /** Entry and time; it restarts 1 s later, and its callers resubmit. */
     std::vector<std::pair<size_t, Milliseconds>> entryKills;
     std::vector<std::pair<size_t, Milliseconds>> agentKills; ///< Agent and time; it restarts 150 ms later.
@@ -115,6 +125,7 @@
     uint64_t orders = 0;
     uint64_t refusedOrders = 0;
     uint64_t wastedRuns = 0; ///< Runs stopped or lost.
+    uint64_t startsWithoutRoom = 0; ///< Starts that servers rejected as they didn't fit.
     double strandedShare = 0; ///< Mean share of processors that were free while tasks waited.
     double valueShare() const; ///< Earned share of the value of all jobs.
     double worstWindowsShare() const; ///< Mean of the earned shares of the two worst periods of 3 s.
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -487,3 +487,57 @@
         cr_expect_geq(report.servedShare(), 0.5, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
     }
 }
+
+/** A simulation in which servers shrink to half and grow again, and a lower bound of what callers must get. */
+struct CapacityRow {
+    char name[56];
+    bool isSnevaern;
+    double load;
+    size_t shrinking; ///< Number of servers that shrink.
+    bool guardsCapacity;
+    double lostShare; ///< Share of late orders, and of lost replies.
+    bool fits; ///< The load fits into what is left of the servers; otherwise a perfect view shows what is possible.
+    double minShareOfPossible;
+};
+
+ParameterizedTestParameters(ClusterSimulation, shrinkingServersAreNotOvercommitted)
+{
+    static CapacityRow rows[] = {
+        { "some servers, usual load", false, 1, 4, false, 0, true, 0.95 },
+        { "some servers, usual load, small tasks", true, 1, 4, false, 0, true, 0.95 },
+        { "some servers guard their capacity", false, 1, 4, true, 0, true, 0.95 },
+        { "all servers, a load that still fits", false, 0.6, 11, false, 0, true, 0.95 },
+        { "all servers, a load that still fits, small tasks", true, 0.6, 11, false, 0, true, 0.95 },
+        { "all servers guard their capacity", true, 0.6, 11, true, 0, true, 0.95 },
+        { "all servers, usual load", false, 1, 11, false, 0, false, 0.95 },
+        { "all servers, usual load, small tasks", true, 1, 11, false, 0, false, 0.95 },
+        { "late orders and lost replies", false, 1, 11, false, 0.05, false, 0.9 },
+        { "late orders and lost replies, small tasks", true, 1, 11, false, 0.05, false, 0.9 },
+    };
+    return cr_make_param_array(CapacityRow, rows, sizeof(rows) / sizeof(CapacityRow));
+}
+
+ParameterizedTest(CapacityRow* row, ClusterSimulation, shrinkingServersAreNotOvercommitted, .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        auto scenario = row->isSnevaern ? snevaernScenario(row->name) : mingaScenario(row->name);
+        scenario.seed = seed;
+        scenario.load = row->load;
+        scenario.lateOrders = scenario.lostReplies = row->lostShare;
+        scenario.guardsCapacity = row->guardsCapacity;
+        std::vector<size_t> servers;
+        for (size_t i = 0; i < row->shrinking; ++i)
+            servers.push_back((seed + i * 3) % scenario.servers);
+        scenario.capacityChanges = { { servers, Milliseconds(4000), Milliseconds(3000) },
+            { servers, Milliseconds(9000), Milliseconds(700) }, { servers, Milliseconds(12000), Milliseconds(4000) } };
+        const auto report = simulate(scenario);
+        for (const auto& violation : report.violations)
+            cr_expect_fail("%s, seed %d: %s", row->name, static_cast<int>(seed), violation.c_str());
+        const double possible = row->fits ? 1 : simulate(withPerfectView(scenario)).valueShare();
+        cr_expect_geq(report.valueShare(), row->minShareOfPossible * possible,
+            "%s, seed %d: share of the value %f, possible %f", row->name, static_cast<int>(seed), report.valueShare(),
+            possible);
+        cr_expect_leq(report.startsWithoutRoom, report.orders / 100, "%s, seed %d: %lu of %lu starts had no room",
+            row->name, static_cast<int>(seed), report.startsWithoutRoom, report.orders);
+    }
+}
