--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -286,7 +286,10 @@
     bool isSilent(const EntryLink& link, TimePoint now) const;
     void closeSilentLink(LinkId link, TimePoint now);
     bool isListingFresh(TimePoint now) const;
+    /** Resources that the runs may take together. */
+    Resources capacity() const;
     Resources freeResources() const;
+    /** Resources that an entry may use; none at all while any of them is overcommitted. */
     Resources freeFor(const EntryLink& link, TimePoint now) const;
     void onOrder(LinkId link, const wire::RunOrderT& order, TimePoint now);
     wire::Refusal refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const;
@@ -361,6 +364,8 @@
     LabelledHistograms m_runSeconds;
     LabelledHistograms m_startSeconds;
     std::optional<ServerReport> m_server;
+    /** What the runs took when the server refused another one for want of room; limits them until its next report. */
+    std::optional<Resources> m_roomLimit;
     int64_t m_serverStartedMs = 0; ///< Incarnation of the server that the runs belong to; 0 until it is known.
     bool m_isServerGone = false; ///< It refused a connection, or announced its end, and hasn't answered since.
     bool m_isDraining = false; ///< This agent drains, not the server.
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -218,11 +218,13 @@
 void Dispatcher::onReport(size_t index, const wire::RoomReportT& report, TimePoint now)
 {
     auto& agent = m_agents[index];
-    const bool isChanged = agent.state != report.state;
+    const auto total = fromWire(report.total.get());
+    const bool isChanged = agent.state != report.state || agent.total != total;
+    const bool hasShrunk = !agent.total.fitsIn(total);
     agent.service = report.service;
     agent.labels = report.labels;
     agent.state = report.state;
-    agent.total = fromWire(report.total.get());
+    agent.total = total;
     agent.serverStartedMs = report.server_life;
     agent.slownessSamples = report.samples;
     updateResources(agent, report, now);
@@ -232,6 +234,8 @@
         { { "agent", agent.name }, { "state", wire::EnumNameGateState(agent.state) }, { "reason", report.reason },
             { "total", toString(agent.total) }, { "free", toString(agent.free) },
             { "slowness_percent", static_cast<int64_t>(agent.slowness * 100) } });
+    if (hasShrunk)
+        refuseWhatFitsNoServer(now);
 }
 
 bool Dispatcher::isWanted(const RunId& id)
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -108,6 +108,8 @@
         return false;
     if (m_server && report.startedMs < m_server->startedMs)
         return false;
+    const bool isChanged = !isSame || report.total != m_server->total || report.service != m_server->service
+        || report.labels != m_server->labels || m_roomLimit.has_value();
     const bool wasDraining = m_server && m_server->isDraining;
     if (!isSame || report.isDraining != wasDraining || report.total != m_server->total) {
         m_effects.record(LogLevel::Info, "server-announced",
@@ -115,11 +117,14 @@
                 { "total", toString(report.total) }, { "draining", report.isDraining ? "true" : "false" } });
     }
     m_server = report;
+    m_roomLimit.reset();
     m_isServerGone = false;
     // The announcement doesn't show which runs have ended: the new process may have some, and the one before may go on.
     if (!isSame && m_serverStartedMs > 0 && report.startedMs > m_serverStartedMs)
         poll(Milliseconds(0), now);
-    if (state(now) != m_reportedState)
+    if (isChanged)
+        reserveFreed(std::nullopt, now); // Of what a larger server has, as of what a run frees.
+    if (isChanged || state(now) != m_reportedState)
         sendReports(now);
     return true;
 }
@@ -146,6 +151,7 @@
     const bool isFirst = m_serverStartedMs == 0;
     m_serverStartedMs = listing.startedMs;
     m_seenUpTo = 0;
+    m_roomLimit.reset();
     m_unknownRuns.clear();
     m_pendingPolls.clear(); // The process before doesn't answer them any more.
     m_speed.reset(); // The new incarnation may run on another kind of VM.
@@ -176,11 +182,13 @@
     tickStops(now);
 }
 
+Resources RunGate::capacity() const { return componentwiseMin(total(), m_roomLimit.value_or(total())); }
+
 Resources RunGate::freeResources() const
 {
     if (!m_server)
         return {};
-    auto usable = m_server->total;
+    auto usable = capacity();
     // Each failed job in a row, from the second one on, halves the usable processors, so that a failing server affects
     // few jobs. A trial isn't reduced, as it is a single run.
     constexpr size_t maxHalvings = 16;
@@ -196,7 +204,9 @@
         if (&other != &link && other.reservedUntil > now)
             free -= other.reserved;
     }
-    return free;
+    // Nothing may start while any of the resources is overcommitted, which a message couldn't say with negative
+    // amounts.
+    return Resources().fitsIn(free) ? free : Resources();
 }
 
 void RunGate::receive(LinkId link, const wire::BodyUnion& body, TimePoint now)
@@ -330,8 +340,9 @@
         return;
     case StartOutcome::NoAnswer:
         ++m_counters.unansweredStarts;
+        // The server may have shrunk since the call before, which may not have started the run.
         if (run.state == RunState::Starting && run.startCalls < m_limits.maxStartCalls
-            && state(now) != wire::GateState::Closed) {
+            && state(now) != wire::GateState::Closed && m_used.fitsIn(capacity())) {
             ++m_counters.repeatedStarts;
             recordRun(LogLevel::Debug, "start-repeated", id, run, "", now);
             callStart(id, run, now);
@@ -342,6 +353,10 @@
         if (m_health.recordFailure(healthKey(id), "server refuses runs", now))
             sendReports(now);
         break;
+    case StartOutcome::NoRoom:
+        // The server has shrunk since its last report, so that it would refuse the next runs as well.
+        m_roomLimit = componentwiseMin(capacity(), m_used - run.resources);
+        break;
     default:
         break;
     }
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -39,12 +39,21 @@
         report.instance = "i-1";
         report.startedMs = startedMs;
         report.service = "service";
-        report.total = { 10000, 1000, 0 };
+        report.labels = labels;
+        report.total = capacity;
         report.isDraining = isDraining;
         report.sequence = ++sequence;
         gate.serverAnnounced(report, now);
     }
 
+    /** The server announces another capacity. */
+    void changeCapacity(const Resources& total)
+    {
+        capacity = total;
+        announce();
+        collectEffects();
+    }
+
     void linkEntry(LinkId link, uint64_t entry)
     {
         wire::WelcomeT welcome;
@@ -114,6 +123,20 @@
         collectEffects();
     }
 
+    /** An entry tells that tasks wait. */
+    void demand(LinkId link, int64_t cpu, Milliseconds slack, uint32_t tasks = 1)
+    {
+        wire::DemandT demand;
+        demand.tasks = tasks;
+        demand.smallest = std::make_unique<wire::Room>(toWire(Resources { cpu, 64, 0 }));
+        demand.slack_ms = static_cast<int32_t>(slack.count());
+        demand.valid_ms = 1000;
+        wire::BodyUnion body;
+        body.Set(std::move(demand));
+        gate.receive(link, body, now);
+        collectEffects();
+    }
+
     void stop(LinkId link, const RunId& id)
     {
         wire::RunStopT stop;
@@ -175,6 +198,8 @@
     RunGateLimits limits;
     RunGate gate;
     TimePoint now = start;
+    Resources capacity { 10000, 1000, 0 };
+    std::vector<std::string> labels;
     uint64_t sequence = 0;
     uint64_t lastPoll = 0;
     uint64_t lastSeenUpTo = 0;
@@ -191,6 +216,8 @@
     std::map<RunId, wire::RunOutcome> results;
     std::map<RunId, wire::Refusal> refusals;
     std::map<LinkId, Resources> free;
+    std::map<LinkId, Resources> total;
+    size_t messages = 0;
     wire::GateState reportedState = wire::GateState::Closed;
 
 private:
@@ -202,12 +229,14 @@
 
     void recordMessage(const SendMessage& send)
     {
+        ++messages;
         if (const auto* result = send.body.AsRunResult()) {
             results[fromWire(*result->id)] = result->outcome;
             refusals[fromWire(*result->id)] = result->refusal;
             free[send.link] = fromWire(result->free.get());
         } else if (const auto* report = send.body.AsRoomReport()) {
             reportedState = report->state;
+            total[send.link] = fromWire(report->total.get());
             free[send.link] = fromWire(report->free.get());
         } else if (const auto* update = send.body.AsRoomUpdate())
             free[send.link] = fromWire(update->free.get());
@@ -1115,3 +1144,221 @@
     cr_expect_eq(static_cast<int>(fixture.refusals[runId(1)]), row->refusal, "%s", row->name);
     cr_expect_eq(fixture.gate.used().cpu, 0, "%s", row->name);
 }
+
+struct ShrinkRow {
+    char name[32];
+    Resources before;
+    Resources shrunk;
+};
+
+ParameterizedTestParameters(RunGate, shrunkServerStartsNothingUntilItsRunsFit)
+{
+    static ShrinkRow rows[] = {
+        { "processors", { 10000, 1000, 0 }, { 7000, 1000, 0 } },
+        { "memory", { 12000, 1000, 0 }, { 12000, 100, 0 } },
+        { "everything", { 10000, 1000, 0 }, { 0, 0, 0 } },
+    };
+    return cr_make_param_array(ShrinkRow, rows, sizeof(rows) / sizeof(ShrinkRow));
+}
+
+ParameterizedTest(ShrinkRow* row, RunGate, shrunkServerStartsNothingUntilItsRunsFit)
+{
+    Fixture fixture;
+    fixture.changeCapacity(row->before);
+    for (uint64_t job = 1; job <= 2; ++job) {
+        fixture.order(firstLink, runId(job));
+        fixture.answerStart(runId(job), StartOutcome::Started);
+    }
+    fixture.changeCapacity(row->shrunk);
+    for (const auto link : { firstLink, secondLink })
+        cr_expect_eq(fixture.free[link], Resources(), "%s: an entry is told of %s", row->name,
+            toString(fixture.free[link]).c_str());
+    fixture.order(secondLink, runId(3), 1000);
+    cr_expect(fixture.refusals[runId(3)] == wire::Refusal::NoRoom, "%s", row->name);
+    cr_expect_eq(fixture.starts.size(), 2U, "%s", row->name);
+    cr_expect(fixture.stops.empty(), "%s: runs at work go on", row->name);
+    cr_expect_eq(fixture.gate.runs(), 2U, "%s", row->name);
+    fixture.answerPoll(listingOf({}, { { 1, runId(1), EndKind::Done }, { 2, runId(2), EndKind::Done } }));
+    fixture.order(secondLink, runId(4), 1000);
+    const bool fits = Resources { 1000, 64, 0 }.fitsIn(row->shrunk);
+    cr_expect_eq(fixture.starts.size(), fits ? 3U : 2U, "%s", row->name);
+    fixture.changeCapacity(row->before);
+    fixture.order(secondLink, runId(5), 1000);
+    cr_expect_eq(fixture.starts.back(), runId(5), "%s: the server has grown again", row->name);
+}
+
+struct ShrunkStartRow {
+    char name[40];
+    Resources capacity;
+    bool isRepeated;
+};
+
+ParameterizedTestParameters(RunGate, unansweredStartIsNotRepeatedIfItNoLongerFits)
+{
+    static ShrunkStartRow rows[] = {
+        { "same capacity", { 10000, 1000, 0 }, true },
+        { "both runs just fit", { 8000, 128, 0 }, true },
+        { "fewer processors than both runs take", { 7999, 1000, 0 }, false },
+        { "less memory than both runs take", { 10000, 127, 0 }, false },
+    };
+    return cr_make_param_array(ShrunkStartRow, rows, sizeof(rows) / sizeof(ShrunkStartRow));
+}
+
+/** The first call may have been lost, so that the repeated one would start the run and overcommit the server. */
+ParameterizedTest(ShrunkStartRow* row, RunGate, unansweredStartIsNotRepeatedIfItNoLongerFits)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.order(firstLink, runId(2));
+    fixture.changeCapacity(row->capacity);
+    fixture.answerStart(runId(2), StartOutcome::NoAnswer);
+    cr_expect_eq(fixture.starts.size(), row->isRepeated ? 3U : 2U, "%s", row->name);
+    cr_expect_eq(fixture.stops.size(), row->isRepeated ? 0U : 1U, "%s: the run is fenced", row->name);
+    cr_expect_not(fixture.outcome(runId(2)).has_value(), "%s: the first call may still start the run", row->name);
+    if (row->isRepeated)
+        return;
+    fixture.gate.stopAnswered(runId(2), true, fixture.now);
+    fixture.answerPoll(listingOf({ runId(1) }));
+    cr_expect(fixture.outcome(runId(2)) == wire::RunOutcome::NotStarted, "%s", row->name);
+    cr_expect_eq(fixture.gate.used().cpu, 4000, "%s", row->name);
+}
+
+/** Room that was reserved for an entry may be gone when its order arrives. */
+Test(RunGate, reservationOfAShrunkServerStartsNothing)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1), 5000);
+    fixture.order(firstLink, runId(2), 5000);
+    fixture.demand(secondLink, 5000, Milliseconds(10));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.answerPoll(listingOf({ runId(2) }, { { 1, runId(1), EndKind::Done } }));
+    cr_assert_eq(fixture.free[secondLink].cpu, 5000);
+    fixture.changeCapacity({ 6000, 1000, 0 });
+    cr_expect_eq(fixture.free[secondLink].cpu, 1000);
+    cr_expect_eq(fixture.free[firstLink], Resources(), "negative free resources are reported as none");
+    fixture.order(secondLink, runId(3), 5000);
+    cr_expect(fixture.refusals[runId(3)] == wire::Refusal::NoRoom);
+    cr_expect_eq(fixture.starts.size(), 2U);
+}
+
+struct ChangeRow {
+    char name[40];
+    Resources total;
+    char label[8];
+    int64_t startedMs; ///< Incarnation of the server; 1 is the one before.
+    bool isReported;
+};
+
+ParameterizedTestParameters(RunGate, entriesLearnOfAChangedServerAtOnce)
+{
+    static ChangeRow rows[] = {
+        { "nothing changed", { 10000, 1000, 0 }, "", 1, false },
+        { "fewer processors", { 9900, 1000, 0 }, "", 1, true },
+        { "more processors", { 20000, 1000, 0 }, "", 1, true },
+        { "less memory", { 10000, 500, 0 }, "", 1, true },
+        { "an accelerator", { 10000, 1000, 1 }, "", 1, true },
+        { "a label", { 10000, 1000, 0 }, "fast", 1, true },
+        { "restarted with another capacity", { 5000, 1000, 0 }, "", 2, true },
+        { "restarted as it was", { 10000, 1000, 0 }, "", 2, true },
+    };
+    return cr_make_param_array(ChangeRow, rows, sizeof(rows) / sizeof(ChangeRow));
+}
+
+ParameterizedTest(ChangeRow* row, RunGate, entriesLearnOfAChangedServerAtOnce)
+{
+    Fixture fixture;
+    const auto before = fixture.messages;
+    fixture.capacity = row->total;
+    if (row->label[0] != 0)
+        fixture.labels = { row->label };
+    fixture.total.clear();
+    fixture.announce(false, row->startedMs);
+    fixture.collectEffects();
+    cr_expect_eq(fixture.messages - before, row->isReported ? 2U : 0U, "%s", row->name);
+    if (!row->isReported)
+        return;
+    for (const auto link : { firstLink, secondLink })
+        cr_expect_eq(fixture.total[link], row->total, "%s: an entry is told of %s", row->name,
+            toString(fixture.total[link]).c_str());
+}
+
+struct LatePingRow {
+    char name[40];
+    int64_t startedMs;
+    uint64_t sequence;
+};
+
+ParameterizedTestParameters(RunGate, overtakenPingDoesNotBringBackItsCapacity)
+{
+    static LatePingRow rows[] = {
+        { "same incarnation", 2, 49 },
+        { "same ping twice", 2, 50 },
+        { "earlier incarnation, higher sequence", 1, 90 },
+    };
+    return cr_make_param_array(LatePingRow, rows, sizeof(rows) / sizeof(LatePingRow));
+}
+
+ParameterizedTest(LatePingRow* row, RunGate, overtakenPingDoesNotBringBackItsCapacity)
+{
+    Fixture fixture;
+    fixture.sequence = 49;
+    fixture.capacity = { 5000, 1000, 0 };
+    fixture.announce(false, 2);
+    auto listing = listingOf({});
+    listing.startedMs = 2;
+    fixture.answerPoll(listing);
+    fixture.sequence = row->sequence - 1;
+    fixture.capacity = { 10000, 1000, 0 };
+    fixture.announce(false, row->startedMs);
+    fixture.collectEffects();
+    cr_expect_eq(fixture.gate.total().cpu, 5000, "%s", row->name);
+    fixture.order(firstLink, runId(1), 6000);
+    cr_expect(fixture.starts.empty(), "%s", row->name);
+    fixture.order(firstLink, runId(2), 5000);
+    cr_expect_eq(fixture.starts.size(), 1U, "%s", row->name);
+}
+
+/** All entries would otherwise order at once what only one of them can get. */
+Test(RunGate, grownServerIsReservedForTheMostUrgentEntryAtOnce)
+{
+    Fixture fixture;
+    fixture.changeCapacity({ 4000, 1000, 0 });
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.demand(firstLink, 4000, Milliseconds(500));
+    fixture.demand(secondLink, 4000, Milliseconds(10));
+    fixture.changeCapacity({ 8000, 1000, 0 });
+    cr_expect_eq(fixture.free[secondLink].cpu, 4000);
+    cr_expect_eq(fixture.free[firstLink].cpu, 0);
+    fixture.order(secondLink, runId(2));
+    cr_expect_eq(fixture.starts.size(), 2U);
+}
+
+/**
+ * A server that guards its capacity refuses what doesn't fit before the gate knows of the shrink. Orders that follow at
+ * once would be refused as well, until its next report.
+ */
+Test(RunGate, refusalForRoomStopsOrdersUntilARunEndsOrTheServerReports)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.order(firstLink, runId(2));
+    fixture.answerStart(runId(2), StartOutcome::NoRoom);
+    cr_expect(fixture.refusals[runId(2)] == wire::Refusal::NoRoom);
+    cr_expect_eq(fixture.free[firstLink], Resources(), "%s", toString(fixture.free[firstLink]).c_str());
+    fixture.order(secondLink, runId(3), 1000);
+    cr_expect(fixture.refusals[runId(3)] == wire::Refusal::NoRoom);
+    cr_expect_eq(fixture.starts.size(), 2U, "no start call for a run that the server would refuse");
+    fixture.answerPoll(listingOf({}, { { 1, runId(1), EndKind::Done } }));
+    fixture.order(firstLink, runId(4), 3000);
+    cr_expect_eq(fixture.starts.size(), 3U, "the room of a run that has ended is used");
+    fixture.order(firstLink, runId(5), 2000);
+    cr_expect_eq(fixture.starts.size(), 3U);
+    fixture.announce();
+    fixture.collectEffects();
+    cr_expect_eq(fixture.free[firstLink].cpu, 7000, "the entries are told what the server reports");
+    fixture.order(firstLink, runId(6), 7000);
+    cr_expect_eq(fixture.starts.size(), 4U);
+}
