--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -1,6 +1,7 @@
 /** @file Dispatcher.h Deterministic core of an entry on the platform: jobs, queue, agents, runs. */
 #pragma once
 
+#include <sequoia/CrashRecords.h>
 #include <sequoia/Effects.h>
 #include <sequoia/EstimateModel.h>
 #include <sequoia/JobTrace.h>
@@ -41,6 +42,9 @@
     Milliseconds runNumberRetention { 20000 }; ///< Run numbers of ended jobs are kept for this time.
     Milliseconds stragglerMargin { 40 }; ///< See `stragglerFactor`.
     ResubmissionDetectorLimits resubmission; ///< Detection of resubmitted requests.
+    CrashLimits crashes; ///< Blame for crashes of servers.
+    /** Share of the agents whose servers run the tasks of isolated routes, and no others meanwhile. */
+    double isolationShare = 0.2;
 };
 
 /** Effect: sends the answer of a job to one of its callers. */
@@ -63,6 +67,8 @@
     uint64_t failedRuns = 0;
     uint64_t lostRuns = 0; ///< Runs that were stopped, or that ended without a result.
     uint64_t stragglers = 0; ///< Runs stopped as stragglers.
+    uint64_t serverCrashes = 0; ///< Crashes of servers that agents reported.
+    uint64_t isolations = 0; ///< Isolations of routes whose tasks crash servers.
     uint64_t ownerlessRuns = 0; ///< Runs that an agent reported as running although they are not wanted any more.
     uint64_t demands = 0; ///< Demand messages sent.
     uint64_t resourceUpdates = 0; ///< RoomUpdate messages, which agents send without a run result.
@@ -84,6 +90,7 @@
     LinkId link {};
     bool isLinked = false;
     bool isPreferred = true; ///< This entry orders from it first; see AgentShares.h.
+    bool isForIsolatedRoutes = false; ///< While routes are isolated, its server runs their tasks and no others.
     wire::GateState state = wire::GateState::Closed;
     Resources total;
     Resources free; ///< As last reported by the agent, less the orders that the report does not cover yet.
@@ -101,12 +108,19 @@
     TimePoint lastSuccess {}; ///< When a run there last ended successfully.
     TimePoint nextDemand {};
     std::unordered_set<RunId> runs; ///< Ordered runs whose result has not arrived.
+    std::map<RunId, TimePoint> suspects; ///< Suspects of `runs`, and until when they are; see CrashRecords.h.
 
     /** Whether runs of a service can be ordered from it now. */
     bool acceptsRunsOf(const std::string& name) const
     {
         return isLinked && state != wire::GateState::Closed && service == name;
     }
+    /** Whether suspects of another job keep a job's runs from its server. */
+    bool isBlockedFor(WorkId job, TimePoint now) const
+    {
+        return std::any_of(suspects.begin(), suspects.end(),
+            [&](const auto& suspect) { return suspect.second > now && suspect.first.task.job != job; });
+    }
     /** Whether it has a label; the empty label matches every agent. */
     bool hasLabel(const std::string& label) const
     {
@@ -168,6 +182,7 @@
     size_t openJobs() const { return m_jobs.size(); }
     size_t queuedTasks() const;
     size_t linkedAgents() const;
+    bool hasIsolatedRoutes() const { return m_hasIsolation; }
 
 private:
     enum class TaskState : uint8_t { Blocked, Ready, Ordered, Done };
@@ -233,7 +248,21 @@
      * start anew. */
     void adoptRuns(Job& job, TimePoint now);
     /** Reason for which a new job is refused; empty if it can be accepted. */
-    std::string_view rejectionReason(const Job& job) const;
+    std::string_view rejectionReason(const Job& job, TimePoint now) const;
+    /** Admission of a job: by the load, or for an isolated route by the servers that are open to it. */
+    Admission admissionOf(const Job& job, const LoadView& load, TimePoint now) const;
+    /** A crash that an agent reported: gives up the tasks that crash servers, and isolates their routes. */
+    void onCrash(const wire::ServerCrashT& message, TimePoint now);
+    /** Answers a job one of whose tasks crashes servers. */
+    void giveUpCrashing(WorkId id, TimePoint now);
+    bool isIsolated(const Job& job, TimePoint now) const;
+    /** Whether an agent runs tasks of a step while routes are isolated; any agent does if none of those that are meant
+     * for its route is large enough and labelled for it. */
+    bool isOpenToRoute(const Job& job, size_t step, const AgentView& agent, TimePoint now) const;
+    /** How long after its start a run of a task is suspected to crash its server; zero if it isn't. */
+    Milliseconds suspicionTime(const Job& job, const TaskId& task, TimePoint now) const;
+    /** Chooses the agents for isolated routes alike at all entries. */
+    void updateIsolation(TimePoint now);
     /** Whether an agent's server is large enough and labelled for a task of a step. */
     bool couldRun(const Job& job, size_t step, const AgentView& agent) const;
     /** Whether each task could run on a server as it was last reported, or on one that isn't known yet. */
@@ -275,11 +304,11 @@
      * Whether an agent may have room for a task of a step. While servers are full, most messages of agents change
      * nothing for the jobs that wait; this check keeps a pass over the queue cheap then.
      */
-    bool hasRoomFor(const Job& job, size_t step) const;
+    bool hasRoomFor(const Job& job, size_t step, TimePoint now) const;
     /** Places some ready tasks of a step on one agent; false if they have to wait. */
     bool placeStep(Job& job, size_t step, TimePoint now);
     /** Agents that may run the next ready task of a step; those that the task avoids only if there are no others. */
-    std::vector<size_t> eligibleAgents(const Job& job, size_t step) const;
+    std::vector<size_t> eligibleAgents(const Job& job, size_t step, TimePoint now) const;
     /** How many more tasks of a step an agent may take under the step's `maxPerServer`. */
     static int64_t maxTasksAt(const Job& job, size_t step, size_t agent);
     /** Sends a run order for a task to an agent. */
@@ -332,6 +361,9 @@
     EstimateModel m_estimates;
     LoadModel m_load;
     ResubmissionDetector m_resubmissions;
+    CrashRecords m_crashes;
+    bool m_hasIsolation = false; ///< Routes are isolated, and there are agents for them.
+    int64_t m_isolatedJobs = 0; ///< Open jobs of isolated routes with runs, at the last tick.
     std::map<std::string, LearnedSpeed> m_restoredSpeeds; ///< By agent; from the store.
     double m_meanSlowness = 1; ///< Mean over the agents, weighted by their processors.
     std::unordered_map<WorkId, Job> m_jobs;
--- a/include/sequoia/Learned.h
+++ b/include/sequoia/Learned.h
@@ -34,15 +34,25 @@
     uint32_t samples = 0;
 };
 
+/** A task that was running on servers when they crashed; see CrashSuspicion. */
+struct LearnedSuspicion {
+    uint32_t total = 0;
+    uint32_t crashes = 0;
+    uint32_t blamed = 0;
+    bool hasCrashedAsSuspect = false;
+    uint32_t ageMs = 0; ///< Of its run at the last crash, ms.
+};
+
 /** State of all models of an entry. */
 struct Learned {
     std::map<std::string, LearnedRunTimes> declared; ///< By route, from jobs with an estimate.
     std::map<std::string, LearnedRunTimes> undeclared; ///< By route, from jobs without an estimate.
     std::map<std::string, LearnedCallerTimeouts> callerTimeouts; ///< By route.
     std::map<std::string, LearnedSpeed> speeds; ///< By agent.
+    std::map<std::string, LearnedSuspicion> suspicions; ///< By task.
 
     /** For each key takes the value with more samples behind it; for a server, a newer incarnation counts before more
-     * samples. */
+     * samples; for a task, one with more crashes. */
     void merge(const Learned& other);
 };
 
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -4,6 +4,7 @@
 
 #include <sequoia/AgentCore.h>
 #include <sequoia/CallTimeModel.h>
+#include <sequoia/CrashRecords.h>
 #include <sequoia/Metrics.h>
 #include <sequoia/Resources.h>
 #include <sequoia/SpeedModel.h>
@@ -11,6 +12,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <map>
 #include <set>
 
@@ -46,6 +48,13 @@
     /** Shortest time between updates of free resources to an entry; longer with many entries. A reservation for the
      * entry is reported at once. */
     Milliseconds updatePeriod { 40 };
+    Milliseconds crashRetention { 60000 }; ///< How long crashes of the server are told to entries that link.
+    /** A crash is blamed on this many jobs, those whose runs were started last: most crashes follow soon on a start. */
+    size_t latestJobs = 3;
+    /** A suspect isn't started beside a run of another job that was ordered within this time, as a crash soon after
+     * couldn't be told to be of one or the other. */
+    Milliseconds suspectDistance { 30 };
+    size_t maxCrashes = 32; ///< At most this many crashes are remembered.
     Milliseconds resultRetention { 10000 }; ///< How long results of runs are kept for entries that link again.
     /** Longest lease that an earlier process of this agent may have granted; set by the deployment. */
     Milliseconds maxLease { 1050 };
@@ -158,6 +167,7 @@
     uint64_t lost = 0;
     uint64_t repeatedStarts = 0; ///< Start calls that were sent again.
     uint64_t unansweredStarts = 0; ///< Start calls without an answer.
+    uint64_t crashes = 0; ///< Crashes of the server with runs on it.
     uint64_t polls = 0;
     uint64_t incarnations = 0; ///< Incarnations of the server that were seen.
     uint64_t refutedServerEnds = 0; ///< Ends of the server's process that a later listing of that process refuted.
@@ -233,6 +243,9 @@
         std::string payload; ///< For another start call; empty once one was answered.
         int64_t serverStartedMs = 0; ///< Incarnation of the server that it was ordered for, or that has listed it.
         uint32_t startCalls = 0;
+        std::string route;
+        uint64_t startNumber = 0; ///< Counts the orders that were accepted.
+        TimePoint suspectUntil {}; ///< Until then it is suspected to crash the server; see CrashRecords.h.
         TimePoint startCalled {}; ///< When the last start call was sent.
         Incarnation owner {}; ///< Entry that ordered the run; zero if unknown.
         Milliseconds estimate {};
@@ -303,6 +316,18 @@
     void endRun(
         const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal, const std::string& reason, TimePoint now);
     void endAll(const std::string& reason, TimePoint now);
+    /** The server's process has ended: tells all entries which runs were there, unless it was told to leave. */
+    void recordCrash(std::vector<CrashedRun> runs, TimePoint now);
+    /** Runs that were ordered before the connection to the server broke, and which jobs of them were ordered last. */
+    std::vector<CrashedRun> crashedRuns(TimePoint now) const;
+    /** Tells an entry that has linked of the crashes before. */
+    void sendCrashes(LinkId link, TimePoint now);
+    wire::ServerCrashT crashMessage(const ServerCrash& crash, TimePoint when, TimePoint now) const;
+    /** The job of the suspects on the server; empty if there are none. */
+    std::optional<WorkId> suspectedJob(TimePoint now) const;
+    /** Whether a run of the job can't start because of suspects of another job, or as a suspect beside a run that has
+     * just been ordered. */
+    bool isBlockedBySuspects(WorkId job, bool isSuspect, TimePoint now) const;
     /** Reserves free resources for waiting entries, the most urgent first, and informs them; the one on `resultLink` is
      * informed by the result that is sent to it next. */
     void reserveFreed(std::optional<LinkId> resultLink, TimePoint now);
@@ -373,6 +398,11 @@
     std::optional<TimePoint> m_oldLeasesEnd; ///< By then all leases that an earlier process gave have ended.
     std::map<RunId, Run> m_runs;
     std::map<RunId, EndedRun> m_endedRuns;
+    /** Crashes of the server, and when they were seen. */
+    std::deque<std::pair<ServerCrash, TimePoint>> m_crashes;
+    bool m_isCrashRecorded = false; ///< The end of the present server process was recorded.
+    std::vector<CrashedRun> m_lapsedRuns; ///< Runs that were lost with their lease since the last listing.
+    uint64_t m_lastStartNumber = 0;
     /** Runs in the last listing that this process didn't start, or has taken for over: when they have to be over. */
     std::map<RunId, TimePoint> m_unknownRuns;
     Resources m_used; ///< Sum over `m_runs`.
@@ -388,6 +418,7 @@
     std::set<uint64_t> m_pendingPolls; ///< Polls without an answer yet.
     uint64_t m_lastListedPoll = 0; ///< The latest poll that was answered with a listing.
     double m_lostCallShare = 0; ///< Share of start calls and polls without an answer, smoothed.
+    TimePoint m_pollLostAt {}; ///< When the first poll since the last listing got no answer; zero if none did.
     bool m_isPollLost = false; ///< The last poll had no answer: polls don't renew leases until one is answered.
     TimePoint m_nextPoll {};
     TimePoint m_lastPoll {}; ///< When the last poll was sent.
--- a/include/sequoia/Work.h
+++ b/include/sequoia/Work.h
@@ -78,6 +78,8 @@
 };
 
 std::string toString(const TaskId& task);
+/** Parses a text that `toString` wrote; empty if it is malformed. */
+std::optional<TaskId> parseTaskId(const std::string& text);
 std::string_view toString(WorkStatus status);
 
 wire::RunId toWire(const RunId& id);
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -47,6 +47,7 @@
     , m_placementLimits(policy)
     , m_hooks(std::move(hooks))
     , m_resubmissions(limits.resubmission)
+    , m_crashes(limits.crashes)
 {
 }
 
@@ -79,12 +80,14 @@
     auto& job = m_jobs[id];
     job.waiters.push_back(waiter);
     initializeJob(job, std::move(spec), std::move(route), budget, now);
-    if (const auto refusal = rejectionReason(job); !refusal.empty())
+    if (m_crashes.hasTaskGivenUp(id))
+        return giveUpCrashing(id, now);
+    if (const auto refusal = rejectionReason(job, now); !refusal.empty())
         return finish(id, { WorkStatus::NotRun, refusal, unavailableRetryDelay }, now);
     m_load.recordArrival(job.route.priority, waitingWork(job), now);
     const auto queued = queuedJob(job, now);
     const auto load = loadBefore(keyOf(job, now), now);
-    const auto admission = m_hooks.admit(queued, load);
+    const auto admission = admissionOf(job, load, now);
     job.isLate = admission.decision == AdmissionDecision::Late;
     job.trace.add({ admission.decision == AdmissionDecision::Reject ? "job-refused" : "job-queued", now, {}, false, "",
         { { "late", job.isLate ? "true" : "false" }, { "predicted_wait_ms", admission.predictedWait.count() },
@@ -96,7 +99,8 @@
             { "arriving_per_ms", static_cast<int64_t>(load.arrivalRate) },
             { "view_complete", load.isComplete ? "true" : "false" } } });
     if (admission.decision == AdmissionDecision::Reject)
-        return finish(id, { WorkStatus::NotRun, "overloaded", admission.retryAfter }, now);
+        return finish(id,
+            { WorkStatus::NotRun, isIsolated(job, now) ? "route-isolated" : "overloaded", admission.retryAfter }, now);
     requeue(job, now);
     dispatchQueued(now);
 }
@@ -160,7 +164,7 @@
         && agent.hasLabel(spec.requiredLabel);
 }
 
-std::string_view Dispatcher::rejectionReason(const Job& job) const
+std::string_view Dispatcher::rejectionReason(const Job& job, TimePoint now) const
 {
     if (m_isStopping)
         return "stopping";
@@ -174,6 +178,11 @@
         if (!isPossible)
             return "no-server-fits";
     }
+    const bool isOpen = std::any_of(m_agents.begin(), m_agents.end(), [&](const AgentView& agent) {
+        return agent.acceptsRunsOf(job.route.service) && isOpenToRoute(job, 0, agent, now);
+    });
+    if (isIsolated(job, now) && !isOpen)
+        return "route-isolated";
     return "";
 }
 
@@ -278,7 +287,8 @@
     load.isComplete = m_settledAt != TimePoint() && now >= m_settledAt;
     double totalCapacity = 0;
     for (const auto& agent : m_agents) {
-        if (agent.isLinked && agent.state != wire::GateState::Closed)
+        const bool isIsolated = m_hasIsolation && agent.isForIsolatedRoutes;
+        if (agent.isLinked && agent.state != wire::GateState::Closed && !isIsolated)
             totalCapacity += static_cast<double>(agent.total.cpu) / agent.slowness;
     }
     load.capacity = m_load.capacity(totalCapacity / static_cast<double>(m_entryCount), now);
@@ -291,7 +301,8 @@
     auto load = loadView(now);
     load.overtakingRate = m_load.arrivalRateBefore(key.priority, now);
     for (const auto& other : m_queue) {
-        const auto work = waitingWork(m_jobs.at(other.job));
+        const auto& job = m_jobs.at(other.job);
+        const auto work = isIsolated(job, now) ? 0 : waitingWork(job);
         load.queuedWork += work;
         load.workAhead += other < key ? work : 0;
     }
@@ -333,7 +344,11 @@
     size_t misses = 0;
     for (auto it = m_queue.begin(); hasFreeAgent && it != m_queue.end() && misses < m_limits.backfillDepth;) {
         auto& job = m_jobs.at((it++)->job);
-        if (!placeJob(job, now))
+        if (m_crashes.hasTaskGivenUp(job.spec.id)) {
+            giveUpCrashing(job.spec.id, now);
+            continue;
+        }
+        if (!placeJob(job, now) && !isIsolated(job, now))
             ++misses;
     }
     m_load.setBacklogged(!m_queue.empty(), now);
@@ -368,11 +383,13 @@
     return isPlaced;
 }
 
-bool Dispatcher::hasRoomFor(const Job& job, size_t step) const
+bool Dispatcher::hasRoomFor(const Job& job, size_t step, TimePoint now) const
 {
     const auto& resources = job.spec.steps[step].resources;
-    return std::any_of(m_agents.begin(), m_agents.end(),
-        [&](const AgentView& agent) { return resources.fitsIn(agent.free) && agent.acceptsRunsOf(job.route.service); });
+    return std::any_of(m_agents.begin(), m_agents.end(), [&](const AgentView& agent) {
+        return resources.fitsIn(agent.free) && agent.acceptsRunsOf(job.route.service)
+            && isOpenToRoute(job, step, agent, now) && !agent.isBlockedFor(job.spec.id, now);
+    });
 }
 
 int64_t Dispatcher::maxTasksAt(const Job& job, size_t step, size_t agent)
@@ -386,7 +403,7 @@
     return std::max<int64_t>(limit - running, 0);
 }
 
-std::vector<size_t> Dispatcher::eligibleAgents(const Job& job, size_t step) const
+std::vector<size_t> Dispatcher::eligibleAgents(const Job& job, size_t step, TimePoint now) const
 {
     const auto& spec = job.spec.steps[step];
     std::vector<size_t> eligible;
@@ -394,7 +411,8 @@
     const auto& avoided = job.steps[step].tasks[job.steps[step].ready.back()].avoidedAgents;
     for (size_t i = 0; i < m_agents.size(); ++i) {
         const auto& agent = m_agents[i];
-        if (!agent.acceptsRunsOf(job.route.service) || !agent.hasLabel(spec.requiredLabel))
+        if (!agent.acceptsRunsOf(job.route.service) || !agent.hasLabel(spec.requiredLabel)
+            || !isOpenToRoute(job, step, agent, now) || agent.isBlockedFor(job.spec.id, now))
             continue;
         eligible.push_back(i);
         if (std::find(avoided.begin(), avoided.end(), i) == avoided.end())
@@ -405,11 +423,11 @@
 
 bool Dispatcher::placeStep(Job& job, size_t index, TimePoint now)
 {
-    if (!hasRoomFor(job, index))
+    if (!hasRoomFor(job, index, now))
         return false;
     const auto& spec = job.spec.steps[index];
     auto& step = job.steps[index];
-    const auto eligible = eligibleAgents(job, index);
+    const auto eligible = eligibleAgents(job, index, now);
     std::vector<PlacementCandidate> candidates;
     candidates.reserve(eligible.size());
     for (const auto i : eligible) {
@@ -423,7 +441,8 @@
     PlacementRequest request;
     request.resources = spec.resources;
     // A task that avoids servers is placed alone, as the other tasks of the step may use these.
-    request.count = step.tasks[step.ready.back()].avoidedAgents.empty() ? static_cast<int64_t>(step.ready.size()) : 1;
+    const bool isAlone = !step.tasks[step.ready.back()].avoidedAgents.empty() && !isIsolated(job, now);
+    request.count = isAlone ? 1 : static_cast<int64_t>(step.ready.size());
     request.estimate = job.criticalPaths[index];
     request.spread = m_estimates.spread(job.route.name);
     request.waited = toMilliseconds(now - job.arrival);
@@ -467,6 +486,11 @@
     message.estimate_ms = static_cast<uint32_t>(step.expected.count());
     message.remaining_ms = static_cast<uint32_t>(std::max<int64_t>(msOf(job.deadline - now), 0));
     message.max_per_server = spec.maxPerServer;
+    message.route = job.route.name;
+    const auto suspicion = suspicionTime(job, id.task, now);
+    message.suspect_ms = static_cast<uint32_t>(suspicion.count());
+    if (suspicion.count() > 0)
+        agent.suspects[id] = now + suspicion;
     agent.free -= spec.resources;
     agent.unacknowledgedOrders.emplace_back(++agent.ordersSent, spec.resources);
     if (agent.runs.empty())
@@ -481,7 +505,12 @@
 
 void Dispatcher::sendDemands(TimePoint now)
 {
-    const auto& first = m_jobs.at(m_queue.begin()->job);
+    // Servers reserve nothing for isolated routes, most of them being closed to these.
+    const auto key = std::find_if(
+        m_queue.begin(), m_queue.end(), [&](const QueueKey& key) { return !isIsolated(m_jobs.at(key.job), now); });
+    if (key == m_queue.end())
+        return;
+    const auto& first = m_jobs.at(key->job);
     std::optional<Resources> smallest;
     for (size_t i = 0; i < first.steps.size(); ++i) {
         if (!first.steps[i].ready.empty())
@@ -502,9 +531,9 @@
             tasks += step.ready.size();
         message.tasks = static_cast<uint32_t>(tasks);
         message.smallest = std::make_unique<wire::Room>(toWire(smallest.value_or(Resources())));
-        message.band = m_queue.begin()->band;
-        message.priority = m_queue.begin()->priority;
-        message.slack_ms = static_cast<int32_t>(msOf(m_queue.begin()->latestStart - now));
+        message.band = key->band;
+        message.priority = key->priority;
+        message.slack_ms = static_cast<int32_t>(msOf(key->latestStart - now));
         message.valid_ms = static_cast<uint32_t>(2 * period.count());
         ++m_counters.demands;
         send(agent, std::move(message), now);
@@ -610,6 +639,7 @@
     tickLinks(now);
     if (m_isPreferenceStale)
         updatePreferredAgents();
+    updateIsolation(now);
     tickStragglers(now);
     tickQueue(now);
     std::erase_if(m_endedJobs, [&](const auto& ended) { return ended.second.expires <= now; });
@@ -649,20 +679,22 @@
 {
     std::vector<std::pair<WorkId, Admission>> changed;
     auto load = loadView(now);
-    for (const auto& key : m_queue)
-        load.queuedWork += waitingWork(m_jobs.at(key.job));
+    for (const auto& key : m_queue) {
+        const auto& job = m_jobs.at(key.job);
+        load.queuedWork += isIsolated(job, now) ? 0 : waitingWork(job);
+    }
     for (const auto& key : m_queue) {
         const auto& job = m_jobs.at(key.job);
         // A job with runs continues until its deadline: it may still be in time if its estimates are too long.
         if (job.orders == 0) {
             load.overtakingRate
                 = key.band > MeetsObjective ? load.arrivalRate : m_load.arrivalRateBefore(key.priority, now);
-            const auto admission = m_hooks.admit(queuedJob(job, now), load);
+            const auto admission = admissionOf(job, load, now);
             const bool isMoved = (admission.decision == AdmissionDecision::Late) != job.isLate;
             if (admission.decision == AdmissionDecision::Reject || isMoved || keyOf(job, now).band != key.band)
                 changed.emplace_back(key.job, admission);
         }
-        load.workAhead += waitingWork(job);
+        load.workAhead += isIsolated(job, now) ? 0 : waitingWork(job);
     }
     const bool hasAgents = linkedAgents() > 0;
     for (const auto& [id, admission] : changed) {
@@ -678,8 +710,8 @@
             requeue(job, now);
             continue;
         }
-        finish(
-            id, { WorkStatus::NotRun, hasAgents ? "waited-too-long" : "no-backend-server", admission.retryAfter }, now);
+        const auto reason = isIsolated(job, now) ? "route-isolated" : "waited-too-long";
+        finish(id, { WorkStatus::NotRun, hasAgents ? reason : "no-backend-server", admission.retryAfter }, now);
     }
 }
 
@@ -774,6 +806,7 @@
     step.totalRunTime += ran;
     step.maxRunTime = std::max(step.maxRunTime, ran);
     if (--job.tasksLeft == 0) {
+        m_crashes.recordSuccess(job.route.name, job.firstOrderAt, now);
         finish(job.spec.id, { WorkStatus::Succeeded, "done", {} }, now);
         return;
     }
@@ -843,6 +876,8 @@
         traceRun("run-lost", job, id, agent, result.reason, now);
         if (!task.isStopping)
             task.avoidedAgents.push_back(agentIndex);
+        if (m_crashes.isGivenUp(id.task))
+            return giveUpCrashing(job.spec.id, now);
         break;
     case wire::RunOutcome::Running:
         break;
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -61,6 +61,9 @@
     Learned out;
     m_estimates.saveTo(out);
     m_resubmissions.saveTo(out);
+    for (const auto& [task, suspicion] : m_crashes.suspicions())
+        out.suspicions[toString(task)] = { suspicion.total, suspicion.crashes, suspicion.blamed,
+            suspicion.hasCrashedAsSuspect, static_cast<uint32_t>(suspicion.age.count()) };
     for (const auto& agent : m_agents) {
         if (agent.slownessSamples > 0)
             out.speeds[agent.name] = { agent.serverStartedMs, agent.slowness, agent.slownessSamples };
@@ -73,6 +76,12 @@
     m_estimates.restore(learned);
     m_resubmissions.restore(learned);
     m_restoredSpeeds = learned.speeds;
+    for (const auto& [text, known] : learned.suspicions) {
+        if (const auto task = parseTaskId(text))
+            m_crashes.restore(*task,
+                { known.total, known.crashes, known.blamed, known.hasCrashedAsSuspect, Milliseconds(known.ageMs) },
+                m_lastTick);
+    }
     m_effects.record(LogLevel::Info, "learned-recalled",
         { { "routes", static_cast<int64_t>(learned.declared.size()) },
             { "agents", static_cast<int64_t>(learned.speeds.size()) } });
@@ -137,6 +146,7 @@
 
 void Dispatcher::markRunsLost(size_t index, std::string_view cause, TimePoint now)
 {
+    m_agents[index].suspects.clear();
     for (const auto& id : std::exchange(m_agents[index].runs, {})) {
         auto* job = findJob(id.task.job);
         if (job == nullptr)
@@ -206,6 +216,9 @@
         updateResources(m_agents[*index], update, now);
         break;
     }
+    case wire::Body::ServerCrash:
+        onCrash(*body.AsServerCrash(), now);
+        break;
     case wire::Body::RunResult:
         onResult(*index, *body.AsRunResult(), now);
         break;
@@ -264,6 +277,7 @@
     }
     if (agent.runs.erase(id) == 0)
         return;
+    agent.suspects.erase(id);
     if (findTask(id.task) != nullptr)
         runEnded(*findJob(id.task.job), id, index, result, now);
 }
--- a/src/Explain.cpp
+++ b/src/Explain.cpp
@@ -23,8 +23,9 @@
     constexpr uint64_t contextWindowUs = 2'000'000; // State changes that old may still have affected the request.
 
     const std::set<std::string_view> stateEventKinds { "agent-state", "agent-linked", "agent-unlinked", "gate-state",
-        "server-gone", "server-left", "server-life", "server-end-refuted", "owner-lost", "suspended", "store-lost",
-        "store-regained", "configuration", "started", "stopping", "stopped", "quarantine-trial", "quarantine-ended" };
+        "server-gone", "server-left", "server-life", "server-end-refuted", "server-crashed", "route-isolated",
+        "routes-released", "owner-lost", "suspended", "store-lost", "store-regained", "configuration", "started",
+        "stopping", "stopped", "quarantine-trial", "quarantine-ended" };
 
     /** Time of an event, ms. A job's trace is logged when the job ends; `ago_ms` is the age of its events by then. */
     int64_t happenedAtMs(const TimeLineEvent& event)
@@ -182,6 +183,12 @@
                     decision == nullptr ? "?" : fieldOf(*decision, "capacity_per_ms"),
                     describeClosedAgents(events, answer.stamp)) };
         }
+        if (reason == "route-isolated")
+            return { reason,
+                fmt::format(
+                    "refused: tasks of its route {} crash servers, so that it runs on a few servers only, and these "
+                    "had no room in time; {}",
+                    fieldOf(answer, "route"), describeClosedAgents(events, answer.stamp)) };
         if (reason == "no-server-fits")
             return { reason, "refused at once: no known server is large enough or has its label" };
         if (reason == "no-backend-server")
@@ -263,6 +270,22 @@
                 "a run of its last task on {} cost {} ms: {}", longest->agent, longest->ms, longest->description) };
     }
 
+    /** Servers that crashed under a job of which a task was given up for it. */
+    Cause causeOfCrashes(const std::map<std::string, TaskEvents>& tasks)
+    {
+        std::set<std::string> servers;
+        for (const auto& [name, taskEvents] : tasks) {
+            for (const auto* event : taskEvents) {
+                const auto reason = fieldOf(*event, "reason");
+                if (event->kind == "run-lost" && (reason == "server-gone" || reason == "lease-ended"))
+                    servers.insert(fieldOf(*event, "agent"));
+            }
+        }
+        return { "crashes-servers",
+            fmt::format("one of its tasks crashes the servers that start it (here on {}), and is not started again",
+                servers.empty() ? "servers of other entries" : fmt::format("{}", fmt::join(servers, ", "))) };
+    }
+
     Cause causeOfFailure(const TaskEvents& taskEvents)
     {
         std::map<std::string, int> failures;
@@ -323,6 +346,10 @@
             return { cause.code, resendNote + cause.text };
         }
         const auto tasks = eventsByTask(out.events);
+        if (fieldOf(answer, "reason") == "crashes-servers") {
+            const auto cause = causeOfCrashes(tasks);
+            return { cause.code, resendNote + cause.text };
+        }
         const auto* taskEvents = criticalTask(tasks);
         if (taskEvents == nullptr) {
             if (status == "succeeded" && fieldOf(answer, "in_time") != "false")
--- a/src/Learned.cpp
+++ b/src/Learned.cpp
@@ -10,6 +10,7 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LearnedRunTimes, weight, meanX, meanY, sumXX, sumXY, sumResidual)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LearnedCallerTimeouts, requests, mean, squares, shortShare)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LearnedSpeed, life, slowness, samples)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LearnedSuspicion, total, crashes, blamed, hasCrashedAsSuspect, ageMs)
 
 namespace {
 
@@ -36,13 +37,15 @@
     mergeMaps(speeds, other.speeds, [](const LearnedSpeed& a, const LearnedSpeed& b) {
         return std::pair(a.life, a.samples) > std::pair(b.life, b.samples);
     });
+    mergeMaps(suspicions, other.suspicions,
+        [](const LearnedSuspicion& a, const LearnedSuspicion& b) { return a.total > b.total; });
 }
 
 std::string toText(const Learned& learned)
 {
     return Json {
         { "declared", learned.declared }, { "undeclared", learned.undeclared }, { "patience", learned.callerTimeouts },
-        { "speeds", learned.speeds }
+        { "speeds", learned.speeds }, { "suspicions", learned.suspicions }
     }.dump();
 }
 
@@ -57,6 +60,8 @@
         json.at("undeclared").get_to(out.undeclared);
         json.at("patience").get_to(out.callerTimeouts);
         json.at("speeds").get_to(out.speeds);
+        if (json.contains("suspicions")) // Items of earlier releases have none.
+            json.at("suspicions").get_to(out.suspicions);
         return out;
     } catch (const Json::exception&) {
         return std::nullopt;
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -275,6 +275,7 @@
     out.counter("starts_unanswered_total", "Starts without an answer.", n.unansweredStarts);
     out.counter("looks_total", "Looks at the backend server.", n.polls);
     out.counter("server_lives_total", "Lives of the backend server.", n.incarnations);
+    out.counter("server_crashes_total", "Crashes of the server with runs on it.", n.crashes);
     out.counter("server_ends_refuted_total", "Ends of the server's process that its later listing refuted.",
         n.refutedServerEnds);
     for (const auto& [reason, count] : n.outlivedRuns)
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -345,6 +345,9 @@
     out.counter("runs_failed_total", "Runs that failed.", n.failedRuns);
     out.counter("runs_lost_total", "Runs whose end was not seen.", n.lostRuns);
     out.counter("runs_stuck_total", "Runs stopped because they took too long.", n.stragglers);
+    out.counter("server_crashes_total", "Crashes of servers that agents reported.", n.serverCrashes);
+    out.counter("route_isolations_total", "Isolations of routes whose tasks crash servers.", n.isolations);
+    out.gauge("routes_isolated", "1 while a route is isolated.", m_core.hasIsolatedRoutes() ? 1 : 0);
     out.counter("runs_ownerless_total", "Runs that went on although nobody wanted them.", n.ownerlessRuns);
     out.counter("demand_messages_total", "Waiting work told to agents.", n.demands);
     out.counter("room_updates_total", "Reports of room by agents.", n.resourceUpdates);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -157,6 +157,9 @@
     m_speed.reset(); // The new incarnation may run on another kind of VM.
     if (isFirst)
         return;
+    // A process that was replaced while it answered, as by a release, accuses nobody.
+    recordCrash(std::exchange(m_lapsedRuns, {}), now);
+    m_isCrashRecorded = false;
     // The new process hasn't seen the fence; with a higher one it ignores the calls that were sent before.
     if (m_fence > 0)
         setFence(m_fence + 1);
@@ -265,7 +268,8 @@
         if (ofStep >= static_cast<std::ptrdiff_t>(order.max_per_server))
             return wire::Refusal::TooManyOfStep;
     }
-    if (!fromWire(order.room.get()).fitsIn(freeFor(link, now)))
+    if (isBlockedBySuspects(id.task.job, order.suspect_ms > 0, now)
+        || !fromWire(order.room.get()).fitsIn(freeFor(link, now)))
         return wire::Refusal::NoRoom;
     return wire::Refusal::None;
 }
@@ -304,6 +308,9 @@
     run.estimate = Milliseconds(order.estimate_ms);
     run.ordered = now;
     run.serverStartedMs = m_serverStartedMs;
+    run.route = order.route;
+    run.suspectUntil = now + Milliseconds(order.suspect_ms);
+    run.startNumber = ++m_lastStartNumber;
     run.isSample = selectSample(id.task.job);
     m_used += resources;
     ++link.runs;
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -34,6 +34,7 @@
         m_speed.restore(static_cast<double>(welcome.slowness), welcome.samples);
     m_effects.record(
         LogLevel::Info, "entry-linked", { { "entry", welcome.entry }, { "runs", static_cast<int64_t>(link.runs) } });
+    sendCrashes(id, now); // Before the report, on which the entry sends orders.
     sendReport(id, now);
 }
 
@@ -63,7 +64,7 @@
 
 template <typename Message> void RunGate::fillResources(Message& message, EntryLink& link, TimePoint now)
 {
-    link.lastFree = freeFor(link, now);
+    link.lastFree = suspectedJob(now) ? Resources() : freeFor(link, now);
     link.lastUpdate = now;
     message.free = std::make_unique<wire::Room>(toWire(link.lastFree));
     message.orders_seen = link.ordersSeen;
@@ -124,7 +125,7 @@
 
 void RunGate::reserveFreed(std::optional<LinkId> resultLink, TimePoint now)
 {
-    if (state(now) != wire::GateState::Open)
+    if (state(now) != wire::GateState::Open || suspectedJob(now))
         return;
     const auto urgency
         = [](const EntryLink& link) { return std::tuple(link.demandBand, link.demandPriority, link.demandDue); };
@@ -173,6 +174,7 @@
     if (m_pendingPolls.empty() && now >= m_nextPoll)
         poll(m_isPollLost || !m_isRecovered ? Milliseconds(0) : m_limits.pollWait, now);
     if (!m_runs.empty() && now > m_leaseEnds) {
+        m_lapsedRuns = crashedRuns(now); // Whether the server has crashed shows when it answers again.
         endAll("lease-ended", now);
         // The next poll renews the lease. Its higher fence makes the server ignore a start call that is still in
         // transit, whose run would otherwise live on under the renewed lease.
@@ -217,7 +219,7 @@
             silent.push_back(id);
             continue;
         }
-        const auto change = std::abs(freeFor(link, now).cpu - link.lastFree.cpu);
+        const auto change = suspectedJob(now) ? 0 : std::abs(freeFor(link, now).cpu - link.lastFree.cpu);
         if (change * reportedFraction > total().cpu && now - link.lastUpdate >= m_limits.updatePeriod * factor)
             sendUpdate(id, link, now);
         else if (now - link.lastSent >= (isBusy ? m_limits.heartbeatInterval : m_limits.idleHeartbeatInterval))
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -121,9 +121,12 @@
         if (!m_isServerGone) {
             m_effects.record(LogLevel::Warning, "server-gone", { { "runs", static_cast<int64_t>(m_runs.size()) } });
             m_isServerGone = true;
+            recordCrash(m_runs.empty() ? m_lapsedRuns : crashedRuns(now), now);
         }
         endAll("server-gone", now);
     } else if (outcome == PollOutcome::NoAnswer) {
+        if (m_pollLostAt == TimePoint())
+            m_pollLostAt = now;
         if (!m_isPollLost)
             m_effects.record(LogLevel::Info, "look-unanswered", { { "look", static_cast<int64_t>(number) } });
         if (number > m_lastListedPoll) {
@@ -140,6 +143,7 @@
         m_isPollLost = false;
         if (m_isServerGone && listing.startedMs == m_serverStartedMs) {
             ++m_counters.refutedServerEnds;
+            m_isCrashRecorded = false;
             m_effects.record(LogLevel::Warning, "server-end-refuted", { { "born", listing.startedMs } });
         }
         m_isServerGone = false;
@@ -148,6 +152,8 @@
         const bool isReplaced = m_serverStartedMs > 0 && listing.startedMs != m_serverStartedMs;
         if (listing.startedMs != m_serverStartedMs)
             startIncarnation(listing, now);
+        m_pollLostAt = {};
+        m_lapsedRuns.clear();
         if (m_fence == 0 && listing.clock)
             raiseFence(listing.clock->count() + 1, now);
         const auto seenBefore = m_seenUpTo;
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -59,6 +59,7 @@
         Milliseconds estimate {};
         FloatMs objective {}; ///< Latency objective, from the true work.
         bool alwaysFails = false;
+        std::optional<size_t> crashingTask; ///< Crashes the servers that start it.
         bool isAnswered = false;
         double value = 0;
         double size = 0; ///< Work relative to the mean of its kind.
@@ -186,6 +187,24 @@
             places.insert(server);
         }
         void taskEnds(const TaskId& task, size_t server) { m_runningOn[task].erase(server); }
+        /** A task that crashes servers was started. */
+        void crashLater(size_t server, const TaskId& task)
+        {
+            constexpr uint32_t maxCrashes = 3;
+            const auto& crashes = m_crashes[task];
+            if (crashes >= maxCrashes)
+                violation(fmt::format("task {} was started after {} crashes", toString(task), crashes));
+            const auto startedMs = m_servers[server]->startedMs();
+            events.add(events.now() + m_scenario.crashDelay, [this, server, task, startedMs] {
+                auto& crashed = *m_servers[server];
+                if (!crashed.isUp() || crashed.startedMs() != startedMs || !m_runningOn[task].contains(server))
+                    return;
+                ++m_report.crashes;
+                m_report.mostCrashes = std::max(m_report.mostCrashes, ++m_crashes[task]);
+                crashed.crash();
+                events.add(events.now() + m_scenario.crashLength, [&crashed] { crashed.restart(); });
+            });
+        }
         void violation(std::string text)
         {
             m_report.violations.push_back(
@@ -241,6 +260,7 @@
         std::map<WaiterId, size_t> m_waiters;
         std::map<WorkId, SimulatedJob> m_jobs;
         std::map<TaskId, std::set<size_t>> m_runningOn;
+        std::map<TaskId, uint32_t> m_crashes; ///< Servers that each task has crashed.
         uint64_t m_pings = 0;
         double m_stranded = 0;
         size_t m_strandedSamples = 0;
@@ -281,6 +301,8 @@
         m_simulation.taskBegins(id.task, m_index);
         const auto token = ++m_lastToken;
         m_runs[id] = { job.resources, token };
+        if (job.crashingTask == raw(id.task.index))
+            m_simulation.crashLater(m_index, id.task);
         if (isHanging)
             return StartOutcome::Started;
         const bool fails = job.alwaysFails || isFailing;
@@ -365,7 +387,11 @@
         m_ended.clear();
         m_lastEndNumber = 0;
         m_used = {};
-        onEnd = {};
+        const auto waitingPolls = std::exchange(onEnd, {});
+        for (const auto& breakConnection : waitingPolls) {
+            if (!isUnreachable)
+                breakConnection();
+        }
     }
 
     void SimulatedServer::restart()
@@ -703,8 +729,7 @@
             if (server.isUp() && server.startedMs() != startedMs)
                 return result(PollOutcome::NoAnswer, {}, m_scenario.serverDelay);
             if (!server.isUp())
-                return result(
-                    server.isUnreachable ? PollOutcome::NoAnswer : PollOutcome::Refused, {}, m_scenario.serverDelay);
+                return result(PollOutcome::NoAnswer, {}, m_scenario.serverDelay);
             result(PollOutcome::Listed, server.listing(seen), m_scenario.serverDelay / 2);
         };
         const auto wait = server.hasEndAfter(action.seenUpTo) ? Milliseconds(0) : action.wait;
@@ -792,11 +817,17 @@
             = { std::llround(std::max(kind.cpu * (1 + std::normal_distribution<>(0, 0.2)(m_generator)), kind.cpu / 4)),
                   64, 0 };
         job.alwaysFails = chance(kind.failingShare);
+        const bool isCrashing = events.now() >= at(m_scenario.crashesFrom) && events.now() < at(m_scenario.crashesUntil)
+            && chance(kind.crashingShare);
+        if (isCrashing) {
+            job.crashingTask = std::uniform_int_distribution<size_t>(0, job.work.size() - 1)(m_generator);
+            ++m_report.crashingJobs;
+        }
         const double mean = kind.width * static_cast<double>(kind.work.count()) * kind.cpu;
         job.size = static_cast<double>(width) * work * static_cast<double>(job.resources.cpu) / mean;
-        job.value = kind.value * std::min(0.3 + 0.7 * job.size, 4.0);
+        job.value = isCrashing ? 0 : kind.value * std::min(0.3 + 0.7 * job.size, 4.0); // Nobody misses it.
         auto& result = m_report.kinds[kind.name];
-        ++result.submitted;
+        result.submitted += isCrashing ? 0 : 1;
         result.offeredValue += job.value;
         m_report.offeredValueBySecond[static_cast<size_t>(toMilliseconds(job.sent - simulationStart).count() / 1000)]
             += job.value;
@@ -846,6 +877,11 @@
         auto& job = m_jobs.at(id);
         if (std::exchange(job.isAnswered, true))
             return;
+        if (job.crashingTask) {
+            m_report.crashingJobsFailed += answer.status == WorkStatus::Failed ? 1 : 0;
+            m_report.crashingJobsGivenUp += answer.status == WorkStatus::GivenUp ? 1 : 0;
+            return;
+        }
         auto& result = m_report.kinds[m_scenario.kinds[job.kind].name];
         const auto age = FloatMs(events.now() - job.sent);
         constexpr double lateValueShare = 0.2;
@@ -863,6 +899,7 @@
             result.refusedAfterMs.push_back(age.count());
         } else if (answer.status == WorkStatus::Failed) {
             ++result.failed;
+            ++result.falselyFailed;
         } else {
             ++result.givenUp;
         }
@@ -1001,6 +1038,7 @@
                 continue;
             m_report.orders += entry->counters().orders;
             m_report.refusedOrders += entry->counters().refusedOrders();
+            m_report.isolations += entry->counters().isolations;
         }
         for (const auto& gate : m_gates)
             m_report.wastedRuns += gate ? gate->counters().stopped + gate->counters().lost : 0;
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -22,6 +22,8 @@
     double value = 0.01; ///< Value of a job of mean size, answered in time.
     double failingShare = 0; ///< Share of jobs whose tasks always fail.
     uint32_t priority = 0; ///< Priority of its route.
+    double crashingShare
+        = 0; ///< Share of jobs with one task that crashes its server, between `crashesFrom` and `crashesUntil`.
 };
 
 /** Fault that some servers have for a time. */
@@ -91,6 +93,10 @@
     std::vector<ServerFault> faults;
     std::vector<CapacityChange> capacityChanges;
     bool guardsCapacity = false; ///< Servers reject starts that don't fit; otherwise they start whatever they are told.
+    Milliseconds crashesFrom { 5000 }; ///< Jobs with a task that crashes servers arrive from here on, see JobKind.
+    Milliseconds crashesUntil { 15000 };
+    Milliseconds crashDelay { 8 }; ///< Time from the start of such a task to the crash.
+    Milliseconds crashLength { 3500 }; ///< Time until a crashed server is back.
     /** Entry and time; it restarts 1 s later, and its callers resubmit. */
     std::vector<std::pair<size_t, Milliseconds>> entryKills;
     std::vector<std::pair<size_t, Milliseconds>> agentKills; ///< Agent and time; it restarts 150 ms later.
@@ -116,12 +122,19 @@
     size_t refused = 0;
     size_t failed = 0;
     size_t givenUp = 0;
+    size_t falselyFailed = 0; ///< Answered as failed though it could be done.
     double sumRatio = 0; ///< Sum of the ratios of response time to the longest task's work, over the jobs served.
     double offeredValue = 0; ///< Value of all jobs.
     double earnedValue = 0; ///< Value of the jobs served; a late one counts for a fifth.
     size_t largest = 0; ///< Number of jobs in the largest tenth.
     size_t largestServed = 0; ///< Jobs of the largest tenth that were served.
     std::vector<double> refusedAfterMs; ///< Ages of the refused jobs.
+
+    /** Share of the jobs that were served. */
+    double servedShare() const
+    {
+        return submitted > 0 ? static_cast<double>(inTime + late) / static_cast<double>(submitted) : 1;
+    }
 };
 
 /** Results of one simulation. */
@@ -135,6 +148,12 @@
     uint64_t refusedOrders = 0;
     uint64_t wastedRuns = 0; ///< Runs stopped or lost.
     uint64_t startsWithoutRoom = 0; ///< Starts that servers rejected as they didn't fit.
+    uint64_t crashes = 0; ///< Servers that a task crashed.
+    uint64_t isolations = 0; ///< Isolations of routes, over all entries.
+    uint64_t crashingJobsFailed = 0; ///< Jobs with a task that crashes servers that were answered as failed.
+    uint64_t crashingJobsGivenUp = 0; ///< Those that were answered otherwise after a run of them had been ordered.
+    uint64_t crashingJobs = 0; ///< Jobs with a task that crashes servers.
+    uint32_t mostCrashes = 0; ///< Crashes under the task that crashed most servers.
     double strandedShare = 0; ///< Mean share of processors that were free while tasks waited.
     double valueShare() const; ///< Earned share of the value of all jobs.
     double worstWindowsShare() const; ///< Mean of the earned shares of the two worst periods of 3 s.
--- a/tests/ExplainTest.cpp
+++ b/tests/ExplainTest.cpp
@@ -48,6 +48,14 @@
             "overloaded", "1 closed: agent-7 (server-silent)" },
         { "no server is large enough", answered("not-run", 0, "reason=no-server-fits in_time=false"), "no-server-fits",
             "no known server is large enough" },
+        { "its route is isolated", closed + answered("not-run", 0, "reason=route-isolated route=scans in_time=false"),
+            "route-isolated", "tasks of its route scans crash servers" },
+        { "it crashes servers",
+            answered("failed", 300, "reason=crashes-servers in_time=false",
+                run(1000, "run-ordered", "agent-1", expected) + run(1010, "run-lost", "agent-1", "reason=server-gone")
+                    + run(1010, "run-ordered", "agent-2", expected)
+                    + run(1030, "run-lost", "agent-2", "reason=server-gone")),
+            "crashes-servers", "here on agent-1, agent-2" },
         { "late because a run was lost",
             answered("succeeded", 1200, "in_time=false",
                 run(1000, "run-ordered", "agent-1", expected)
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -107,8 +107,8 @@
         sendHeartbeat(secondLink);
     }
 
-    void order(
-        LinkId link, const RunId& id, int64_t cpu = 4000, uint32_t maxPerServer = 0, uint64_t incarnation = raw(self))
+    void order(LinkId link, const RunId& id, int64_t cpu = 4000, uint32_t maxPerServer = 0,
+        uint64_t incarnation = raw(self), uint32_t suspectMs = 0)
     {
         wire::RunOrderT order;
         order.id = std::make_unique<wire::RunId>(toWire(id));
@@ -117,6 +117,8 @@
         order.estimate_ms = 100;
         order.remaining_ms = 1000;
         order.max_per_server = maxPerServer;
+        order.route = "route";
+        order.suspect_ms = suspectMs;
         wire::BodyUnion body;
         body.Set(std::move(order));
         gate.receive(link, body, now);
@@ -1362,3 +1364,75 @@
     fixture.order(firstLink, runId(6), 7000);
     cr_expect_eq(fixture.starts.size(), 4U);
 }
+
+struct SuspectRow {
+    char name[48];
+    uint32_t firstSuspectMs; ///< Of a run that is there; 0 if it is no suspect.
+    int afterMs; ///< When the second run is ordered.
+    uint32_t secondSuspectMs;
+    bool isSameJob;
+    bool isStarted;
+};
+
+ParameterizedTestParameters(RunGate, suspectsShareTheServerWithNoRunThatCouldBeBlamedForThem)
+{
+    static SuspectRow rows[] = {
+        { "no suspects", 0, 0, 0, false, true },
+        { "another job beside a suspect", 100, 40, 0, false, false },
+        { "another task of the suspect's job", 100, 40, 100, true, true },
+        { "the suspect has run for long enough", 100, 120, 0, false, true },
+        { "a suspect beside a run that has just started", 0, 0, 100, false, false },
+        { "a suspect beside a run of some time", 0, 40, 100, false, true },
+    };
+    return cr_make_param_array(SuspectRow, rows, sizeof(rows) / sizeof(SuspectRow));
+}
+
+ParameterizedTest(SuspectRow* row, RunGate, suspectsShareTheServerWithNoRunThatCouldBeBlamedForThem)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1), 1000, 0, raw(self), row->firstSuspectMs);
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.advance(Milliseconds(row->afterMs), listingOf({ runId(1) }));
+    auto second = runId(2);
+    if (row->isSameJob)
+        second = { { WorkId(1), StepIndex(0), TaskIndex(1) }, RunNumber(1) };
+    const auto before = fixture.gate.runs();
+    fixture.order(secondLink, second, 1000, 0, raw(self), row->secondSuspectMs);
+    cr_expect_eq(fixture.gate.runs() - before, row->isStarted ? 1U : 0U, "%s", row->name);
+}
+
+struct EndRow {
+    char name[32];
+    bool isDraining; ///< The server had announced that it leaves.
+    bool isReplaced; ///< Another process answers, without a refusal.
+    uint64_t crashes;
+};
+
+ParameterizedTestParameters(RunGate, onlyCrashesAccuseRuns)
+{
+    static EndRow rows[] = {
+        { "crash", false, false, 1 },
+        { "planned end", true, false, 0 },
+        { "replaced while it answered", false, true, 0 },
+    };
+    return cr_make_param_array(EndRow, rows, sizeof(rows) / sizeof(EndRow));
+}
+
+ParameterizedTest(EndRow* row, RunGate, onlyCrashesAccuseRuns)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    if (row->isDraining)
+        fixture.announce(true);
+    if (row->isReplaced) {
+        auto listing = listingOf({});
+        listing.startedMs = 2;
+        fixture.answerPoll(listing);
+    } else {
+        fixture.answerPoll({}, PollOutcome::NoAnswer);
+        fixture.gate.tick(fixture.now += Milliseconds(1));
+        fixture.answerPoll({}, PollOutcome::Refused);
+    }
+    cr_expect_eq(fixture.gate.counters().crashes, row->crashes, "%s", row->name);
+}
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -625,3 +625,73 @@
             row->name, static_cast<int>(seed), report.startsWithoutRoom, report.orders);
     }
 }
+
+struct CrashRow {
+    char name[48];
+    size_t kind; ///< Position of the kind whose jobs crash servers.
+    double share; ///< Share of its jobs that do.
+    bool killsEntry;
+    bool killsAgents;
+    uint32_t maxCrashes; ///< Under one task.
+};
+
+ParameterizedTestParameters(ClusterSimulation, tasksThatCrashServersDoNotTakeTheOthersDown)
+{
+    static CrashRow rows[] = {
+        { "one scan in ten", 0, 0.1, false, false, 3 },
+        { "one scan in ten, an entry is killed", 0, 0.1, true, false, 3 },
+        { "one scan in ten, agents are killed", 0, 0.1, false, true, 3 },
+        { "one fill in fifty", 2, 0.02, false, false, 3 },
+        { "one reroute in ten", 1, 0.1, false, false, 3 },
+    };
+    return cr_make_param_array(CrashRow, rows, sizeof(rows) / sizeof(CrashRow));
+}
+
+ParameterizedTest(CrashRow* row, ClusterSimulation, tasksThatCrashServersDoNotTakeTheOthersDown, .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        auto scenario = mingaScenario(row->name);
+        scenario.seed = seed;
+        if (row->killsEntry)
+            scenario.entryKills = { { 0, Milliseconds(8000) } };
+        for (size_t i = 0; row->killsAgents && i < scenario.servers; ++i)
+            scenario.agentKills.emplace_back(i, Milliseconds(4000 + 900 * i));
+        const auto n = static_cast<int>(seed);
+        const auto possible = simulate(scenario); // Without such tasks.
+        scenario.kinds[row->kind].crashingShare = row->share;
+        const auto report = simulate(scenario);
+        for (const auto& violation : report.violations)
+            cr_expect_fail("%s, seed %d: %s", row->name, n, violation.c_str());
+        cr_expect_leq(report.mostCrashes, row->maxCrashes, "%s, seed %d: %u crashes", row->name, n, report.mostCrashes);
+        cr_expect_leq(report.crashingJobsGivenUp, report.crashingJobsFailed,
+            "%s, seed %d: %zu jobs not shown as failed", row->name, n, static_cast<size_t>(report.crashingJobsGivenUp));
+        for (size_t i = 0; i < scenario.kinds.size(); ++i) {
+            const auto& kind = report.kinds.at(scenario.kinds[i].name);
+            cr_expect_eq(kind.falselyFailed, 0U, "%s, seed %d: %zu jobs of kind %zu failed that could be done",
+                row->name, n, kind.falselyFailed, i);
+            const double wanted = i == row->kind ? 0 : 0.95 * possible.kinds.at(scenario.kinds[i].name).servedShare();
+            cr_expect_geq(kind.servedShare(), wanted, "%s, seed %d: kind %zu served %f, wanted %f", row->name, n, i,
+                kind.servedShare(), wanted);
+        }
+    }
+}
+
+/** Servers that crash for another cause than their tasks use up nobody's tries, and isolate no route. */
+Test(ClusterSimulation, ordinaryCrashesNeitherGiveUpTasksNorIsolateRoutes, .timeout = 60)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        auto scenario = mingaScenario("servers crash, alone and together");
+        scenario.seed = seed;
+        for (size_t i = 0; i < 8; ++i)
+            scenario.faults.push_back(
+                { ServerFaultKind::Crash, { (seed + i) % scenario.servers, (seed + i + 4) % scenario.servers },
+                    Milliseconds(3000 + 2000 * i), Milliseconds(1500) });
+        const auto report = simulate(scenario);
+        const auto n = static_cast<int>(seed);
+        cr_expect(report.violations.empty(), "seed %d", n);
+        cr_expect_eq(report.isolations, 0U, "seed %d: %zu isolations", n, static_cast<size_t>(report.isolations));
+        for (const auto& [name, kind] : report.kinds)
+            cr_expect_eq(kind.falselyFailed, 0U, "seed %d: %zu jobs of %s failed", n, kind.falselyFailed, name.c_str());
+        cr_expect_geq(report.servedShare(), 0.95, "seed %d: served %f", n, report.servedShare());
+    }
+}
