A route is isolated only to protect other routes

Cause: an isolation was entered whether or not jobs of another route of the service arrive. Now it takes one that isn't isolated itself and had a job in the last 10 s; without it suspects are told from the others by the servers alone.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -261,6 +261,8 @@
     bool isOpenToRoute(const Job& job, size_t step, const AgentView& agent, TimePoint now) const;
     /** How long after its start a run of a task is suspected to crash its server; zero if it isn't. */
     Milliseconds suspicionTime(const Job& job, const TaskId& task, TimePoint now) const;
+    /** Whether jobs of a route of the service that isn't isolated have arrived lately. */
+    bool hasOtherRoutes(const std::string& service, TimePoint now) const;
     /** Chooses the agents for isolated routes alike at all entries. */
     void updateIsolation(TimePoint now);
     /** Whether an agent's server is large enough and labelled for a task of a step. */
@@ -363,6 +365,9 @@
     ResubmissionDetector m_resubmissions;
     CrashRecords m_crashes;
     bool m_hasIsolation = false; ///< Routes are isolated, and there are agents for them.
+    std::set<std::string> m_isolatingServices; ///< Services with such agents.
+    /** When a job of each route last arrived, by service and name. */
+    std::map<std::pair<std::string, std::string>, TimePoint> m_lastArrivals;
     int64_t m_isolatedJobs = 0; ///< Open jobs of isolated routes with runs, at the last tick.
     std::map<std::string, LearnedSpeed> m_restoredSpeeds; ///< By agent; from the store.
     double m_meanSlowness = 1; ///< Mean over the agents, weighted by their processors.
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -77,6 +77,7 @@
         return;
     }
     ++m_counters.jobs;
+    m_lastArrivals[{ route.service, route.name }] = now;
     auto& job = m_jobs[id];
     job.waiters.push_back(waiter);
     initializeJob(job, std::move(spec), std::move(route), budget, now);
@@ -643,6 +644,8 @@
     tickStragglers(now);
     tickQueue(now);
     std::erase_if(m_endedJobs, [&](const auto& ended) { return ended.second.expires <= now; });
+    std::erase_if(
+        m_lastArrivals, [&](const auto& arrival) { return now - arrival.second > m_limits.crashes.retention; });
     dispatchQueued(now);
     recordSummary(now);
 }
--- a/src/DispatcherCrashes.cpp
+++ b/src/DispatcherCrashes.cpp
@@ -61,6 +61,7 @@
 {
     m_crashes.tick(now);
     const bool hadIsolation = std::exchange(m_hasIsolation, false);
+    m_isolatingServices.clear();
     if (!m_crashes.hasIsolatedRoutes(now)) {
         if (hadIsolation)
             m_effects.record(LogLevel::Info, "routes-released", {});
@@ -74,7 +75,7 @@
             byService[agent.service].emplace_back(hashOf(agent.name), &agent);
     }
     for (auto& [service, agents] : byService) {
-        if (agents.size() < 2)
+        if (agents.size() < 2 || !hasOtherRoutes(service, now))
             continue;
         std::sort(agents.begin(), agents.end());
         const auto wanted = std::llround(static_cast<double>(agents.size()) * m_limits.isolationShare);
@@ -82,6 +83,7 @@
         for (size_t i = 0; i < n; ++i)
             agents[i].second->isForIsolatedRoutes = true;
         m_hasIsolation = true;
+        m_isolatingServices.insert(service);
     }
     m_isolatedJobs = std::count_if(m_jobs.begin(), m_jobs.end(),
         [&](const auto& job) { return job.second.orders > 0 && isIsolated(job.second, now); });
@@ -89,7 +91,17 @@
 
 bool Dispatcher::isIsolated(const Job& job, TimePoint now) const
 {
-    return m_hasIsolation && m_crashes.isIsolated(job.route.name, now);
+    return m_hasIsolation && m_isolatingServices.contains(job.route.service)
+        && m_crashes.isIsolated(job.route.name, now);
+}
+
+bool Dispatcher::hasOtherRoutes(const std::string& service, TimePoint now) const
+{
+    constexpr Milliseconds memory { 10000 };
+    return std::any_of(m_lastArrivals.begin(), m_lastArrivals.end(), [&](const auto& arrival) {
+        const auto& [key, when] = arrival;
+        return key.first == service && now - when <= memory && !m_crashes.isIsolated(key.second, now);
+    });
 }
 
 bool Dispatcher::isOpenToRoute(const Job& job, size_t step, const AgentView& agent, TimePoint now) const
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -80,19 +80,20 @@
     }
 
     /** Submits a job of one step. */
-    void submit(uint64_t id, StepSpec step, Milliseconds budget = Milliseconds(2000), uint32_t priority = 0)
+    void submit(uint64_t id, StepSpec step, Milliseconds budget = Milliseconds(2000), uint32_t priority = 0,
+        const std::string& routeName = "route")
     {
-        submit(id, std::vector { std::move(step) }, budget, priority);
+        submit(id, std::vector { std::move(step) }, budget, priority, routeName);
     }
 
-    void submit(
-        uint64_t id, std::vector<StepSpec> steps, Milliseconds budget = Milliseconds(2000), uint32_t priority = 0)
+    void submit(uint64_t id, std::vector<StepSpec> steps, Milliseconds budget = Milliseconds(2000),
+        uint32_t priority = 0, const std::string& routeName = "route")
     {
         WorkSpec spec;
         spec.id = WorkId(id);
         spec.steps = std::move(steps);
         RoutePolicy route;
-        route.name = "route";
+        route.name = routeName;
         route.service = "service";
         route.stretch = 1.6;
         route.objective = Milliseconds(60);
@@ -593,3 +594,53 @@
     fixture.reportCapacity(0, 6000, 2000, 2); // It has refused the second one.
     cr_expect_eq(fixture.orders.size(), 3U);
 }
+
+struct IsolationRow {
+    char name[40];
+    bool hasOtherRoute; ///< Jobs of another route of the service arrive as well.
+    bool isConfined; ///< Jobs of the route that crashes servers run on one of the servers only.
+};
+
+ParameterizedTestParameters(Dispatcher, isolationProtectsOtherRoutesOnly)
+{
+    static IsolationRow rows[] = {
+        { "another route", true, true },
+        { "no other route to protect", false, false },
+    };
+    return cr_make_param_array(IsolationRow, rows, sizeof(rows) / sizeof(IsolationRow));
+}
+
+ParameterizedTest(IsolationRow* row, Dispatcher, isolationProtectsOtherRoutesOnly)
+{
+    DispatcherFixture fixture(4);
+    if (row->hasOtherRoute)
+        fixture.submit(1, stepOf(1, 1000), Milliseconds(5000), 0, "other");
+    fixture.submit(2, stepOf(1, 1000), Milliseconds(5000));
+    for (uint32_t n = 1; n <= 2; ++n) {
+        wire::ServerCrashT crash;
+        crash.agent_incarnation = 100 + n;
+        crash.number = 1;
+        auto run = std::make_unique<wire::CrashedRunT>();
+        run->id = std::make_unique<wire::RunId>(toWire(fixture.orders.back()));
+        run->route = "route";
+        run->age_ms = 10;
+        run->is_latest = true;
+        run->is_suspect = n == 2;
+        crash.runs.push_back(std::move(run));
+        fixture.deliver(0, std::move(crash));
+    }
+    cr_assert(fixture.answers.contains(2), "%s", row->name);
+    cr_expect_eq(fixture.answers.at(2).reason, "crashes-servers", "%s", row->name);
+    fixture.submit(3, stepOf(8, 1000), Milliseconds(5000));
+    std::set<size_t> agents;
+    for (const auto& [run, agent] : fixture.agentByRun) {
+        if (raw(run.task.job) == 3)
+            agents.insert(agent);
+    }
+    fixture.submit(4, stepOf(4, 5000), Milliseconds(5000));
+    for (const auto& [run, agent] : fixture.agentByRun) {
+        if (raw(run.task.job) == 4)
+            agents.insert(agent);
+    }
+    cr_expect_eq(agents.size() == 1, row->isConfined, "%s: %zu servers", row->name, agents.size());
+}
