--- a/include/sequoia/CrashRecords.h
+++ b/include/sequoia/CrashRecords.h
@@ -65,10 +65,8 @@
  * Decides from crashes of servers which tasks are suspects, which tasks are given up, and which routes are isolated.
  * Without suspects on the server, a crash is blamed on the jobs that were started last there. With suspects, who are of
  * one job, it is blamed on them, unless there is another run that has seen a crash before: then it is not decided who
- * did it, and all of these are suspects from then on. A task is given up if a crash is blamed on it as the only suspect
- * and it is not its first; its
- * route is isolated then. All entries get the same crashes from the agents. Not
- * thread-safe.
+ * did it, and all of these are suspects from then on. A task is given up if a crash that isn't its first is blamed on
+ * it alone, as a suspect; its route is isolated then. Agents tell the same crashes to all entries. Not thread-safe.
  */
 class CrashRecords {
 public:
