--- a/include/sequoia/CrashRecords.h
+++ b/include/sequoia/CrashRecords.h
@@ -70,7 +70,7 @@
  */
 class CrashRecords {
 public:
-    explicit CrashRecords(CrashLimits limits);
+    explicit CrashRecords(const CrashLimits& limits);
 
     /** Adds a crash; returns false if it is known or too old. */
     bool add(const ServerCrash& crash, TimePoint now);
--- a/src/CrashRecords.cpp
+++ b/src/CrashRecords.cpp
@@ -5,7 +5,7 @@
 
 namespace sequoia {
 
-CrashRecords::CrashRecords(CrashLimits limits)
+CrashRecords::CrashRecords(const CrashLimits& limits)
     : m_limits(limits)
 {
 }
