A listing that arrives after a newer one shows no unknown runs

Cause, by reading: several polls are under way at once (one that waits, one after each stop, two while calls get lost), and replies on different connections may overtake each other. A listing that was made before the end of a run, and arrives after the listing with that end, shows the run at work.

Why it works: the server's clock is monotonic within a process and orders its listings. Within one millisecond, a listed run whose end the same process has listed shows that the listing is the older one, as a server rejects a run number that has ended there.

server-life also says how many runs of before may still start late (may_start_late).

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -269,6 +269,7 @@
         std::string reason;
         TimePoint expires {};
         uint64_t lastPoll = 0; ///< The last poll that was sent before the end; the listing of a later one refutes it.
+        int64_t endListedBy = 0; ///< Incarnation of the server that listed the end; zero if none did.
     };
 
     struct EntryLink {
@@ -333,6 +334,9 @@
     void reserveFreed(std::optional<LinkId> resultLink, TimePoint now);
     void processEnds(const Listing& listing, TimePoint now);
     void processRunning(uint64_t number, const Listing& listing, TimePoint now);
+    /** Whether the server made a listing before one that was processed: replies on different connections may overtake
+     * each other. */
+    bool isOvertaken(const Listing& listing) const;
     /** Records a listed run that this process doesn't know, or has taken for over. */
     void recordUnknownRun(uint64_t number, const RunId& id);
     /** Writes the free resources for an entry, and the server's slowness, into a message to it. */
@@ -416,6 +420,7 @@
     int64_t m_fence = 0; ///< Higher than that of an earlier process of this agent; 0 until the server's clock is known.
     uint64_t m_fencedFromPoll = 0; ///< First poll that carries the fence.
     std::set<uint64_t> m_pendingPolls; ///< Polls without an answer yet.
+    Milliseconds m_listedClock {}; ///< The server's clock in the newest listing of the present incarnation.
     uint64_t m_lastListedPoll = 0; ///< The latest poll that was answered with a listing.
     double m_lostCallShare = 0; ///< Share of start calls and polls without an answer, smoothed.
     TimePoint m_pollLostAt {}; ///< When the first poll since the last listing got no answer; zero if none did.
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -144,13 +144,16 @@
 
 void RunGate::startIncarnation(const Listing& listing, TimePoint now)
 {
+    const auto late
+        = std::count_if(m_runs.begin(), m_runs.end(), [](const auto& run) { return run.second.mayStartLate(); });
     m_effects.record(LogLevel::Info, "server-life",
         { { "born", listing.startedMs }, { "before", m_serverStartedMs },
-            { "runs", static_cast<int64_t>(m_runs.size()) } });
+            { "runs", static_cast<int64_t>(m_runs.size()) }, { "may_start_late", static_cast<int64_t>(late) } });
     ++m_counters.incarnations;
     const bool isFirst = m_serverStartedMs == 0;
     m_serverStartedMs = listing.startedMs;
     m_seenUpTo = 0;
+    m_listedClock = {};
     m_roomLimit.reset();
     m_unknownRuns.clear();
     m_pendingPolls.clear(); // The process before doesn't answer them any more.
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -176,6 +176,8 @@
         if (end.number <= m_seenUpTo)
             continue;
         m_seenUpTo = end.number;
+        if (const auto ended = m_endedRuns.find(end.id); ended != m_endedRuns.end())
+            ended->second.endListedBy = m_serverStartedMs;
         const auto it = m_runs.find(end.id);
         if (it == m_runs.end())
             continue;
@@ -195,6 +197,7 @@
             recordRun(LogLevel::Warning, "run-lapsed", end.id, it->second, "", now);
         }
         endRun(end.id, toOutcome(end.kind), wire::Refusal::None, std::string(nameOf(end.kind)), now);
+        m_endedRuns.at(end.id).endListedBy = m_serverStartedMs;
     }
 }
 
@@ -210,8 +213,21 @@
             { "reason", reason } });
 }
 
+bool RunGate::isOvertaken(const Listing& listing) const
+{
+    if (listing.clock && *listing.clock < m_listedClock)
+        return true;
+    return std::any_of(listing.running.begin(), listing.running.end(), [this](const auto& listed) {
+        const auto it = m_endedRuns.find(listed.id);
+        return it != m_endedRuns.end() && it->second.endListedBy == m_serverStartedMs;
+    });
+}
+
 void RunGate::processRunning(uint64_t number, const Listing& listing, TimePoint now)
 {
+    const bool isNewest = !isOvertaken(listing);
+    if (isNewest && listing.clock)
+        m_listedClock = *listing.clock;
     std::set<RunId> running;
     for (const auto& listed : listing.running) {
         running.insert(listed.id);
@@ -221,14 +237,18 @@
             it->second.serverStartedMs = m_serverStartedMs;
             continue;
         }
+        if (!isNewest)
+            continue;
         if (m_unknownRuns.try_emplace(listed.id, now + m_limits.stopBound()).second)
             recordUnknownRun(number, listed.id);
         m_effects.add(StopRun { listed.id, "", m_fence, m_limits.stopTimeout });
     }
-    std::erase_if(m_unknownRuns, [&](const auto& unknown) { return !running.contains(unknown.first); });
-    const bool isFenced = m_fence == 0 || number >= m_fencedFromPoll;
-    if (m_unknownRuns.empty() && isFenced)
-        m_isRecovered = true;
+    if (isNewest) {
+        std::erase_if(m_unknownRuns, [&](const auto& unknown) { return !running.contains(unknown.first); });
+        const bool isFenced = m_fence == 0 || number >= m_fencedFromPoll;
+        if (m_unknownRuns.empty() && isFenced)
+            m_isRecovered = true;
+    }
     std::vector<RunId> missing;
     for (const auto& [id, run] : m_runs) {
         if (run.firstConclusivePoll > 0 && number >= run.firstConclusivePoll && !running.contains(id))
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -757,6 +757,44 @@
     cr_expect(fixture.outcome(runId(1)) == wire::RunOutcome::Lost);
 }
 
+struct OvertakenRow {
+    char name[40];
+    int64_t clockBehind; ///< Of the listing that arrives last, in ms.
+    bool isClosed; ///< The listing shows an unknown run.
+};
+
+ParameterizedTestParameters(RunGate, overtakenListingShowsNoUnknownRuns)
+{
+    static OvertakenRow rows[] = {
+        { "made before", 3, false },
+        { "made in the same millisecond", 0, false },
+        { "made later, with another run", -3, true },
+    };
+    return cr_make_param_array(OvertakenRow, rows, sizeof(rows) / sizeof(OvertakenRow));
+}
+
+ParameterizedTest(OvertakenRow* row, RunGate, overtakenListingShowsNoUnknownRuns)
+{
+    Fixture fixture(RunGateLimits {}, Milliseconds(5000));
+    fixture.answerPoll({});
+    const auto earlierPoll = fixture.lastPoll;
+    for (const auto& id : { runId(1), runId(2) }) {
+        fixture.order(firstLink, id);
+        fixture.answerStart(id, StartOutcome::Started);
+    }
+    fixture.stop(firstLink, runId(2));
+    fixture.gate.stopAnswered(runId(2), true, fixture.now);
+    auto listing = listingOf({}, { { 1, runId(1), EndKind::Done }, { 2, runId(2), EndKind::Stopped } });
+    listing.clock = Milliseconds(6000);
+    fixture.answerPoll(listing);
+    cr_assert(fixture.reportedState == wire::GateState::Open);
+    auto other = listingOf({ runId(row->isClosed ? 3 : 1) });
+    other.clock = *listing.clock - Milliseconds(row->clockBehind);
+    fixture.gate.pollAnswered(earlierPoll, PollOutcome::Listed, other, fixture.now);
+    fixture.collectEffects();
+    cr_expect_eq(fixture.reportedState == wire::GateState::Closed, row->isClosed, "%s", row->name);
+}
+
 /** The announcement may overtake the end of the process before, and the new process may have the run. */
 Test(RunGate, announcedServerRestartIsPolledAtOnceAndEndsNoRun)
 {
