The fence of a restarted agent rises over processes of its server

What callers may see: a task runs twice. An agent restarts while its server's next process has started under the same id; a start that the agent's process before had sent arrives seconds later and isn't outranked.

Cause: a new agent derived its fence from the server's clock alone, which starts anew with each process of the server, so that it was lower than the fence of starts that were still on their way.

Evidence: RunGateTest fenceOfARestartedAgentRisesOverServerProcesses, on the code before: tests/RunGateTest.cpp:326: Assertion Failed: first poll refused: starts of before are on their way Tested: 114 | Passing: 110 | Failing: 4 All 114 pass now.

Why it works: the start of the process (Unix time) plus its clock is the time at the server, which rises over processes. A refused poll doesn't say when the process started: the agent then waits for the server's report, without which it is closed anyway. The doubling stays for a time that was set back; a start beyond 2109 isn't used.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -366,6 +366,8 @@
     void recordCall(bool isAnswered);
     /** All further calls carry this fence. */
     void setFence(int64_t fence);
+    /** The time at the server, from the start of its process and that process's clock. */
+    static int64_t minimumFence(int64_t startedMs, Milliseconds clock);
     /** Uses a higher fence, at least `minimum`, for all further calls, and polls at once. */
     void raiseFence(int64_t minimum, TimePoint now);
     void tickLinks(TimePoint now);
@@ -417,7 +419,7 @@
     std::array<WorkId, 8> m_sampledJobs {}; ///< Latest jobs of which a run was selected as a sample; a ring buffer.
     size_t m_nextSampled = 0;
     uint64_t m_pollNumber = 0;
-    int64_t m_fence = 0; ///< Higher than that of an earlier process of this agent; 0 until the server's clock is known.
+    int64_t m_fence = 0; ///< Higher than that of an earlier process of this agent; 0 until the server's time is known.
     uint64_t m_fencedFromPoll = 0; ///< First poll that carries the fence.
     std::set<uint64_t> m_pendingPolls; ///< Polls without an answer yet.
     Milliseconds m_listedClock {}; ///< The server's clock in the newest listing of the present incarnation.
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -119,6 +119,8 @@
     m_server = report;
     m_roomLimit.reset();
     m_isServerGone = false;
+    if (m_fence == 0)
+        m_nextPoll = now;
     // The announcement doesn't show which runs have ended: the new process may have some, and the one before may go on.
     if (!isSame && m_serverStartedMs > 0 && report.startedMs > m_serverStartedMs)
         poll(Milliseconds(0), now);
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -100,11 +100,17 @@
     m_fencedFromPoll = m_pollNumber + 1;
 }
 
+int64_t RunGate::minimumFence(int64_t startedMs, Milliseconds clock)
+{
+    constexpr int64_t maxTime = int64_t(1) << 42; // In the year 2109; a later start is an error of the sender.
+    return (startedMs <= maxTime ? startedMs : 0) + std::clamp<int64_t>(clock.count(), 0, maxTime) + 1;
+}
+
 void RunGate::raiseFence(int64_t minimum, TimePoint now)
 {
-    // Fences are derived from the server's clock, which is monotonic, so that each process of an agent gets a higher
-    // one than the process before it. If the server has seen a fence from an earlier incarnation whose clock was ahead,
-    // doubling exceeds it after a few polls.
+    // Fences are derived from the time at the server, which rises over its processes, so that each process of an agent
+    // gets a higher one than the process before it. If the server's time was set back, doubling exceeds the fence that
+    // it has seen after a few polls.
     setFence(std::max(m_fence * 2, minimum));
     m_nextPoll = now;
 }
@@ -136,8 +142,11 @@
             sendWaitingPolls(now); // The server has answered a later poll.
         }
     } else if (outcome == PollOutcome::StaleFence) {
-        if (number >= m_fencedFromPoll)
-            raiseFence(listing.clock.value_or(Milliseconds(0)).count() + 1, now);
+        const auto startedMs = m_serverStartedMs > 0 || !m_server ? m_serverStartedMs : m_server->startedMs;
+        if (startedMs == 0)
+            m_nextPoll = now + m_limits.pollTimeout; // The server's next report tells the start of its process.
+        else if (number >= m_fencedFromPoll)
+            raiseFence(minimumFence(startedMs, listing.clock.value_or(Milliseconds(0))), now);
         m_effects.record(LogLevel::Info, "look-outranked", { { "next_fence", m_fence } });
     } else if (listing.startedMs >= m_serverStartedMs) {
         m_isPollLost = false;
@@ -155,7 +164,7 @@
         m_pollLostAt = {};
         m_lapsedRuns.clear();
         if (m_fence == 0 && listing.clock)
-            raiseFence(listing.clock->count() + 1, now);
+            raiseFence(minimumFence(listing.startedMs, *listing.clock), now);
         const auto seenBefore = m_seenUpTo;
         processEnds(listing, now);
         processRunning(number, listing, now);
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -271,6 +271,61 @@
     cr_expect_eq(fixture.lastStartFence, fixture.lastFence, "start calls carry the fence");
 }
 
+/** What a restarted agent learns of the server's next process before it derives its fence. */
+struct NextFenceRow {
+    char name[48];
+    bool isRefused; ///< The first poll, which carries no fence, is refused, as the server has seen one.
+    bool isAnnounced; ///< The server has announced itself before.
+};
+
+ParameterizedTestParameters(RunGate, fenceOfARestartedAgentRisesOverServerProcesses)
+{
+    static NextFenceRow rows[] = {
+        { "first poll answered", false, true },
+        { "first poll answered, server not announced", false, false },
+        { "first poll refused", true, true },
+        { "first poll refused, server announced later", true, false },
+    };
+    return cr_make_param_array(NextFenceRow, rows, sizeof(rows) / sizeof(NextFenceRow));
+}
+
+ParameterizedTest(NextFenceRow* row, RunGate, fenceOfARestartedAgentRisesOverServerProcesses)
+{
+    Fixture before(RunGateLimits {}, Milliseconds(9000)); // Its server has run for 9 s, since 1 ms.
+    before.answerPoll({});
+    before.order(firstLink, runId(1));
+    RunGate restarted(Incarnation(8), {});
+    ServerReport report;
+    report.instance = "i-1";
+    report.startedMs = 9100;
+    report.sequence = 1;
+    if (row->isAnnounced)
+        restarted.serverAnnounced(report, start);
+    PollServer poll;
+    const auto nextPoll = [&](TimePoint now) {
+        restarted.tick(now);
+        for (auto& effect : restarted.takeEffects()) {
+            if (const auto* sent = std::get_if<PollServer>(&effect))
+                poll = *sent;
+        }
+    };
+    nextPoll(start);
+    Listing listing;
+    listing.clock = Milliseconds(10);
+    if (!row->isRefused)
+        listing.startedMs = report.startedMs;
+    const auto outcome = row->isRefused ? PollOutcome::StaleFence : PollOutcome::Listed;
+    restarted.pollAnswered(poll.number, outcome, listing, start);
+    if (!row->isAnnounced)
+        restarted.serverAnnounced(report, start);
+    nextPoll(start);
+    if (poll.fence == 0) {
+        restarted.pollAnswered(poll.number, outcome, listing, start);
+        nextPoll(start);
+    }
+    cr_expect_gt(poll.fence, before.lastStartFence, "%s: starts of before are on their way", row->name);
+}
+
 Test(RunGate, startsInFlightAreFencedWhenTheLeaseHasEnded)
 {
     Fixture fixture(RunGateLimits {}, Milliseconds(5000));
