A refused connection ends no run that may still start in the next process

What callers may see: a task runs twice. A server's process crashes while a start has no answer; the agent tells the task's run as lost, the task starts elsewhere, and the next process under the same id carries the start out.

Cause: a refused connection ended all runs. It proves that the process has ended, not that a start on its way never takes effect: the next process has the same id, and by its clock, which starts anew, the start isn't late.

Evidence: RunGateTest endedServerProcessEndsOnlyRunsThatCantStartLate, on the code before: tests/RunGateTest.cpp:1096: Assertion Failed: start not answered Tested: 119 | Passing: 116 | Failing: 3 All 119 pass now.

Why it works: runs whose start may still arrive stay, being stopped, until the next process has answered a stop and a later poll. Runs whose only start was answered end as before. A server that doesn't come back keeps such tasks until their jobs end at their deadline.

At the end of a lease (RunGate::tick) all runs still end: a server that is only silent would keep its tasks as long as it is cut, and its own process refuses the start by lease and fence. What remains is a server that is cut, crashes behind the cut and obeys a late start before its first poll.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -332,6 +332,8 @@
     /** Reserves free resources for waiting entries, the most urgent first, and informs them; the one on `resultLink` is
      * informed by the result that is sent to it next. */
     void reserveFreed(std::optional<LinkId> resultLink, TimePoint now);
+    /** The server's process has ended; ends the runs whose start can't reach the next one. */
+    void processEnded(TimePoint now);
     void processEnds(const Listing& listing, TimePoint now);
     void processRunning(uint64_t number, const Listing& listing, TimePoint now);
     /** Whether the server made a listing before one that was processed: replies on different connections may overtake
@@ -399,6 +401,7 @@
     std::optional<Resources> m_roomLimit;
     int64_t m_serverStartedMs = 0; ///< Incarnation of the server that the runs belong to; 0 until it is known.
     bool m_isServerGone = false; ///< It refused a connection, or announced its end, and hasn't answered since.
+    bool m_isProcessEnded = false; ///< It refused a connection and hasn't answered since.
     bool m_isDraining = false; ///< This agent drains, not the server.
     bool m_isRecovered = false;
     std::optional<TimePoint> m_oldLeasesEnd; ///< By then all leases that an earlier process gave have ended.
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -129,7 +129,7 @@
             m_isServerGone = true;
             recordCrash(m_runs.empty() ? m_lapsedRuns : crashedRuns(now), now);
         }
-        endAll("server-gone", now);
+        processEnded(now);
     } else if (outcome == PollOutcome::NoAnswer) {
         if (m_pollLostAt == TimePoint())
             m_pollLostAt = now;
@@ -156,6 +156,7 @@
             m_effects.record(LogLevel::Warning, "server-end-refuted", { { "born", listing.startedMs } });
         }
         m_isServerGone = false;
+        m_isProcessEnded = false;
         m_lastListed = now;
         m_lastListedPoll = std::max(m_lastListedPoll, number);
         const bool isReplaced = m_serverStartedMs > 0 && listing.startedMs != m_serverStartedMs;
@@ -179,6 +180,29 @@
         sendReports(now);
 }
 
+void RunGate::processEnded(TimePoint now)
+{
+    m_isProcessEnded = true;
+    std::vector<RunId> over;
+    for (auto& [id, run] : m_runs) {
+        if (!run.mayStartLate()) {
+            over.push_back(id);
+            continue;
+        }
+        // The next process may carry the start out; its answers to a stop and a poll decide.
+        run.firstConclusivePoll = 0;
+        if (run.state == RunState::Fencing)
+            continue;
+        run.state = RunState::Fencing;
+        run.nextStop = now + m_limits.stopTimeout;
+    }
+    for (const auto& id : over) {
+        const std::string reason = "server-gone";
+        recordRun(LogLevel::Warning, "run-lost", id, m_runs.at(id), reason, now);
+        endRun(id, wire::RunOutcome::Lost, wire::Refusal::None, reason, now);
+    }
+}
+
 void RunGate::processEnds(const Listing& listing, TimePoint now)
 {
     for (const auto& end : listing.ended) {
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -1051,6 +1051,58 @@
     cr_expect(fixture.reportedState == wire::GateState::Closed);
 }
 
+/** What was known of a run when its server refused the connection. */
+struct RefusedProcessRow {
+    char name[40];
+    bool isStarted; ///< A start call was answered.
+    bool isRepeated; ///< The first start call had no answer and was sent again.
+    bool isStopped; ///< The process before had answered a stop.
+    bool isHeld; ///< The run isn't over before the next process shows it.
+};
+
+ParameterizedTestParameters(RunGate, endedServerProcessEndsOnlyRunsThatCantStartLate)
+{
+    static RefusedProcessRow rows[] = {
+        { "started", true, false, false, false },
+        { "started, being stopped", true, false, true, false },
+        { "start not answered", false, false, false, true },
+        { "second start answered", true, true, false, true },
+        { "no start answered, being stopped", false, true, true, true },
+    };
+    return cr_make_param_array(RefusedProcessRow, rows, sizeof(rows) / sizeof(RefusedProcessRow));
+}
+
+ParameterizedTest(RefusedProcessRow* row, RunGate, endedServerProcessEndsOnlyRunsThatCantStartLate)
+{
+    Fixture fixture(RunGateLimits {}, Milliseconds(5000));
+    fixture.answerPoll({});
+    fixture.order(firstLink, runId(1));
+    if (row->isRepeated)
+        fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+    if (row->isStarted)
+        fixture.answerStart(runId(1), StartOutcome::Started);
+    if (row->isStopped) {
+        fixture.stop(firstLink, runId(1));
+        fixture.gate.stopAnswered(runId(1), true, fixture.now);
+    }
+    for (int i = 0; i < 100 || fixture.waitingPolls.empty(); ++i) {
+        fixture.answerPolls({}, PollOutcome::Refused);
+        fixture.now += Milliseconds(20);
+        fixture.sendHeartbeats();
+        fixture.gate.tick(fixture.now);
+        fixture.gate.stopAnswered(runId(1), false, fixture.now);
+        fixture.collectEffects();
+    }
+    cr_assert_eq(fixture.outcome(runId(1)).has_value(), !row->isHeld, "%s", row->name);
+    Listing next;
+    next.startedMs = 2;
+    fixture.answerPolls(next);
+    cr_expect_eq(fixture.outcome(runId(1)).has_value(), !row->isHeld, "%s: it may still start there", row->name);
+    fixture.gate.stopAnswered(runId(1), true, fixture.now);
+    fixture.answerPoll(next);
+    cr_expect(fixture.outcome(runId(1)) == wire::RunOutcome::Lost, "%s", row->name);
+}
+
 Test(RunGate, refusedFirstPollDoesNotCompleteRecovery)
 {
     Fixture fixture;
