Log the age of an owner's last answer with its lost runs

Callers saw two runs of a task at the same time, and the logs couldn't show whether a message of the owner had been delayed: they told when it arrived, not when it was sent.

An agent writes its own time into each frame, and an entry sends the latest one that it has received back with each of its frames (Frame.agent_time), so no clocks of two VMs are compared. `entry-unlinked`, `run-owner-lost`, `run-lost` and the other lines of a run carry `confirmed_ms_ago`, the time since the agent sent what the owner last answered. Entries of an earlier release send no time back; the arrival counts then. Nothing is decided by it yet.

Tests: DispatcherTest messagesGoBackWithTheLatestTimeOfTheirAgent, RunGateTest linesOfLostRunsTellTheAgeOfTheirOwnersAnswer (new fields, so neither builds on the code before).

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -103,6 +103,8 @@
     uint32_t slownessSamples = 0; ///< Number of jobs that the slowness was learned from.
     TimePoint freeReportedAt {}; ///< When `free` was last reported.
     TimePoint lastHeard {};
+    TimePoint
+        agentTime {}; ///< The latest received on this link, by the agent's clock; goes back to it with each message.
     TimePoint lastSent {};
     TimePoint unlinkedAt {}; ///< When the link ended.
     TimePoint lastSuccess {}; ///< When a run there last ended successfully.
@@ -159,11 +161,11 @@
     /** Number of open jobs of a route that no run was ordered for yet. */
     size_t waitingJobs(const std::string& route) const;
 
-    /** An agent has opened a link and sent Hello. */
-    void agentLinked(LinkId link, const wire::HelloT& hello, TimePoint now);
+    /** An agent has opened a link and sent Hello. `agentTime` is that of the frame. */
+    void agentLinked(LinkId link, const wire::HelloT& hello, TimePoint agentTime, TimePoint now);
     void linkClosed(LinkId link, TimePoint now);
-    /** Handles a message from an agent. */
-    void receive(LinkId link, const wire::BodyUnion& body, TimePoint now);
+    /** Handles a message from an agent. `agentTime` is that of the frame. */
+    void receive(LinkId link, const wire::BodyUnion& body, TimePoint agentTime, TimePoint now);
 
     /** Sets how many entries share the agents, and the position of this one in the order that all entries agree on. */
     void setEntries(size_t entries, size_t position);
@@ -350,7 +352,7 @@
     void recordSummary(TimePoint now);
     template <typename Message> void send(AgentView& agent, Message message, TimePoint now)
     {
-        m_effects.send(agent.link, std::move(message));
+        m_effects.send(agent.link, std::move(message), agent.agentTime);
         agent.lastSent = now;
         ++m_counters.messagesSent;
     }
--- a/include/sequoia/Effects.h
+++ b/include/sequoia/Effects.h
@@ -17,6 +17,7 @@
 struct SendMessage {
     LinkId link {};
     wire::BodyUnion body;
+    TimePoint agentTime {}; ///< By the agent's clock; see wire::Frame. Zero if the link carries none.
 };
 
 /** Effect: close a connection; the peer connects again. */
@@ -56,9 +57,9 @@
 /** Effects of one command, in order. `E` is a variant that holds at least SendMessage and RecordEvent. */
 template <typename E> class EffectListOf {
 public:
-    template <typename Message> void send(LinkId link, Message message)
+    template <typename Message> void send(LinkId link, Message message, TimePoint agentTime = {})
     {
-        SendMessage effect { link, {} };
+        SendMessage effect { link, {}, agentTime };
         effect.body.Set(std::move(message));
         m_effects.emplace_back(std::move(effect));
     }
@@ -75,6 +76,10 @@
 
 using EffectList = EffectListOf<Effect>;
 
+/** Time by the agent's clock in a frame; zero if it has none. */
+TimePoint agentTimeOf(const wire::FrameT& frame);
+void setAgentTime(wire::FrameT& frame, TimePoint time);
+
 /** Key in a message; empty if the message has none. */
 std::optional<TaskKey> fromWire(const std::unique_ptr<wire::TaskKey>& key);
 std::optional<JobKey> fromWire(const std::unique_ptr<wire::JobKey>& key);
--- a/include/sequoia/PlatformEntryProcess.h
+++ b/include/sequoia/PlatformEntryProcess.h
@@ -61,7 +61,7 @@
     void submit(WorkSpec job, RoutePolicy route, Milliseconds budget, WaiterId waiter, JobAnswerCallback answered);
 
     void received(LinkId link, const Frame& frame);
-    void handleHello(LinkId link, const wire::HelloT& hello);
+    void handleHello(LinkId link, const wire::HelloT& hello, TimePoint agentTime);
     void tick();
     void applyEffects();
     void apply(AnswerCaller& action);
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -201,9 +201,11 @@
     void stopAnswered(const RunId& id, bool isAnswered, TimePoint now);
     void pollAnswered(uint64_t number, PollOutcome outcome, const Listing& listing, TimePoint now);
 
-    void entryLinked(LinkId link, const wire::WelcomeT& welcome, TimePoint now);
+    /** An entry has answered Hello. `agentTime` is that of the frame, also in `receive`: zero from entries that send
+     * none. */
+    void entryLinked(LinkId link, const wire::WelcomeT& welcome, TimePoint agentTime, TimePoint now);
     void linkClosed(LinkId link, TimePoint now);
-    void receive(LinkId link, const wire::BodyUnion& body, TimePoint now);
+    void receive(LinkId link, const wire::BodyUnion& body, TimePoint agentTime, TimePoint now);
 
     /** Refuses further runs; the present ones go on to their end. */
     void drain(TimePoint now);
@@ -254,6 +256,8 @@
         /** The run is over if this poll or a later one doesn't list it; 0 until the number is known. */
         uint64_t firstConclusivePoll = 0;
         TimePoint nextStop {};
+        TimePoint
+            ownerConfirmed {}; ///< When its owner was last confirmed to have a link, if that one was not replaced.
         TimePoint overBy = TimePoint::max(); ///< Its task may be started elsewhere from then on.
         bool isListed = false; ///< A listing has shown it running.
         bool isSample = false; ///< Its run time is a sample for `m_speed`; only one run of a job is.
@@ -274,6 +278,10 @@
     struct EntryLink {
         Incarnation entry {};
         TimePoint lastHeard {};
+        /** When this agent sent the latest message that the entry has answered: the entry had the link then, whatever
+         * the time that messages take. */
+        TimePoint confirmed {};
+        bool hasAgentTimes = false; ///< The entry sends them; otherwise `confirmed` is `lastHeard`.
         TimePoint lastSent {};
         uint32_t ordersSeen = 0;
         size_t runs = 0;
@@ -293,9 +301,11 @@
     struct LostOwner {
         TimePoint unlinkedAt {};
         TimePoint lastHeard {};
+        TimePoint confirmed {}; ///< As for its link.
     };
 
     void detectSuspension(TimePoint now);
+    static void confirm(EntryLink& link, TimePoint agentTime, TimePoint now);
     bool isSilent(const EntryLink& link, TimePoint now) const;
     void closeSilentLink(LinkId link, TimePoint now);
     bool isListingFresh(TimePoint now) const;
@@ -372,11 +382,13 @@
     /** Key of a run's job in the health gate, which counts jobs with failures. */
     static JobKey healthKey(const RunId& id);
     std::optional<LinkId> linkOf(Incarnation entry) const;
+    /** When the owner of a run was last confirmed to have a link to this agent; zero if that isn't known. */
+    TimePoint confirmedOf(const Run& run) const;
     void recordRun(
         LogLevel level, std::string_view kind, const RunId& id, const Run& run, std::string reason, TimePoint now);
     template <typename Message> void send(LinkId link, Message message, TimePoint now)
     {
-        m_effects.send(link, std::move(message));
+        m_effects.send(link, std::move(message), now);
         m_links.at(link).lastSent = now;
         ++m_counters.messagesSent;
     }
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -87,7 +87,7 @@
             { "agents", static_cast<int64_t>(learned.speeds.size()) } });
 }
 
-void Dispatcher::agentLinked(LinkId link, const wire::HelloT& hello, TimePoint now)
+void Dispatcher::agentLinked(LinkId link, const wire::HelloT& hello, TimePoint agentTime, TimePoint now)
 {
     const auto [it, isNew] = m_agentByName.try_emplace(hello.agent, m_agents.size());
     if (isNew)
@@ -104,6 +104,7 @@
     agent.link = link;
     agent.isLinked = true;
     agent.lastHeard = now;
+    agent.agentTime = agentTime;
     agent.lastSent = now;
     agent.state = wire::GateState::Closed; // Until its first report.
     agent.ordersSent = 0;
@@ -199,13 +200,14 @@
     agent.freeReportedAt = now;
 }
 
-void Dispatcher::receive(LinkId link, const wire::BodyUnion& body, TimePoint now)
+void Dispatcher::receive(LinkId link, const wire::BodyUnion& body, TimePoint agentTime, TimePoint now)
 {
     const auto index = agentOf(link);
     if (!index)
         return;
     ++m_counters.messagesReceived;
     m_agents[*index].lastHeard = now;
+    m_agents[*index].agentTime = agentTime;
     switch (body.type) {
     case wire::Body::RoomReport:
         onReport(*index, *body.AsRoomReport(), now);
--- a/src/Effects.cpp
+++ b/src/Effects.cpp
@@ -1,6 +1,7 @@
 /** @file Effects.cpp Conversion of identifiers to and from messages, and the names of failure reasons. */
 #include <sequoia/Effects.h>
 
+#include <algorithm>
 #include <array>
 
 namespace sequoia {
@@ -19,6 +20,17 @@
 
 std::string_view toString(FailureReason reason) { return reasonNames.at(static_cast<size_t>(reason)); }
 
+TimePoint agentTimeOf(const wire::FrameT& frame)
+{
+    constexpr int64_t maxTime = toMicroseconds(TimePoint::max().time_since_epoch()).count();
+    return TimePoint(Microseconds(std::clamp<int64_t>(frame.agent_time, 0, maxTime)));
+}
+
+void setAgentTime(wire::FrameT& frame, TimePoint time)
+{
+    frame.agent_time = toMicroseconds(time.time_since_epoch()).count();
+}
+
 std::optional<TaskKey> fromWire(const std::unique_ptr<wire::TaskKey>& key)
 {
     if (!key)
--- a/src/LinkEffectExecutor.cpp
+++ b/src/LinkEffectExecutor.cpp
@@ -7,6 +7,7 @@
 {
     Frame frame;
     frame.body = std::move(effect.body);
+    setAgentTime(frame, effect.agentTime);
     m_links.send(effect.link, std::move(frame));
 }
 
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -184,6 +184,7 @@
     hello.failure_domain = m_settings.failure_domain;
     Frame frame;
     frame.body.Set(std::move(hello));
+    setAgentTime(frame, suspendAwareNow());
     m_links.send(link, std::move(frame));
 }
 
@@ -195,13 +196,13 @@
         if (!m_dialer.welcomed(link))
             return;
         m_dialer.addAddresses(frame.body.AsWelcome()->peers, now);
-        m_core.entryLinked(link, *frame.body.AsWelcome(), now);
+        m_core.entryLinked(link, *frame.body.AsWelcome(), agentTimeOf(frame), now);
         return;
     case wire::Body::Peers:
         m_dialer.addAddresses(frame.body.AsPeers()->entries, now);
         return;
     default:
-        m_core.receive(link, frame.body, now);
+        m_core.receive(link, frame.body, agentTimeOf(frame), now);
     }
 }
 
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -200,12 +200,12 @@
 void PlatformEntryProcess::received(LinkId link, const Frame& frame)
 {
     if (frame.body.type == wire::Body::Hello)
-        handleHello(link, *frame.body.AsHello());
+        handleHello(link, *frame.body.AsHello(), agentTimeOf(frame));
     else
-        m_core.receive(link, frame.body, suspendAwareNow());
+        m_core.receive(link, frame.body, agentTimeOf(frame), suspendAwareNow());
 }
 
-void PlatformEntryProcess::handleHello(LinkId link, const wire::HelloT& hello)
+void PlatformEntryProcess::handleHello(LinkId link, const wire::HelloT& hello, TimePoint agentTime)
 {
     if (hello.agent.empty() || hello.incarnation == 0) {
         m_log.event(LogLevel::Warning, "agent-refused", { { "reason", "the hello names no agent or no incarnation" } });
@@ -222,8 +222,9 @@
     welcome.samples = speed.samples;
     Frame reply;
     reply.body.Set(std::move(welcome));
+    setAgentTime(reply, agentTime);
     m_links.send(link, std::move(reply));
-    m_core.agentLinked(link, hello, suspendAwareNow());
+    m_core.agentLinked(link, hello, agentTime, suspendAwareNow());
 }
 
 void PlatformEntryProcess::tick()
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -212,7 +212,7 @@
     return Resources().fitsIn(free) ? free : Resources();
 }
 
-void RunGate::receive(LinkId link, const wire::BodyUnion& body, TimePoint now)
+void RunGate::receive(LinkId link, const wire::BodyUnion& body, TimePoint agentTime, TimePoint now)
 {
     detectSuspension(now);
     const auto it = m_links.find(link);
@@ -221,6 +221,7 @@
     if (isSilent(it->second, now)) // The message was held up; its entry may have given up what it asks for.
         return closeSilentLink(link, now);
     it->second.lastHeard = now;
+    confirm(it->second, agentTime, now);
     switch (body.type) {
     case wire::Body::RunOrder:
         onOrder(link, *body.AsRunOrder(), now);
@@ -505,9 +506,12 @@
 void RunGate::recordRun(
     LogLevel level, std::string_view kind, const RunId& id, const Run& run, std::string reason, TimePoint now)
 {
-    m_effects.record(level, kind,
-        { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
-            { "reason", std::move(reason) }, { "ms", toMilliseconds(now - run.ordered).count() } });
+    std::vector<LogField> fields { { "job", id.task.job }, { "task", toString(id.task) },
+        { "run", static_cast<int64_t>(raw(id.run)) }, { "reason", std::move(reason) },
+        { "ms", toMilliseconds(now - run.ordered).count() } };
+    if (const auto confirmed = confirmedOf(run); confirmed != TimePoint())
+        fields.push_back({ "confirmed_ms_ago", toMilliseconds(now - confirmed).count() });
+    m_effects.record(level, kind, std::move(fields));
 }
 
 } // namespace sequoia
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -15,7 +15,20 @@
     return std::nullopt;
 }
 
-void RunGate::entryLinked(LinkId id, const wire::WelcomeT& welcome, TimePoint now)
+TimePoint RunGate::confirmedOf(const Run& run) const
+{
+    if (const auto lost = m_lostOwners.find(run.owner); lost != m_lostOwners.end())
+        return lost->second.confirmed;
+    const auto link = linkOf(run.owner);
+    return link ? m_links.at(*link).confirmed : run.ownerConfirmed;
+}
+
+void RunGate::confirm(EntryLink& link, TimePoint agentTime, TimePoint now)
+{
+    link.confirmed = std::max(link.confirmed, link.hasAgentTimes ? std::min(agentTime, now) : now);
+}
+
+void RunGate::entryLinked(LinkId id, const wire::WelcomeT& welcome, TimePoint agentTime, TimePoint now)
 {
     detectSuspension(now);
     const auto entry = Incarnation(welcome.incarnation);
@@ -26,6 +39,8 @@
     auto& link = m_links[id];
     link.entry = entry;
     link.lastHeard = now;
+    link.hasAgentTimes = agentTime != TimePoint();
+    confirm(link, agentTime, now);
     link.lastSent = now;
     link.runs = static_cast<size_t>(
         std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& run) { return run.second.owner == entry; }));
@@ -44,10 +59,11 @@
     if (it == m_links.end())
         return;
     if (it->second.runs > 0)
-        m_lostOwners.emplace(it->second.entry, LostOwner { now, it->second.lastHeard });
+        m_lostOwners.emplace(it->second.entry, LostOwner { now, it->second.lastHeard, it->second.confirmed });
     m_effects.record(LogLevel::Info, "entry-unlinked",
         { { "link", static_cast<int64_t>(raw(id)) }, { "runs", static_cast<int64_t>(it->second.runs) },
-            { "heard_ms_ago", toMilliseconds(now - it->second.lastHeard).count() } });
+            { "heard_ms_ago", toMilliseconds(now - it->second.lastHeard).count() },
+            { "confirmed_ms_ago", toMilliseconds(now - it->second.confirmed).count() } });
     m_links.erase(it);
 }
 
@@ -239,6 +255,7 @@
         int64_t stopped = 0;
         for (auto& [id, run] : m_runs) {
             if (run.owner == it->first) {
+                run.ownerConfirmed = it->second.confirmed;
                 recordRun(LogLevel::Warning, "run-owner-lost", id, run, "no link to its owner", now);
                 run.overBy = std::min(run.overBy, it->second.lastHeard + m_limits.ownerBound());
                 stopRun(id, run, now);
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -224,8 +224,8 @@
         /** When a message that is sent now on a connection arrives. */
         TimePoint arrivalOn(const Connection& connection) const;
         void stallLinks(size_t entry);
-        void sendToAgent(LinkId id, std::shared_ptr<wire::BodyUnion> body);
-        void sendToEntry(LinkId id, std::shared_ptr<wire::BodyUnion> body);
+        void sendToAgent(SendMessage message);
+        void sendToEntry(SendMessage message);
         void applyEntryEffects(size_t i);
         void applyGateEffects(size_t i);
         void scheduleArrival(size_t kind);
@@ -508,8 +508,8 @@
         wire::HelloT hello;
         hello.agent = fmt::format("agent{}", agent);
         hello.incarnation = m_gateIncarnations[agent];
-        m_entries[entry]->agentLinked(id, hello, events.now());
-        m_gates[agent]->entryLinked(id, welcome, events.now());
+        m_entries[entry]->agentLinked(id, hello, events.now(), events.now());
+        m_gates[agent]->entryLinked(id, welcome, events.now(), events.now());
     }
 
     void ClusterSimulation::closeLink(LinkId id, bool byEntry)
@@ -551,33 +551,35 @@
         }
     }
 
-    void ClusterSimulation::sendToAgent(LinkId id, std::shared_ptr<wire::BodyUnion> body)
+    void ClusterSimulation::sendToAgent(SendMessage message)
     {
         ++m_report.messages;
+        const auto id = message.link;
         const auto& connection = m_connections.at(id);
         if (!connection.isOpen || m_isPartitioned[connection.entry])
             return;
-        events.add(arrivalOn(connection), [this, id, body] {
+        events.add(arrivalOn(connection), [this, id, message = std::make_shared<SendMessage>(std::move(message))] {
             const auto agent = m_connections.at(id).agent;
             // What was sent before the entry closed the connection arrives before the agent hears of the closing.
             if (!m_gates[agent])
                 return;
-            m_gates[agent]->receive(id, *body, events.now());
+            m_gates[agent]->receive(id, message->body, message->agentTime, events.now());
             applyGateEffects(agent);
         });
     }
 
-    void ClusterSimulation::sendToEntry(LinkId id, std::shared_ptr<wire::BodyUnion> body)
+    void ClusterSimulation::sendToEntry(SendMessage message)
     {
         ++m_report.messages;
+        const auto id = message.link;
         const auto& connection = m_connections.at(id);
         if (!connection.isOpen || m_isPartitioned[connection.entry])
             return;
-        events.add(arrivalOn(connection), [this, id, body] {
+        events.add(arrivalOn(connection), [this, id, message = std::make_shared<SendMessage>(std::move(message))] {
             const auto entry = m_connections.at(id).entry;
             if (!m_connections.at(id).isOpen || !m_entries[entry])
                 return;
-            m_entries[entry]->receive(id, *body, events.now());
+            m_entries[entry]->receive(id, message->body, message->agentTime, events.now());
             applyEntryEffects(entry);
         });
     }
@@ -586,7 +588,7 @@
     {
         for (auto& effect : m_entries[i]->takeEffects()) {
             if (auto* send = std::get_if<SendMessage>(&effect))
-                sendToAgent(send->link, std::make_shared<wire::BodyUnion>(std::move(send->body)));
+                sendToAgent(std::move(*send));
             else if (auto* close = std::get_if<CloseLink>(&effect))
                 closeLink(close->link, true);
             else if (auto* answer = std::get_if<AnswerCaller>(&effect)) {
@@ -602,7 +604,7 @@
             return;
         for (auto& effect : m_gates[i]->takeEffects()) {
             if (auto* send = std::get_if<SendMessage>(&effect))
-                sendToEntry(send->link, std::make_shared<wire::BodyUnion>(std::move(send->body)));
+                sendToEntry(std::move(*send));
             else if (auto* close = std::get_if<CloseLink>(&effect))
                 closeLink(close->link, false);
             else if (auto* run = std::get_if<StartRun>(&effect))
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -34,7 +34,7 @@
         wire::HelloT hello;
         hello.agent = "agent" + std::to_string(i);
         hello.incarnation = 100 + i + 1000 * restart;
-        dispatcher.agentLinked(LinkId(i), hello, now);
+        dispatcher.agentLinked(LinkId(i), hello, now, now);
         wire::RoomReportT report;
         report.service = "service";
         report.labels = { "label" + std::to_string(i) };
@@ -64,7 +64,7 @@
     {
         wire::BodyUnion body;
         body.Set(std::move(message));
-        dispatcher.receive(LinkId(agent), body, now);
+        dispatcher.receive(LinkId(agent), body, now, now);
         collectEffects();
     }
 
@@ -142,6 +142,7 @@
             const auto* send = std::get_if<SendMessage>(&effect);
             if (send == nullptr)
                 continue;
+            agentTimes[raw(send->link)] = send->agentTime;
             if (const auto* order = send->body.AsRunOrder()) {
                 orders.push_back(fromWire(*order->id));
                 agentByRun[orders.back()] = raw(send->link);
@@ -159,6 +160,7 @@
     std::vector<RunId> orders;
     std::map<RunId, size_t> agentByRun;
     std::vector<RunId> stops;
+    std::map<size_t, TimePoint> agentTimes; ///< The agent time of the last message to each agent.
 };
 
 StepSpec stepOf(uint32_t count, int64_t cpu, Milliseconds estimate = Milliseconds(100))
@@ -172,6 +174,18 @@
 
 } // namespace
 
+Test(Dispatcher, messagesGoBackWithTheLatestTimeOfTheirAgent)
+{
+    DispatcherFixture fixture(1);
+    const auto agentTime = TimePoint(Milliseconds(5));
+    wire::BodyUnion body;
+    body.Set(wire::BeatT());
+    fixture.dispatcher.receive(LinkId(0), body, agentTime, fixture.now);
+    fixture.submit(1, stepOf(1, 1000));
+    cr_assert_eq(fixture.orders.size(), 1U);
+    cr_expect(fixture.agentTimes[0] == agentTime);
+}
+
 Test(Dispatcher, prefersItsShareOfTheAgentsAndFallsBackToOthers)
 {
     constexpr size_t entries = 2;
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -59,7 +59,8 @@
         wire::WelcomeT welcome;
         welcome.entry = "entry";
         welcome.incarnation = entry;
-        gate.entryLinked(link, welcome, now);
+        lastSent[link] = now;
+        gate.entryLinked(link, welcome, now, now);
     }
 
     /** Answers the latest poll. */
@@ -93,11 +94,18 @@
         }
     }
 
-    void sendHeartbeat(LinkId link)
+    /** Delivers a message of an entry; `answered` is the agent time in it, that of the last message to the entry if
+     * empty. */
+    void deliver(LinkId link, const wire::BodyUnion& body, std::optional<TimePoint> answered = {})
+    {
+        gate.receive(link, body, answered.value_or(lastSent[link]), now);
+    }
+
+    void sendHeartbeat(LinkId link, std::optional<TimePoint> answered = {})
     {
         wire::BodyUnion heartbeat;
         heartbeat.Set(wire::BeatT());
-        gate.receive(link, heartbeat, now);
+        deliver(link, heartbeat, answered);
     }
 
     /** Both entries send a heartbeat, so that their links don't count as silent. */
@@ -121,7 +129,7 @@
         order.suspect_ms = suspectMs;
         wire::BodyUnion body;
         body.Set(std::move(order));
-        gate.receive(link, body, now);
+        deliver(link, body);
         collectEffects();
     }
 
@@ -135,7 +143,7 @@
         demand.valid_ms = 1000;
         wire::BodyUnion body;
         body.Set(std::move(demand));
-        gate.receive(link, body, now);
+        deliver(link, body);
         collectEffects();
     }
 
@@ -145,7 +153,7 @@
         stop.ids.push_back(toWire(id));
         wire::BodyUnion body;
         body.Set(std::move(stop));
-        gate.receive(link, body, now);
+        deliver(link, body);
         collectEffects();
     }
 
@@ -155,7 +163,7 @@
         query.ids.push_back(toWire(id));
         wire::BodyUnion body;
         body.Set(std::move(query));
-        gate.receive(link, body, now);
+        deliver(link, body);
         collectEffects();
     }
 
@@ -187,6 +195,8 @@
                 closed.push_back(close->link);
             else if (auto* send = std::get_if<SendMessage>(&effect))
                 recordMessage(*send);
+            else if (auto* event = std::get_if<RecordEvent>(&effect))
+                events[std::string(event->kind)] = event->fields;
         }
     }
 
@@ -219,6 +229,8 @@
     std::map<RunId, wire::Refusal> refusals;
     std::map<LinkId, Resources> free;
     std::map<LinkId, Resources> total;
+    std::map<LinkId, TimePoint> lastSent; ///< The agent time of the last message on each link.
+    std::map<std::string, std::vector<LogField>> events; ///< The last line of each kind.
     size_t messages = 0;
     wire::GateState reportedState = wire::GateState::Closed;
 
@@ -232,6 +244,7 @@
     void recordMessage(const SendMessage& send)
     {
         ++messages;
+        lastSent[send.link] = send.agentTime;
         if (const auto* result = send.body.AsRunResult()) {
             results[fromWire(*result->id)] = result->outcome;
             refusals[fromWire(*result->id)] = result->refusal;
@@ -525,6 +538,40 @@
     cr_expect_eq(!fixture.stops.empty(), row->isStopped, "%s", row->name);
 }
 
+struct LostRunLineRow {
+    char kind[24];
+};
+
+ParameterizedTestParameters(RunGate, linesOfLostRunsTellTheAgeOfTheirOwnersAnswer)
+{
+    static LostRunLineRow rows[] = { { "entry-unlinked" }, { "run-owner-lost" }, { "run-lost" } };
+    return cr_make_param_array(LostRunLineRow, rows, sizeof(rows) / sizeof(LostRunLineRow));
+}
+
+ParameterizedTest(LostRunLineRow* row, RunGate, linesOfLostRunsTellTheAgeOfTheirOwnersAnswer)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.now += Milliseconds(40);
+    const auto answered = fixture.now - Milliseconds(25);
+    fixture.sendHeartbeat(firstLink, answered);
+    fixture.gate.linkClosed(firstLink, fixture.now);
+    fixture.collectEffects();
+    for (const auto until = fixture.now + Milliseconds(1500);
+         !fixture.events.contains(row->kind) && fixture.now < until;) {
+        fixture.now += Milliseconds(20);
+        fixture.sendHeartbeat(secondLink);
+        fixture.gate.tick(fixture.now);
+        fixture.collectEffects();
+    }
+    const auto& fields = fixture.events[row->kind];
+    const auto it
+        = std::find_if(fields.begin(), fields.end(), [](const auto& it) { return it.key == "confirmed_ms_ago"; });
+    cr_assert(it != fields.end(), "%s", row->kind);
+    cr_expect_eq(std::get<int64_t>(it->value), toMilliseconds(fixture.now - answered).count(), "%s", row->kind);
+}
+
 struct HeldOrderRow {
     char name[40];
     bool hasRun; ///< The entry has a run there already.
@@ -1070,7 +1117,7 @@
         demand.valid_ms = 1000;
         wire::BodyUnion body;
         body.Set(std::move(demand));
-        fixture.gate.receive(link, body, fixture.now);
+        fixture.deliver(link, body);
     }
     fixture.answerStart(runId(1), StartOutcome::Started);
     fixture.answerPoll(listingOf({ runId(2) }, { { 1, runId(1), EndKind::Done } }));
