The first poll of a server's next process outranks the starts of before

Cause: the fence rose only after the first listing of the next process, so that the poll which brought that listing had the fence of the starts. After a refused connection the next poll followed 120 ms later, within which the next process has seen no fence at all.

Why it works: the fence rises with the refused connection, if a start was sent with it; none is sent until the next listing. A server that refuses connections is polled each 20 ms, 50 refused connections a second over loopback; their cost wasn't measured.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -23,6 +23,7 @@
     Milliseconds lease { 700 }; ///< The server ends runs by itself this long after it received the last renewal.
     Milliseconds pollWait { 150 }; ///< The server answers a poll at the latest after this time.
     Milliseconds pollTimeout { 120 }; ///< Added to `pollWait`; after both, the poll counts as lost.
+    Milliseconds refusedPollInterval { 20 }; ///< Interval of polls while the server refuses connections.
     /** If a greater share of calls gets lost, several polls wait at the same time: one that is lost would otherwise
      * hide the ends of runs until its time-out. */
     double maxLostCallShare = 0.02;
@@ -423,6 +424,7 @@
     size_t m_nextSampled = 0;
     uint64_t m_pollNumber = 0;
     int64_t m_fence = 0; ///< Higher than that of an earlier process of this agent; 0 until the server's time is known.
+    int64_t m_startFence = 0; ///< Fence of the last start call.
     uint64_t m_fencedFromPoll = 0; ///< First poll that carries the fence.
     std::set<uint64_t> m_pendingPolls; ///< Polls without an answer yet.
     Milliseconds m_listedClock {}; ///< The server's clock in the newest listing of the present incarnation.
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -326,6 +326,7 @@
 {
     ++run.startCalls;
     run.startCalled = now;
+    m_startFence = m_fence;
     m_effects.add(StartRun { id, run.payload, m_server->instance, m_fence, grantLease(now), m_callTime.timeout(now) });
 }
 
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -123,7 +123,7 @@
         recordCall(outcome != PollOutcome::NoAnswer);
     const bool wasFresh = isListingFresh(now);
     if (outcome == PollOutcome::Refused) {
-        m_nextPoll = now + m_limits.pollTimeout;
+        m_nextPoll = now + m_limits.refusedPollInterval;
         if (!m_isServerGone) {
             m_effects.record(LogLevel::Warning, "server-gone", { { "runs", static_cast<int64_t>(m_runs.size()) } });
             m_isServerGone = true;
@@ -183,6 +183,9 @@
 void RunGate::processEnded(TimePoint now)
 {
     m_isProcessEnded = true;
+    // The first poll of the next process has to outrank the starts that are on their way.
+    if (m_fence > 0 && m_startFence >= m_fence)
+        setFence(m_fence + 1);
     std::vector<RunId> over;
     for (auto& [id, run] : m_runs) {
         if (!run.mayStartLate()) {
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -1103,6 +1103,20 @@
     cr_expect(fixture.outcome(runId(1)) == wire::RunOutcome::Lost, "%s", row->name);
 }
 
+Test(RunGate, firstPollOfTheNextServerProcessOutranksAllStarts)
+{
+    Fixture fixture(RunGateLimits {}, Milliseconds(5000));
+    fixture.answerPoll({});
+    fixture.order(firstLink, runId(1));
+    fixture.answerPolls({}, PollOutcome::Refused);
+    const auto polls = fixture.polls.size();
+    fixture.now += Milliseconds(20);
+    fixture.gate.tick(fixture.now);
+    fixture.collectEffects();
+    cr_expect_gt(fixture.lastFence, fixture.lastStartFence, "no listing has shown the next process yet");
+    cr_expect_eq(fixture.polls.size(), polls + 1, "polled often, as starts on their way aren't outranked before");
+}
+
 Test(RunGate, refusedFirstPollDoesNotCompleteRecovery)
 {
     Fixture fixture;
