A new server process may hold a lease that was meant for the one before

What callers may see: a task runs twice. A server's process is replaced while it has no runs; runs start on the new one, polls get lost, and the agent takes the lease for ended while the server's is longer.

Cause: a poll for the process before ends the lease by that one's clock. The new process, whose clock starts anew, shortens that to the longest lease. The agent allowed for it only if runs were there when it first saw the new process.

Why it works: the agent takes the lease for the longest one with each listing of a new process until a poll with the raised fence was answered; calls of before are refused from then on.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -360,6 +360,9 @@
     Milliseconds grantableLease(TimePoint now) const;
     /** Returns the end of the lease for a call, and remembers it. */
     TimePoint grantLease(TimePoint now);
+    /** Until a new process of the server has seen the fence, calls that were meant for the one before, whose clock was
+     * another one, may give it the longest lease. */
+    void extendLease(uint64_t number, TimePoint now);
     void poll(Milliseconds wait, TimePoint now);
     /** Number of polls that should wait at the same time, from the share of lost calls. */
     size_t waitingPollsWanted() const;
@@ -435,6 +438,7 @@
     TimePoint m_nextPoll {};
     TimePoint m_lastPoll {}; ///< When the last poll was sent.
     TimePoint m_lastListed {}; ///< When the last listing arrived.
+    bool m_mayHaveEarlierLease = false; ///< See extendLease.
     TimePoint m_leaseEnds {}; ///< All runs have ended by then unless their lease is renewed.
     uint64_t m_seenUpTo = 0; ///< Number of the last end that was processed.
     TimePoint m_nextSummary {};
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -168,10 +168,7 @@
     // The new process hasn't seen the fence; with a higher one it ignores the calls that were sent before.
     if (m_fence > 0)
         setFence(m_fence + 1);
-    if (m_runs.empty())
-        return;
-    // Calls that were meant for the process before gave the end of the lease by that one's clock.
-    m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(m_limits.maxLease * (1 + m_limits.clockDriftMargin)));
+    m_mayHaveEarlierLease = true;
     for (auto& [id, run] : m_runs) {
         const bool isStopped = run.state == RunState::Fencing || run.state == RunState::Stopping;
         const bool isListed = std::any_of(
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -63,6 +63,14 @@
     return now + lease;
 }
 
+void RunGate::extendLease(uint64_t number, TimePoint now)
+{
+    if (!m_mayHaveEarlierLease)
+        return;
+    m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(m_limits.maxLease * (1 + m_limits.clockDriftMargin)));
+    m_mayHaveEarlierLease = number < m_fencedFromPoll;
+}
+
 void RunGate::poll(Milliseconds wait, TimePoint now)
 {
     std::optional<TimePoint> leaseEnd;
@@ -162,6 +170,7 @@
         const bool isReplaced = m_serverStartedMs > 0 && listing.startedMs != m_serverStartedMs;
         if (listing.startedMs != m_serverStartedMs)
             startIncarnation(listing, now);
+        extendLease(number, now);
         m_pollLostAt = {};
         m_lapsedRuns.clear();
         if (m_fence == 0 && listing.clock)
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -1117,6 +1117,27 @@
     cr_expect_eq(fixture.polls.size(), polls + 1, "polled often, as starts on their way aren't outranked before");
 }
 
+Test(RunGate, leasesOfANewServerProcessMayComeFromCallsForTheOneBefore)
+{
+    Fixture fixture(RunGateLimits {}, Milliseconds(5000));
+    fixture.answerPoll({});
+    auto next = listingOf({});
+    next.startedMs = 2;
+    fixture.announce(false, 2);
+    fixture.answerPoll(next);
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    const auto since = fixture.now;
+    while (fixture.gate.runs() > 0 && fixture.now - since < Milliseconds(2000)) {
+        fixture.answerPolls({}, PollOutcome::NoAnswer);
+        fixture.now += Milliseconds(20);
+        fixture.sendHeartbeats();
+        fixture.gate.tick(fixture.now);
+        fixture.collectEffects();
+    }
+    cr_expect_geq(toMilliseconds(fixture.now - since).count(), fixture.limits.maxLease.count());
+}
+
 Test(RunGate, refusedFirstPollDoesNotCompleteRecovery)
 {
     Fixture fixture;
