--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -23,6 +23,7 @@
     Milliseconds lease { 700 }; ///< The server ends runs by itself this long after it received the last renewal.
     Milliseconds pollWait { 150 }; ///< The server answers a poll at the latest after this time.
     Milliseconds pollTimeout { 120 }; ///< Added to `pollWait`; after both, the poll counts as lost.
+    Milliseconds refusedPollInterval { 20 }; ///< Interval of polls while the server refuses connections.
     /** If a greater share of calls gets lost, several polls wait at the same time: one that is lost would otherwise
      * hide the ends of runs until its time-out. */
     double maxLostCallShare = 0.02;
@@ -369,6 +370,9 @@
     Milliseconds grantableLease(TimePoint now) const;
     /** Returns the end of the lease for a call, and remembers it. */
     TimePoint grantLease(TimePoint now);
+    /** Until a new process of the server has seen the fence, calls that were meant for the one before, whose clock was
+     * another one, may give it the longest lease. */
+    void extendLease(uint64_t number, TimePoint now);
     void poll(Milliseconds wait, TimePoint now);
     /** Number of polls that should wait at the same time, from the share of lost calls. */
     size_t waitingPollsWanted() const;
@@ -435,6 +439,7 @@
     size_t m_nextSampled = 0;
     uint64_t m_pollNumber = 0;
     int64_t m_fence = 0; ///< Higher than that of an earlier process of this agent; 0 until the server's time is known.
+    int64_t m_startFence = 0; ///< Fence of the last start call.
     uint64_t m_fencedFromPoll = 0; ///< First poll that carries the fence.
     std::set<uint64_t> m_pendingPolls; ///< Polls without an answer yet.
     Milliseconds m_listedClock {}; ///< The server's clock in the newest listing of the present incarnation.
@@ -445,6 +450,7 @@
     TimePoint m_nextPoll {};
     TimePoint m_lastPoll {}; ///< When the last poll was sent.
     TimePoint m_lastListed {}; ///< When the last listing arrived.
+    bool m_mayHaveEarlierLease = false; ///< See extendLease.
     TimePoint m_leaseEnds {}; ///< All runs have ended by then unless their lease is renewed.
     uint64_t m_seenUpTo = 0; ///< Number of the last end that was processed.
     TimePoint m_nextSummary {};
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -63,6 +63,14 @@
     return now + lease;
 }
 
+void RunGate::extendLease(uint64_t number, TimePoint now)
+{
+    if (!m_mayHaveEarlierLease)
+        return;
+    m_leaseEnds = std::max(m_leaseEnds, now + toMicroseconds(m_limits.maxLease * (1 + m_limits.clockDriftMargin)));
+    m_mayHaveEarlierLease = number < m_fencedFromPoll;
+}
+
 void RunGate::poll(Milliseconds wait, TimePoint now)
 {
     std::optional<TimePoint> leaseEnd;
@@ -123,7 +131,7 @@
         recordCall(outcome != PollOutcome::NoAnswer);
     const bool wasFresh = isListingFresh(now);
     if (outcome == PollOutcome::Refused) {
-        m_nextPoll = now + m_limits.pollTimeout;
+        m_nextPoll = now + m_limits.refusedPollInterval;
         if (!m_isServerGone) {
             m_effects.record(LogLevel::Warning, "server-gone", { { "runs", static_cast<int64_t>(m_runs.size()) } });
             m_isServerGone = true;
@@ -162,6 +170,7 @@
         const bool isReplaced = m_serverStartedMs > 0 && listing.startedMs != m_serverStartedMs;
         if (listing.startedMs != m_serverStartedMs)
             startIncarnation(listing, now);
+        extendLease(number, now);
         m_pollLostAt = {};
         m_lapsedRuns.clear();
         if (m_fence == 0 && listing.clock)
@@ -183,6 +192,9 @@
 void RunGate::processEnded(TimePoint now)
 {
     m_isProcessEnded = true;
+    // The first poll of the next process has to outrank the starts that are on their way.
+    if (m_fence > 0 && m_startFence >= m_fence)
+        setFence(m_fence + 1);
     std::vector<RunId> over;
     for (auto& [id, run] : m_runs) {
         if (!run.mayStartLate()) {
