Refused orders tell which entry has the run in their way

An order that is refused as Occupied said neither whose run is on the server nor which one, so that a job that two entries had at once couldn't be told from a retry. The agent's order-refused line now names the owner's incarnation, the active run and its age, at level info for this reason; entry-linked names the incarnation, so that it can be looked up.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -306,6 +306,9 @@
     Resources freeFor(const EntryLink& link, TimePoint now) const;
     void onOrder(LinkId link, const wire::RunOrderT& order, TimePoint now);
     wire::Refusal refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const;
+    /** The run of a task that is on the server, at most one. */
+    std::map<RunId, Run>::const_iterator activeRunOf(const TaskId& task) const;
+    void recordRefusal(const EntryLink& link, const RunId& id, wire::Refusal refusal, TimePoint now);
     /** Sends a start call; the server ignores a repeated one if it has the run, or had it. */
     void callStart(const RunId& id, Run& run, TimePoint now);
     void onStops(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -248,6 +248,12 @@
     }
 }
 
+std::map<RunId, RunGate::Run>::const_iterator RunGate::activeRunOf(const TaskId& task) const
+{
+    const auto it = m_runs.lower_bound({ task, RunNumber(0) });
+    return it != m_runs.end() && it->first.task == task ? it : m_runs.end();
+}
+
 wire::Refusal RunGate::refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const
 {
     if (order.agent_incarnation != raw(m_self))
@@ -257,8 +263,7 @@
         return m_health.health() == Health::Quarantined ? wire::Refusal::Unhealthy : wire::Refusal::Closed;
     if (gateState == wire::GateState::Trial && !m_runs.empty())
         return wire::Refusal::Unhealthy;
-    const auto active = m_runs.lower_bound({ id.task, RunNumber(0) });
-    if (active != m_runs.end() && active->first.task == id.task)
+    if (activeRunOf(id.task) != m_runs.end())
         return wire::Refusal::Occupied;
     if (order.remaining_ms == 0)
         return wire::Refusal::Expired;
@@ -294,10 +299,7 @@
         return; // A duplicate of an order that was accepted.
     if (const auto refusal = refusalOf(link, id, order, now); refusal != wire::Refusal::None) {
         ++m_counters.refusals[refusal];
-        m_effects.record(LogLevel::Debug, "order-refused",
-            { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
-                { "reason", wire::EnumNameRefusal(refusal) }, { "detail", closedReason(now) },
-                { "free", toString(freeFor(link, now)) } });
+        recordRefusal(link, id, refusal, now);
         sendResult(linkId, id, wire::RunOutcome::NotStarted, refusal, closedReason(now), {}, now);
         return;
     }
@@ -317,6 +319,23 @@
     callStart(id, run, now);
 }
 
+void RunGate::recordRefusal(const EntryLink& link, const RunId& id, wire::Refusal refusal, TimePoint now)
+{
+    std::vector<LogField> fields { { "job", id.task.job }, { "task", toString(id.task) },
+        { "run", static_cast<int64_t>(raw(id.run)) }, { "reason", wire::EnumNameRefusal(refusal) },
+        { "detail", closedReason(now) }, { "free", toString(freeFor(link, now)) } };
+    const bool isOccupied = refusal == wire::Refusal::Occupied;
+    if (isOccupied) {
+        const auto& [active, run] = *activeRunOf(id.task);
+        fields.insert(fields.end(),
+            { { "incarnation", fmt::format("{:016x}", raw(link.entry)) },
+                { "owner", fmt::format("{:016x}", raw(run.owner)) },
+                { "active_run", static_cast<int64_t>(raw(active.run)) },
+                { "active_ms", toMilliseconds(now - run.ordered).count() } });
+    }
+    m_effects.record(isOccupied ? LogLevel::Info : LogLevel::Debug, "order-refused", std::move(fields));
+}
+
 void RunGate::callStart(const RunId& id, Run& run, TimePoint now)
 {
     ++run.startCalls;
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -32,8 +32,9 @@
     m_lostOwners.erase(entry);
     if (welcome.server_life == m_serverStartedMs)
         m_speed.restore(static_cast<double>(welcome.slowness), welcome.samples);
-    m_effects.record(
-        LogLevel::Info, "entry-linked", { { "entry", welcome.entry }, { "runs", static_cast<int64_t>(link.runs) } });
+    m_effects.record(LogLevel::Info, "entry-linked",
+        { { "entry", welcome.entry }, { "incarnation", fmt::format("{:016x}", raw(entry)) },
+            { "runs", static_cast<int64_t>(link.runs) } });
     sendCrashes(id, now); // Before the report, on which the entry sends orders.
     sendReport(id, now);
 }
