An adopted run of a later step is not ordered beside itself

A job that is submitted again adopts its earlier runs of all steps. If one was of a step whose predecessors the new job hasn't done yet, the task was made ready a second time: by the end of the run, before the predecessors were done, or by the end of the predecessors, while the run was still being stopped. Then the task ran twice at the same time, or again after it was done.

Found by reading. adoptedRunOfALaterStepIsNotOrderedBesideItself fails on the code before in three of four rows ("done late: the earlier run isn't over yet", "stopped late: the earlier run isn't over yet", "stopped early: the first step isn't done yet").

A step now makes only its blocked tasks ready, and a task whose run ends while its step is blocked stays blocked.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -293,7 +293,9 @@
     /** Mean slowness of the agents that accept work, weighted by their processors. */
     double meanSlowness() const;
     QueueKey keyOf(const Job& job, TimePoint now) const;
-    /** Makes all tasks of a step ready. */
+    /** Whether all steps that a step depends on are done. */
+    static bool isUnblocked(const Job& job, size_t step);
+    /** Makes the blocked tasks of a step ready. */
     void makeReady(Job& job, size_t step);
     /** Inserts a job into the queue, or moves it, or takes it out if it has no ready task. */
     void requeue(Job& job, TimePoint now);
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -314,6 +314,8 @@
 {
     auto& step = job.steps[index];
     for (uint32_t i = 0; i < step.tasks.size(); ++i) {
+        if (step.tasks[i].state != TaskState::Blocked)
+            continue; // An earlier run of it was adopted.
         step.tasks[i].state = TaskState::Ready;
         step.ready.push_back(i);
     }
@@ -818,16 +820,25 @@
     for (size_t i = 0; i < job.steps.size(); ++i) {
         const auto& dependencies = job.spec.steps[i].dependsOn;
         const bool isNext = std::find(dependencies.begin(), dependencies.end(), index) != dependencies.end();
-        const bool isReady = std::all_of(dependencies.begin(), dependencies.end(),
-            [&](uint32_t dependency) { return job.steps[dependency].done == job.steps[dependency].tasks.size(); });
-        if (isNext && isReady)
+        if (isNext && isUnblocked(job, i))
             makeReady(job, i);
     }
     requeue(job, now);
 }
 
+bool Dispatcher::isUnblocked(const Job& job, size_t step)
+{
+    const auto& dependencies = job.spec.steps[step].dependsOn;
+    return std::all_of(dependencies.begin(), dependencies.end(),
+        [&](uint32_t dependency) { return job.steps[dependency].done == job.steps[dependency].tasks.size(); });
+}
+
 void Dispatcher::retryTask(Job& job, const RunId& id, Task& task, TimePoint now)
 {
+    if (!isUnblocked(job, raw(id.task.step))) {
+        task.state = TaskState::Blocked; // Its run was adopted.
+        return;
+    }
     task.state = TaskState::Ready;
     job.steps[raw(id.task.step)].ready.push_back(raw(id.task.index));
     requeue(job, now);
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -515,6 +515,50 @@
         cr_expect_gt(raw(fixture.orders.back().run), raw(run.run), "%s", row->name);
 }
 
+struct AdoptedStepRow {
+    char name[32];
+    wire::RunOutcome outcome; ///< Of the earlier run of the second step.
+    bool endsFirst; ///< It ends before the first step is done again.
+};
+
+ParameterizedTestParameters(Dispatcher, adoptedRunOfALaterStepIsNotOrderedBesideItself)
+{
+    static AdoptedStepRow rows[] = {
+        { "stopped early", wire::RunOutcome::Stopped, true },
+        { "stopped late", wire::RunOutcome::Stopped, false },
+        { "done early", wire::RunOutcome::Done, true },
+        { "done late", wire::RunOutcome::Done, false },
+    };
+    return cr_make_param_array(AdoptedStepRow, rows, sizeof(rows) / sizeof(AdoptedStepRow));
+}
+
+ParameterizedTest(AdoptedStepRow* row, Dispatcher, adoptedRunOfALaterStepIsNotOrderedBesideItself)
+{
+    DispatcherFixture fixture;
+    std::vector steps { stepOf(1, 1000), stepOf(1, 1000) };
+    steps[1].dependsOn = { 0 };
+    fixture.submit(1, steps, Milliseconds(5000));
+    fixture.end(fixture.orders.back(), wire::RunOutcome::Done);
+    const auto run = fixture.orders.back();
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    fixture.answers.clear();
+    fixture.orders.clear();
+    fixture.submit(1, steps, Milliseconds(5000));
+    cr_assert_eq(fixture.orders.size(), 1U, "%s: only the first step may start", row->name);
+    if (row->endsFirst)
+        fixture.end(run, row->outcome);
+    cr_expect_eq(fixture.orders.size(), 1U, "%s: the first step isn't done yet", row->name);
+    fixture.end(fixture.orders.front(), wire::RunOutcome::Done);
+    if (!row->endsFirst) {
+        cr_expect_eq(fixture.orders.size(), 1U, "%s: the earlier run isn't over yet", row->name);
+        fixture.end(run, row->outcome);
+    }
+    const bool isDone = row->outcome == wire::RunOutcome::Done;
+    cr_expect_eq(fixture.orders.size(), isDone ? 1U : 2U, "%s: %zu orders", row->name, fixture.orders.size());
+    cr_expect_eq(fixture.answers.contains(1), isDone, "%s", row->name);
+}
+
 struct CapacityRow {
     char name[48];
     int64_t firstCpu; ///< Processors of the first server after the change; the second one is full.
