A job sent to another entry waits for the runs that the first one ordered

Agents are linked to all entries. They now tell the others (OrphanedRuns) which runs have lost their caller, by a stop that says so, or their entry, by a closed link; entries that link while such runs exist are told, too. An entry that gets a job with such runs, or has it waiting, adopts them: it asks their agent for their end and starts the tasks only after the result, with higher run numbers. An order that is refused as Occupied names the run in its way, which is adopted in the same way. The agent sends the result to the owner and to the entries that asked; it says TakenOver, so that an owner that hasn't noticed its caller's departure ends the job instead of repeating the task. A query for an order that another entry's run of the same number kept out is answered as refused; it was answered Running. What comes too late is counted (job-elsewhere).

New jobs cost one look-up in an empty map and no message. A stop of runs whose caller has left costs each agent one message to every other entry, and so does the loss of an entry with runs; other stops (stragglers, cancelled, answered or expired jobs) cost none, as their callers send again after the end of the runs or not at all.

The simulation now lets an agent act on a closed link at once, as its process does, and not on its next tick.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -35,6 +35,7 @@
     Milliseconds summaryPeriod { 5000 }; ///< Interval of the `entry-summary` log line.
     size_t maxOpenJobs = 4000;
     size_t maxQueuedTasks = 40000;
+    size_t maxOrphanedRuns = 16384; ///< Orphaned runs of other entries beyond this many are not remembered.
     uint64_t traceSampleInterval = 64; ///< The trace of one in this many jobs answered in time is logged.
     size_t backfillDepth = 24; ///< Queued jobs that may fail to be placed before a pass over the queue ends.
     /** A run is stopped and repeated elsewhere after this many times its expected run time, plus `stragglerMargin`. */
@@ -70,6 +71,9 @@
     uint64_t serverCrashes = 0; ///< Crashes of servers that agents reported.
     uint64_t isolations = 0; ///< Isolations of routes whose tasks crash servers.
     uint64_t ownerlessRuns = 0; ///< Runs that an agent reported as running although they are not wanted any more.
+    uint64_t adoptedRuns = 0; ///< Runs of other entries that jobs submitted here wait for.
+    /** Orphaned runs of other entries whose task was ordered here before they were told of. */
+    uint64_t jobsElsewhere = 0;
     uint64_t demands = 0; ///< Demand messages sent.
     uint64_t resourceUpdates = 0; ///< RoomUpdate messages, which agents send without a run result.
     uint64_t messagesSent = 0;
@@ -247,6 +251,10 @@
     /** A job that was submitted again waits for the ends of its earlier runs, which are being stopped, before its tasks
      * start anew. */
     void adoptRuns(Job& job, TimePoint now);
+    /** The task of a run, which was ordered before its job was submitted here, waits for the end of this run. */
+    void adoptRun(Job& job, const RunId& id, size_t agent, TimePoint now);
+    /** The same for a run of another entry, which is stopped. */
+    void adoptForeignRun(Job& job, const RunId& id, size_t agent, TimePoint now);
     /** Reason for which a new job is refused; empty if it can be accepted. */
     std::string_view rejectionReason(const Job& job, TimePoint now) const;
     /** Admission of a job: by the load, or for an isolated route by the servers that are open to it. */
@@ -323,6 +331,8 @@
     void sendDemands(TimePoint now);
     void onReport(size_t agent, const wire::RoomReportT& report, TimePoint now);
     void onResult(size_t agent, const wire::RunResultT& result, TimePoint now);
+    /** Runs of another entry have lost their caller or their entry: their jobs may be submitted here. */
+    void onOrphanedRuns(size_t agent, const wire::OrphanedRunsT& message, TimePoint now);
     void runEnded(Job& job, const RunId& id, size_t agent, const wire::RunResultT& result, TimePoint now);
     void taskDone(Job& job, size_t step, Task& task, Microseconds ran, TimePoint now);
     /** Feeds the run times of a job's tasks to the estimate model. */
@@ -335,11 +345,11 @@
     static Microseconds objectiveOf(const Job& job);
     /** Log text of a job's open runs: task, agent, time so far and expected time. */
     std::string unfinishedText(const Job& job, TimePoint now) const;
-    void stopRuns(Job& job, TimePoint now);
+    void stopRuns(Job& job, bool isCallerGone, TimePoint now);
     /** Adds an event about a run to the job's trace. */
     static void traceRun(
         std::string_view kind, Job& job, const RunId& id, const AgentView& agent, std::string reason, TimePoint now);
-    void sendStop(size_t agent, const std::vector<RunId>& ids, TimePoint now);
+    void sendStop(size_t agent, const std::vector<RunId>& ids, bool isCallerGone, TimePoint now);
     /** Ends all runs at an agent as lost. */
     void markRunsLost(size_t agent, std::string_view cause, TimePoint now);
     void tickLinks(TimePoint now);
@@ -385,6 +395,8 @@
         TimePoint expires {};
     };
     std::unordered_map<WorkId, EndedJob> m_endedJobs;
+    /** Orphaned runs of other entries, by agent, and until when they may be there. */
+    std::map<std::pair<RunId, size_t>, TimePoint> m_orphanedRuns;
     TimePoint m_nextSummary {};
     TimePoint m_lastTick {};
     TimePoint m_settledAt {}; ///< When the discovery of agents counts as complete.
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -248,6 +248,9 @@
         TimePoint suspectUntil {}; ///< Until then it is suspected to crash the server; see CrashRecords.h.
         TimePoint startCalled {}; ///< When the last start call was sent.
         Incarnation owner {}; ///< Entry that ordered the run; zero if unknown.
+        /** Other entries that have asked for its end, as its job was submitted to them. They get its result, too. */
+        std::vector<Incarnation> successors;
+        bool isOrphaned = false; ///< Its caller or its owner has gone; entries that link are told.
         Milliseconds estimate {};
         TimePoint ordered {};
         TimePoint started {}; ///< When the start call was answered; zero before.
@@ -266,6 +269,7 @@
     /** Result of an ended run, kept for an owner that links again. */
     struct EndedRun {
         wire::RunOutcome outcome {};
+        wire::Refusal refusal {};
         std::string reason;
         TimePoint expires {};
         uint64_t lastPoll = 0; ///< The last poll that was sent before the end; the listing of a later one refutes it.
@@ -311,9 +315,13 @@
     void recordRefusal(const EntryLink& link, const RunId& id, wire::Refusal refusal, TimePoint now);
     /** Sends a start call; the server ignores a repeated one if it has the run, or had it. */
     void callStart(const RunId& id, Run& run, TimePoint now);
-    void onStops(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
+    void onStops(LinkId link, const wire::RunStopT& message, TimePoint now);
     void onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
     void stopRun(const RunId& id, Run& run, TimePoint now);
+    /** An entry that didn't order a run asks for its end. */
+    void addSuccessor(Run& run, EntryLink& link);
+    /** Tells all entries but the one on `except` of runs that are orphaned now. */
+    void sendOrphans(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now);
     /** Stops a run that a start call may have started; it is over once a stop was answered and a poll shows no run. */
     void fenceRun(const RunId& id, Run& run, TimePoint now);
     void endRun(
@@ -341,7 +349,7 @@
     /** Writes the free resources for an entry, and the server's slowness, into a message to it. */
     template <typename Message> void fillResources(Message& message, EntryLink& link, TimePoint now);
     void sendResult(LinkId link, const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal,
-        const std::string& reason, Microseconds runTime, TimePoint now);
+        const std::string& reason, Microseconds runTime, TimePoint now, RunNumber activeRun = {});
     void sendReport(LinkId link, TimePoint now);
     void sendReports(TimePoint now);
     void sendUpdate(LinkId id, EntryLink& link, TimePoint now);
@@ -375,6 +383,10 @@
     /** Key of a run's job in the health gate, which counts jobs with failures. */
     static JobKey healthKey(const RunId& id);
     std::optional<LinkId> linkOf(Incarnation entry) const;
+    /** Whether the result of a run is to be sent to an entry. */
+    static bool concerns(const Run& run, Incarnation entry);
+    /** Returns the runs that lose their owner. */
+    std::vector<RunId> removeLink(LinkId id, TimePoint now);
     void recordRun(
         LogLevel level, std::string_view kind, const RunId& id, const Run& run, std::string reason, TimePoint now);
     template <typename Message> void send(LinkId link, Message message, TimePoint now)
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -18,6 +18,8 @@
 
     constexpr uint32_t runNumberJump = 16; // Added when a server refuses a run number as too low.
     constexpr double percent = 100;
+    constexpr std::string_view callerGoneReason = "caller-gone";
+    constexpr std::string_view takenOverReason = "taken-over"; // Its caller has submitted the job to another entry.
     constexpr Milliseconds unavailableRetryDelay { 1000 }; // Retry-After where the wait can't be predicted.
 
     using FloatMs = std::chrono::duration<double, std::milli>;
@@ -132,30 +134,62 @@
         if (job.spec.steps[i].dependsOn.empty())
             makeReady(job, i);
     }
-    if (m_endedJobs.contains(job.spec.id))
-        adoptRuns(job, now);
+    adoptRuns(job, now);
 }
 
 void Dispatcher::adoptRuns(Job& job, TimePoint now)
 {
-    for (size_t i = 0; i < m_agents.size(); ++i) {
+    const auto jobId = job.spec.id;
+    for (size_t i = 0; i < m_agents.size() && m_endedJobs.contains(jobId); ++i) {
         for (const auto& id : m_agents[i].runs) {
-            if (id.task.job != job.spec.id || raw(id.task.step) >= job.steps.size()
-                || raw(id.task.index) >= job.steps[raw(id.task.step)].tasks.size())
-                continue;
-            auto& step = job.steps[raw(id.task.step)];
-            auto& task = step.tasks[raw(id.task.index)];
-            std::erase(step.ready, raw(id.task.index));
-            task.state = TaskState::Ordered;
-            task.run = id.run;
-            task.agent = i;
-            task.orderedAt = now;
-            task.isStopping = true;
-            ++job.orders;
-            job.firstOrderAt = now;
-            traceRun("run-adopted", job, id, m_agents[i], "", now);
+            if (id.task.job == jobId)
+                adoptRun(job, id, i, now);
         }
     }
+    // Of the runs of one task, only the one with the highest number may still be there.
+    std::map<TaskId, std::pair<RunId, size_t>> latest;
+    for (auto it = m_orphanedRuns.lower_bound({ { { jobId, StepIndex(0), TaskIndex(0) }, RunNumber(0) }, 0 });
+         it != m_orphanedRuns.end() && it->first.first.task.job == jobId; it = m_orphanedRuns.erase(it)) {
+        if (it->second > now)
+            latest[it->first.first.task] = it->first;
+    }
+    for (const auto& [task, run] : latest)
+        adoptForeignRun(job, run.first, run.second, now);
+}
+
+void Dispatcher::adoptRun(Job& job, const RunId& id, size_t agentIndex, TimePoint now)
+{
+    if (findTask(id.task) == nullptr)
+        return; // The job was submitted with other steps.
+    auto& step = job.steps[raw(id.task.step)];
+    auto& task = step.tasks[raw(id.task.index)];
+    std::erase(step.ready, raw(id.task.index));
+    task.state = TaskState::Ordered;
+    task.run = id.run;
+    task.agent = agentIndex;
+    task.orderedAt = now;
+    task.isStopping = true;
+    ++job.orders;
+    job.firstOrderAt = now;
+    job.firstRun = std::max(job.firstRun, RunNumber(raw(id.run) + 1));
+    traceRun("run-adopted", job, id, m_agents[agentIndex], "", now);
+}
+
+void Dispatcher::adoptForeignRun(Job& job, const RunId& id, size_t agentIndex, TimePoint now)
+{
+    const auto* task = findTask(id.task);
+    if (task == nullptr || (task->state == TaskState::Ordered && task->run >= id.run))
+        return;
+    ++m_counters.adoptedRuns;
+    auto& agent = m_agents[agentIndex];
+    if (agent.runs.empty())
+        agent.lastHeard = now; // The shorter silence limit of links with runs counts from here.
+    agent.runs.insert(id);
+    adoptRun(job, id, agentIndex, now);
+    m_effects.record(LogLevel::Info, "run-adopted",
+        { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
+            { "agent", agent.name } });
+    sendStop(agentIndex, { id }, false, now);
 }
 
 bool Dispatcher::couldRun(const Job& job, size_t step, const AgentView& agent) const
@@ -219,7 +253,7 @@
     if (!job->waiters.empty())
         return;
     ++m_counters.callersGone;
-    finish(id, { job->orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, "caller-gone", {} }, now);
+    finish(id, { job->orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, callerGoneReason, {} }, now);
 }
 
 bool Dispatcher::cancel(WorkId id, TimePoint now)
@@ -583,7 +617,7 @@
     for (const auto waiter : job.waiters)
         m_effects.add(AnswerCaller { waiter, id, answer });
     if (job.orders > 0)
-        stopRuns(job, now);
+        stopRuns(job, answer.reason == callerGoneReason || answer.reason == takenOverReason, now);
     learnRunTimes(job);
     m_jobs.erase(id);
 }
@@ -606,7 +640,7 @@
     return out;
 }
 
-void Dispatcher::stopRuns(Job& job, TimePoint now)
+void Dispatcher::stopRuns(Job& job, bool isCallerGone, TimePoint now)
 {
     std::map<size_t, std::vector<RunId>> byAgent;
     for (size_t i = 0; i < job.steps.size(); ++i) {
@@ -620,10 +654,10 @@
         }
     }
     for (const auto& [agent, ids] : byAgent)
-        sendStop(agent, ids, now);
+        sendStop(agent, ids, isCallerGone, now);
 }
 
-void Dispatcher::sendStop(size_t agentIndex, const std::vector<RunId>& ids, TimePoint now)
+void Dispatcher::sendStop(size_t agentIndex, const std::vector<RunId>& ids, bool isCallerGone, TimePoint now)
 {
     auto& agent = m_agents[agentIndex];
     if (!agent.isLinked)
@@ -631,6 +665,7 @@
     wire::RunStopT message;
     for (const auto& id : ids)
         message.ids.push_back(toWire(id));
+    message.caller_gone = isCallerGone;
     send(agent, std::move(message), now);
 }
 
@@ -646,6 +681,7 @@
     tickStragglers(now);
     tickQueue(now);
     std::erase_if(m_endedJobs, [&](const auto& ended) { return ended.second.expires <= now; });
+    std::erase_if(m_orphanedRuns, [&](const auto& orphan) { return orphan.second <= now; });
     std::erase_if(
         m_lastArrivals, [&](const auto& arrival) { return now - arrival.second > m_limits.crashes.retention; });
     dispatchQueued(now);
@@ -785,7 +821,7 @@
                 ++m_counters.stragglers;
                 const RunId run { { id, StepIndex(i), TaskIndex(static_cast<uint16_t>(n)) }, task.run };
                 traceRun("run-stuck", job, run, m_agents[task.agent], "", now);
-                sendStop(task.agent, { run }, now);
+                sendStop(task.agent, { run }, false, now);
             }
         }
     }
@@ -879,6 +915,11 @@
         ++job.refusals;
         ++m_counters.refusals[result.refusal];
         traceRun("run-refused", job, id, agent, wire::EnumNameRefusal(result.refusal), now);
+        if (result.refusal == wire::Refusal::Occupied && result.active_run > 0) {
+            retryTask(job, id, task, now);
+            adoptForeignRun(job, { id.task, RunNumber(result.active_run) }, agentIndex, now);
+            return requeue(job, now);
+        }
         if (result.refusal == wire::Refusal::RunTooLow)
             task.run = RunNumber(raw(task.run) + runNumberJump);
         if (result.refusal != wire::Refusal::NoRoom)
@@ -892,6 +933,8 @@
             task.avoidedAgents.push_back(agentIndex);
         if (m_crashes.isGivenUp(id.task))
             return giveUpCrashing(job.spec.id, now);
+        if (result.refusal == wire::Refusal::TakenOver && !task.isStopping)
+            return finish(job.spec.id, { WorkStatus::GivenUp, takenOverReason, {} }, now);
         break;
     case wire::RunOutcome::Running:
         break;
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -147,6 +147,7 @@
 void Dispatcher::markRunsLost(size_t index, std::string_view cause, TimePoint now)
 {
     m_agents[index].suspects.clear();
+    std::erase_if(m_orphanedRuns, [&](const auto& orphan) { return orphan.first.second == index; });
     for (const auto& id : std::exchange(m_agents[index].runs, {})) {
         auto* job = findJob(id.task.job);
         if (job == nullptr)
@@ -219,6 +220,8 @@
     case wire::Body::ServerCrash:
         onCrash(*body.AsServerCrash(), now);
         break;
+    case wire::Body::OrphanedRuns:
+        return onOrphanedRuns(*index, *body.AsOrphanedRuns(), now);
     case wire::Body::RunResult:
         onResult(*index, *body.AsRunResult(), now);
         break;
@@ -257,6 +260,33 @@
     return task != nullptr && task->state == TaskState::Ordered && task->run == id.run && !task->isStopping;
 }
 
+void Dispatcher::onOrphanedRuns(size_t index, const wire::OrphanedRunsT& message, TimePoint now)
+{
+    for (const auto& wireId : message.ids) {
+        const auto id = fromWire(wireId);
+        if (m_agents[index].runs.contains(id))
+            continue;
+        auto* job = findJob(id.task.job);
+        if (job == nullptr) {
+            if (m_orphanedRuns.size() < m_limits.maxOrphanedRuns)
+                m_orphanedRuns[{ id, index }] = now + m_limits.runLapse;
+            continue;
+        }
+        const auto* task = findTask(id.task);
+        if (task == nullptr)
+            continue;
+        if (task->state == TaskState::Ready || task->state == TaskState::Blocked) {
+            adoptForeignRun(*job, id, index, now);
+            requeue(*job, now);
+            continue;
+        }
+        ++m_counters.jobsElsewhere;
+        m_effects.record(LogLevel::Warning, "job-elsewhere",
+            { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
+                { "agent", m_agents[index].name } });
+    }
+}
+
 void Dispatcher::onResult(size_t index, const wire::RunResultT& result, TimePoint now)
 {
     auto& agent = m_agents[index];
@@ -272,7 +302,7 @@
         m_effects.record(LogLevel::Warning, "run-ownerless",
             { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
                 { "agent", agent.name } });
-        sendStop(index, { id }, now);
+        sendStop(index, { id }, findJob(id.task.job) == nullptr, now);
         return;
     }
     if (agent.runs.erase(id) == 0)
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -349,6 +349,9 @@
     out.counter("route_isolations_total", "Isolations of routes whose tasks crash servers.", n.isolations);
     out.gauge("routes_isolated", "1 while a route is isolated.", m_core.hasIsolatedRoutes() ? 1 : 0);
     out.counter("runs_ownerless_total", "Runs that went on although nobody wanted them.", n.ownerlessRuns);
+    out.counter("runs_adopted_total", "Runs of other entries that jobs submitted here waited for.", n.adoptedRuns);
+    out.counter("jobs_elsewhere_total", "Runs of other entries that became known after their task was ordered here.",
+        n.jobsElsewhere);
     out.counter("demand_messages_total", "Waiting work told to agents.", n.demands);
     out.counter("room_updates_total", "Reports of room by agents.", n.resourceUpdates);
     out.counter("messages_sent_total", "Messages to agents.", n.messagesSent);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -95,7 +95,7 @@
     while (!m_links.empty()) {
         const auto id = m_links.begin()->first;
         m_effects.add(CloseLink { id, "suspended" });
-        linkClosed(id, now);
+        removeLink(id, now);
     }
     tick(now);
 }
@@ -226,7 +226,7 @@
         onOrder(link, *body.AsRunOrder(), now);
         break;
     case wire::Body::RunStop:
-        onStops(link, body.AsRunStop()->ids, now);
+        onStops(link, *body.AsRunStop(), now);
         break;
     case wire::Body::RunQuery:
         onQuery(link, body.AsRunQuery()->ids, now);
@@ -292,7 +292,7 @@
         std::max<int64_t>(link.reserved.memory - resources.memory, 0),
         std::max<int64_t>(link.reserved.accelerators - resources.accelerators, 0) };
     if (const auto ended = m_endedRuns.find(id); ended != m_endedRuns.end()) {
-        sendResult(linkId, id, ended->second.outcome, wire::Refusal::None, ended->second.reason, {}, now);
+        sendResult(linkId, id, ended->second.outcome, ended->second.refusal, ended->second.reason, {}, now);
         return;
     }
     if (const auto known = m_runs.find(id); known != m_runs.end() && known->second.owner == link.entry)
@@ -300,7 +300,9 @@
     if (const auto refusal = refusalOf(link, id, order, now); refusal != wire::Refusal::None) {
         ++m_counters.refusals[refusal];
         recordRefusal(link, id, refusal, now);
-        sendResult(linkId, id, wire::RunOutcome::NotStarted, refusal, closedReason(now), {}, now);
+        const auto active = activeRunOf(id.task);
+        sendResult(linkId, id, wire::RunOutcome::NotStarted, refusal, closedReason(now), {}, now,
+            active == m_runs.end() ? RunNumber() : active->first.run);
         return;
     }
     auto& run = m_runs[id];
@@ -469,15 +471,21 @@
     default:
         break;
     }
-    m_endedRuns[id] = { outcome, reason, now + m_limits.resultRetention, m_pollNumber };
+    const bool isTakenOver = !run.successors.empty() && refusal == wire::Refusal::None;
+    refusal = isTakenOver ? wire::Refusal::TakenOver : refusal;
+    m_endedRuns[id] = { outcome, refusal, reason, now + m_limits.resultRetention, m_pollNumber };
     m_runSeconds.add({ { "outcome", wire::EnumNameRunOutcome(outcome) } }, now - run.ordered);
-    const auto link = linkOf(run.owner);
-    if (link)
-        --m_links.at(*link).runs;
-    reserveFreed(link, now);
+    std::vector<LinkId> receivers;
+    for (auto& [linkId, link] : m_links) {
+        if (!concerns(run, link.entry))
+            continue;
+        --link.runs;
+        receivers.push_back(linkId);
+    }
+    reserveFreed(linkOf(run.owner), now);
     const auto begin = run.started == TimePoint() ? run.ordered : run.started;
-    if (link)
-        sendResult(*link, id, outcome, refusal, reason, toMicroseconds(now - begin), now);
+    for (const auto linkId : receivers)
+        sendResult(linkId, id, outcome, refusal, reason, toMicroseconds(now - begin), now);
 }
 
 void RunGate::endAll(const std::string& reason, TimePoint now)
@@ -489,34 +497,45 @@
     }
 }
 
-void RunGate::onStops(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now)
+void RunGate::onStops(LinkId link, const wire::RunStopT& message, TimePoint now)
 {
-    for (const auto& wireId : ids) {
+    std::vector<RunId> orphans;
+    for (const auto& wireId : message.ids) {
         const auto id = fromWire(wireId);
         const auto it = m_runs.find(id);
         if (it != m_runs.end()) {
+            addSuccessor(it->second, m_links.at(link));
+            if (message.caller_gone) {
+                it->second.isOrphaned = true;
+                orphans.push_back(id);
+            }
             it->second.overBy = std::min(it->second.overBy, now + m_limits.stopBound());
             stopRun(id, it->second, now);
             continue;
         }
         const auto [ended, isNew] = m_endedRuns.try_emplace(id,
-            EndedRun {
-                wire::RunOutcome::Stopped, "stopped before it arrived", now + m_limits.resultRetention, m_pollNumber });
-        sendResult(link, id, ended->second.outcome, wire::Refusal::None, ended->second.reason, {}, now);
+            EndedRun { wire::RunOutcome::Stopped, wire::Refusal::None, "stopped before it arrived",
+                now + m_limits.resultRetention, m_pollNumber });
+        sendResult(link, id, ended->second.outcome, ended->second.refusal, ended->second.reason, {}, now);
     }
+    sendOrphans(orphans, link, now);
 }
 
 void RunGate::onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now)
 {
     for (const auto& wireId : ids) {
         const auto id = fromWire(wireId);
-        if (m_runs.contains(id)) {
-            sendResult(link, id, wire::RunOutcome::Running, wire::Refusal::None, "", {}, now);
+        if (const auto it = m_runs.find(id); it != m_runs.end()) {
+            // The run of another entry with this number kept the order from being started.
+            const bool isOther = !concerns(it->second, m_links.at(link).entry);
+            sendResult(link, id, isOther ? wire::RunOutcome::NotStarted : wire::RunOutcome::Running,
+                isOther ? wire::Refusal::Occupied : wire::Refusal::None, "", {}, now, id.run);
             continue;
         }
         const auto [ended, isNew] = m_endedRuns.try_emplace(id,
-            EndedRun { wire::RunOutcome::NotStarted, "never arrived", now + m_limits.resultRetention, m_pollNumber });
-        sendResult(link, id, ended->second.outcome, isNew ? wire::Refusal::NeverArrived : wire::Refusal::None,
+            EndedRun { wire::RunOutcome::NotStarted, wire::Refusal::None, "never arrived",
+                now + m_limits.resultRetention, m_pollNumber });
+        sendResult(link, id, ended->second.outcome, isNew ? wire::Refusal::NeverArrived : ended->second.refusal,
             ended->second.reason, {}, now);
     }
 }
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -15,6 +15,32 @@
     return std::nullopt;
 }
 
+bool RunGate::concerns(const Run& run, Incarnation entry)
+{
+    return run.owner == entry || std::find(run.successors.begin(), run.successors.end(), entry) != run.successors.end();
+}
+
+void RunGate::addSuccessor(Run& run, EntryLink& link)
+{
+    if (concerns(run, link.entry))
+        return;
+    run.successors.push_back(link.entry);
+    ++link.runs;
+}
+
+void RunGate::sendOrphans(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now)
+{
+    if (ids.empty())
+        return;
+    wire::OrphanedRunsT message;
+    for (const auto& id : ids)
+        message.ids.push_back(toWire(id));
+    for (const auto& [id, link] : m_links) {
+        if (id != except)
+            send(id, message, now);
+    }
+}
+
 void RunGate::entryLinked(LinkId id, const wire::WelcomeT& welcome, TimePoint now)
 {
     detectSuspension(now);
@@ -27,29 +53,50 @@
     link.entry = entry;
     link.lastHeard = now;
     link.lastSent = now;
-    link.runs = static_cast<size_t>(
-        std::count_if(m_runs.begin(), m_runs.end(), [&](const auto& run) { return run.second.owner == entry; }));
+    wire::OrphanedRunsT orphans;
+    for (auto& [runId, run] : m_runs) {
+        link.runs += concerns(run, entry) ? 1 : 0;
+        const bool isStopped = run.state == RunState::Fencing || run.state == RunState::Stopping;
+        if (run.owner == entry && !isStopped)
+            run.isOrphaned = false;
+        if (run.owner != entry && run.isOrphaned)
+            orphans.ids.push_back(toWire(runId));
+    }
     m_lostOwners.erase(entry);
     if (welcome.server_life == m_serverStartedMs)
         m_speed.restore(static_cast<double>(welcome.slowness), welcome.samples);
     m_effects.record(LogLevel::Info, "entry-linked",
         { { "entry", welcome.entry }, { "incarnation", fmt::format("{:016x}", raw(entry)) },
             { "runs", static_cast<int64_t>(link.runs) } });
-    sendCrashes(id, now); // Before the report, on which the entry sends orders.
+    sendCrashes(id, now); // These precede the report, on which the entry sends orders.
+    if (!orphans.ids.empty())
+        send(id, std::move(orphans), now);
     sendReport(id, now);
 }
 
 void RunGate::linkClosed(LinkId id, TimePoint now)
+{
+    if (m_links.contains(id))
+        sendOrphans(removeLink(id, now), std::nullopt, now);
+}
+
+std::vector<RunId> RunGate::removeLink(LinkId id, TimePoint now)
 {
     const auto it = m_links.find(id);
-    if (it == m_links.end())
-        return;
+    std::vector<RunId> orphans;
+    for (auto& [runId, run] : m_runs) {
+        if (run.owner != it->second.entry)
+            continue;
+        run.isOrphaned = true;
+        orphans.push_back(runId);
+    }
     if (it->second.runs > 0)
         m_lostOwners.emplace(it->second.entry, LostOwner { now, it->second.lastHeard });
     m_effects.record(LogLevel::Info, "entry-unlinked",
         { { "link", static_cast<int64_t>(raw(id)) }, { "runs", static_cast<int64_t>(it->second.runs) },
             { "heard_ms_ago", toMilliseconds(now - it->second.lastHeard).count() } });
     m_links.erase(it);
+    return orphans;
 }
 
 bool RunGate::isSilent(const EntryLink& link, TimePoint now) const
@@ -74,7 +121,7 @@
 }
 
 void RunGate::sendResult(LinkId linkId, const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal,
-    const std::string& reason, Microseconds runTime, TimePoint now)
+    const std::string& reason, Microseconds runTime, TimePoint now, RunNumber activeRun)
 {
     auto& link = m_links.at(linkId);
     wire::RunResultT result;
@@ -82,6 +129,7 @@
     result.outcome = outcome;
     result.refusal = refusal;
     result.reason = reason;
+    result.active_run = raw(activeRun);
     result.run_us = static_cast<uint32_t>(std::max<int64_t>(runTime.count(), 0));
     fillResources(result, link, now);
     send(linkId, std::move(result), now);
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -217,7 +217,7 @@
         void killGate(size_t i, Milliseconds downTime);
         void losePower();
         void resetConnections(size_t entry);
-        void resubmit(WorkId id, size_t entry);
+        void resubmit(WorkId id, size_t entry, Milliseconds delay = resendDelay);
         void announce(size_t i);
         void link(size_t entry, size_t agent);
         void closeLink(LinkId id, bool byEntry);
@@ -428,7 +428,7 @@
             if (entry != i)
                 continue;
             // The caller's connection breaks, so it resubmits.
-            resubmit(WorkId(raw(waiter)), (i + 1) % m_scenario.entries);
+            resubmit(WorkId(raw(waiter)), (i + 1) % m_scenario.entries, m_scenario.quickResend.value_or(resendDelay));
         }
         std::erase_if(m_waiters, [&](const auto& waiter) { return waiter.second == i; });
         events.add(events.now() + downTime, [this, i] { startEntry(i); });
@@ -453,11 +453,10 @@
             const WorkId id { raw(waiter) };
             m_waiters.erase(waiter);
             m_entries[entry]->callerGone(id, waiter, events.now());
-            if (m_scenario.quickResend)
-                events.add(events.now() + *m_scenario.quickResend, [this, id, entry] {
-                    if (!job(id).isAnswered)
-                        submit(id, entry);
-                });
+            if (m_scenario.resendsElsewhere)
+                resubmit(id, (entry + 1) % m_scenario.entries, m_scenario.quickResend.value_or(resendDelay));
+            else if (m_scenario.quickResend)
+                resubmit(id, entry, *m_scenario.quickResend);
             else
                 resubmit(id, drawEntry());
         }
@@ -466,9 +465,9 @@
             applyGateEffects(i);
     }
 
-    void ClusterSimulation::resubmit(WorkId id, size_t entry)
+    void ClusterSimulation::resubmit(WorkId id, size_t entry, Milliseconds delay)
     {
-        events.add(events.now() + resendDelay, [this, id, entry] {
+        events.add(events.now() + delay, [this, id, entry] {
             if (!job(id).isAnswered)
                 submit(id, entry);
         });
@@ -523,9 +522,11 @@
             return; // The agent closes the silent link itself.
         if (byEntry)
             events.add(arrival, [this, id] {
-                auto& gate = m_gates[m_connections.at(id).agent];
-                if (gate)
-                    gate->linkClosed(id, events.now());
+                const auto agent = m_connections.at(id).agent;
+                if (!m_gates[agent])
+                    return;
+                m_gates[agent]->linkClosed(id, events.now());
+                applyGateEffects(agent);
             });
         else if (!m_isPartitioned[connection.entry]) {
             events.add(arrival, [this, id] {
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -104,8 +104,10 @@
      * at once, and callers resubmit to any entry. */
     std::vector<std::pair<size_t, Milliseconds>> connectionResets;
     double resetShare = 0.5;
-    /** Callers whose connection was reset resubmit after this time instead of `resendDelay`, to the same entry. */
+    /** Callers whose connection was reset or whose entry was killed resubmit after this time instead of `resendDelay`,
+     * those of reset connections to the same entry. */
     std::optional<Milliseconds> quickResend;
+    bool resendsElsewhere = false; ///< Callers whose connection was reset resubmit to the next entry.
     std::vector<std::pair<size_t, Milliseconds>> entryPartitions; ///< Entry and time; it can't reach any agent for 3 s.
     /** Entry and time; for `stallLength` messages between it and half of the agents are held up, in their order. */
     std::vector<std::pair<size_t, Milliseconds>> linkStalls;
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -104,9 +104,12 @@
     }
 
     /** Delivers the result of a run from its agent. */
-    void end(const RunId& id, wire::RunOutcome outcome, Milliseconds ran = Milliseconds(100))
+    void end(const RunId& id, wire::RunOutcome outcome, Milliseconds ran = Milliseconds(100),
+        wire::Refusal refusal = wire::Refusal::None, uint32_t activeRun = 0)
     {
         wire::RunResultT result;
+        result.refusal = refusal;
+        result.active_run = activeRun;
         result.id = std::make_unique<wire::RunId>(toWire(id));
         result.outcome = outcome;
         result.run_us = static_cast<uint32_t>(Microseconds(ran).count());
@@ -515,6 +518,100 @@
         cr_expect_gt(raw(fixture.orders.back().run), raw(run.run), "%s", row->name);
 }
 
+/** How an entry learns of a run that another entry ordered. */
+enum class Learns : uint8_t {
+    BeforeTheJob, ///< Its agent tells that it is orphaned, before the job is submitted here.
+    WhileItWaits, ///< The same while the job waits for resources.
+    FromARefusal, ///< An order is refused, as the run is on that server.
+};
+
+struct ForeignRow {
+    char name[48];
+    Learns learns;
+    wire::RunOutcome outcome; ///< Of the other entry's run.
+    bool isAgentLost; ///< The agent is lost instead of reporting the outcome.
+    size_t orders; ///< Expected after the end of the run.
+};
+
+ParameterizedTestParameters(Dispatcher, jobWaitsForTheEndOfARunThatAnotherEntryOrdered)
+{
+    static ForeignRow rows[] = {
+        { "told before, stopped", Learns::BeforeTheJob, wire::RunOutcome::Stopped, false, 1 },
+        { "told before, done", Learns::BeforeTheJob, wire::RunOutcome::Done, false, 0 },
+        { "told before, agent lost", Learns::BeforeTheJob, wire::RunOutcome::Lost, true, 1 },
+        { "told while it waits, stopped", Learns::WhileItWaits, wire::RunOutcome::Stopped, false, 1 },
+        { "refused, stopped", Learns::FromARefusal, wire::RunOutcome::Stopped, false, 1 },
+        { "refused, done", Learns::FromARefusal, wire::RunOutcome::Done, false, 0 },
+    };
+    return cr_make_param_array(ForeignRow, rows, sizeof(rows) / sizeof(ForeignRow));
+}
+
+ParameterizedTest(ForeignRow* row, Dispatcher, jobWaitsForTheEndOfARunThatAnotherEntryOrdered)
+{
+    DispatcherFixture fixture;
+    const RunId run { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(5) };
+    wire::OrphanedRunsT orphans;
+    orphans.ids.push_back(toWire(run));
+    size_t agent = 0;
+    if (row->learns == Learns::BeforeTheJob)
+        fixture.deliver(agent, std::move(orphans));
+    if (row->learns == Learns::WhileItWaits) {
+        fixture.reportCapacity(0, agentCpu, 0);
+        fixture.reportCapacity(1, agentCpu, 0);
+    }
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    if (row->learns == Learns::WhileItWaits) {
+        fixture.deliver(agent, std::move(orphans));
+        fixture.reportCapacity(1, agentCpu, agentCpu);
+    }
+    if (row->learns == Learns::FromARefusal) {
+        const auto refused = fixture.orders.back();
+        agent = fixture.agentByRun.at(refused);
+        fixture.orders.clear();
+        fixture.end(refused, wire::RunOutcome::NotStarted, Milliseconds(0), wire::Refusal::Occupied, raw(run.run));
+    }
+    fixture.advance(Milliseconds(40));
+    cr_assert(fixture.orders.empty(), "%s: the other entry's run isn't over", row->name);
+    cr_assert_eq(fixture.stops.size(), 1U, "%s", row->name);
+    cr_expect(fixture.stops.back() == run, "%s", row->name);
+    if (row->isAgentLost) {
+        fixture.dispatcher.linkClosed(LinkId(agent), fixture.now);
+        fixture.now += DispatcherLimits().runLapse + Milliseconds(20);
+        fixture.tick();
+    } else {
+        fixture.agentByRun[run] = agent;
+        fixture.end(run, row->outcome);
+    }
+    cr_expect_eq(fixture.orders.size(), row->orders, "%s: %zu orders", row->name, fixture.orders.size());
+    cr_expect_eq(fixture.answers.contains(1), row->outcome == wire::RunOutcome::Done, "%s", row->name);
+    if (row->orders > 0)
+        cr_expect_gt(raw(fixture.orders.back().run), raw(run.run), "%s", row->name);
+}
+
+Test(Dispatcher, orphanedRunsOfOtherEntriesAreForgottenOnceTheyMustBeOver)
+{
+    DispatcherFixture fixture;
+    wire::OrphanedRunsT orphans;
+    orphans.ids.push_back(toWire(RunId { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(1) }));
+    fixture.deliver(0, std::move(orphans));
+    fixture.advance(DispatcherLimits().runLapse + Milliseconds(20));
+    fixture.submit(1, stepOf(1, 1000));
+    cr_expect_eq(fixture.orders.size(), 1U);
+}
+
+Test(Dispatcher, jobThatAnotherEntryHasIsNotRepeated)
+{
+    DispatcherFixture fixture;
+    fixture.submit(1, stepOf(2, 1000));
+    const auto run = fixture.orders.back();
+    const auto other = fixture.orders.front();
+    fixture.end(run, wire::RunOutcome::Stopped, Milliseconds(10), wire::Refusal::TakenOver);
+    cr_expect_eq(fixture.orders.size(), 2U, "its run at the other entry would have another one beside it");
+    cr_assert(fixture.answers.contains(1));
+    cr_expect(fixture.answers.at(1).status == WorkStatus::GivenUp);
+    cr_expect_eq(std::count(fixture.stops.begin(), fixture.stops.end(), other), 1);
+}
+
 struct AdoptedStepRow {
     char name[32];
     wire::RunOutcome outcome; ///< Of the earlier run of the second step.
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -139,9 +139,10 @@
         collectEffects();
     }
 
-    void stop(LinkId link, const RunId& id)
+    void stop(LinkId link, const RunId& id, bool isCallerGone = false)
     {
         wire::RunStopT stop;
+        stop.caller_gone = isCallerGone;
         stop.ids.push_back(toWire(id));
         wire::BodyUnion body;
         body.Set(std::move(stop));
@@ -217,6 +218,9 @@
     std::vector<LinkId> closed;
     std::map<RunId, wire::RunOutcome> results;
     std::map<RunId, wire::Refusal> refusals;
+    std::map<LinkId, wire::Refusal> lastRefusal; ///< In the last result on each link.
+    uint32_t activeRun = 0; ///< In the last result.
+    std::map<LinkId, std::vector<RunId>> orphans;
     std::map<LinkId, Resources> free;
     std::map<LinkId, Resources> total;
     size_t messages = 0;
@@ -235,6 +239,8 @@
         if (const auto* result = send.body.AsRunResult()) {
             results[fromWire(*result->id)] = result->outcome;
             refusals[fromWire(*result->id)] = result->refusal;
+            lastRefusal[send.link] = result->refusal;
+            activeRun = result->active_run;
             free[send.link] = fromWire(result->free.get());
         } else if (const auto* report = send.body.AsRoomReport()) {
             reportedState = report->state;
@@ -242,6 +248,10 @@
             free[send.link] = fromWire(report->free.get());
         } else if (const auto* update = send.body.AsRoomUpdate())
             free[send.link] = fromWire(update->free.get());
+        else if (const auto* message = send.body.AsOrphanedRuns()) {
+            for (const auto& id : message->ids)
+                orphans[send.link].push_back(fromWire(id));
+        }
     }
 };
 
@@ -468,6 +478,113 @@
     cr_expect(fixture.refusals[runId(1, 2)] == wire::Refusal::Occupied);
 }
 
+struct OrphanRow {
+    char name[40];
+    bool isStopped; ///< By its owner.
+    bool isCallerGone;
+    bool closes; ///< The owner's link breaks.
+    bool relinks; ///< It links again at once.
+    bool isOtherLate; ///< The other entry links only then.
+    bool isTold; ///< The other entry is told.
+};
+
+ParameterizedTestParameters(RunGate, otherEntriesAreToldOfRunsWhoseJobTheyMayGet)
+{
+    static OrphanRow rows[] = {
+        { "caller gone", true, true, false, false, false, true },
+        { "stopped for another reason", true, false, false, false, false, false },
+        { "owner gone", false, false, true, false, false, true },
+        { "caller gone, other entry links later", true, true, false, false, true, true },
+        { "owner gone, other entry links later", false, false, true, false, true, true },
+        { "owner back, other entry links later", false, false, true, true, true, false },
+    };
+    return cr_make_param_array(OrphanRow, rows, sizeof(rows) / sizeof(OrphanRow));
+}
+
+ParameterizedTest(OrphanRow* row, RunGate, otherEntriesAreToldOfRunsWhoseJobTheyMayGet)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    if (row->isOtherLate)
+        fixture.gate.linkClosed(secondLink, fixture.now);
+    if (row->isStopped)
+        fixture.stop(firstLink, runId(1), row->isCallerGone);
+    if (row->closes)
+        fixture.gate.linkClosed(firstLink, fixture.now);
+    if (row->relinks)
+        fixture.linkEntry(firstLink, 11);
+    if (row->isOtherLate)
+        fixture.linkEntry(secondLink, 12);
+    fixture.collectEffects();
+    const auto told = fixture.orphans[secondLink];
+    cr_expect_eq(told.size(), row->isTold ? 1U : 0U, "%s: told of %zu runs", row->name, told.size());
+    cr_expect(fixture.orphans[firstLink].empty(), "%s", row->name);
+}
+
+struct SuccessorRow {
+    char name[40];
+    bool ownerStops; ///< The owner stops the run before the other entry does.
+    bool ownerCloses; ///< The owner's link breaks.
+    bool isDone; ///< The run is done before the stop takes effect.
+};
+
+ParameterizedTestParameters(RunGate, entryThatGetsTheJobLearnsTheEndOfItsRun)
+{
+    static SuccessorRow rows[] = {
+        { "owner hasn't noticed", false, false, false },
+        { "owner stops it as well", true, false, false },
+        { "owner gone", false, true, false },
+        { "done before the stop", false, false, true },
+    };
+    return cr_make_param_array(SuccessorRow, rows, sizeof(rows) / sizeof(SuccessorRow));
+}
+
+ParameterizedTest(SuccessorRow* row, RunGate, entryThatGetsTheJobLearnsTheEndOfItsRun)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.order(secondLink, runId(1, 3));
+    cr_expect_eq(fixture.activeRun, 1U, "%s: the refusal tells the run that is there", row->name);
+    fixture.lastRefusal.clear();
+    if (row->ownerStops)
+        fixture.stop(firstLink, runId(1), true);
+    if (row->ownerCloses)
+        fixture.gate.linkClosed(firstLink, fixture.now);
+    fixture.stop(secondLink, runId(1));
+    fixture.stop(secondLink, runId(1));
+    cr_expect_eq(fixture.stops.size(), 1U, "%s", row->name);
+    fixture.gate.stopAnswered(runId(1), true, fixture.now);
+    fixture.answerPoll(listingOf({}, { { 1, runId(1), row->isDone ? EndKind::Done : EndKind::Stopped } }));
+    cr_expect(fixture.outcome(runId(1)) == (row->isDone ? wire::RunOutcome::Done : wire::RunOutcome::Stopped));
+    cr_expect(fixture.lastRefusal.contains(secondLink), "%s: the other entry gets the result", row->name);
+    if (row->ownerCloses) {
+        fixture.linkEntry(firstLink, 11);
+        fixture.query(firstLink, runId(1));
+    }
+    cr_assert(fixture.lastRefusal.contains(firstLink), "%s: its owner gets the result", row->name);
+    cr_expect(
+        fixture.lastRefusal[firstLink] == wire::Refusal::TakenOver, "%s: its owner must not repeat the run", row->name);
+    // Both links count as without runs again.
+    for (const auto until = fixture.now + RunGateLimits().ownerTimeout; fixture.now <= until;) {
+        fixture.now += Milliseconds(20);
+        fixture.gate.tick(fixture.now);
+    }
+    fixture.collectEffects();
+    cr_expect(fixture.closed.empty(), "%s", row->name);
+}
+
+Test(RunGate, queryOfAnOrderThatAnotherEntrysRunRefusedIsNoLongerRunning)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.query(secondLink, runId(1));
+    cr_expect(fixture.outcome(runId(1)) == wire::RunOutcome::NotStarted);
+    cr_expect(fixture.refusals[runId(1)] == wire::Refusal::Occupied);
+    cr_expect_eq(fixture.activeRun, 1U);
+}
+
 Test(RunGate, orderThatArrivesAfterItsStopIsNotStarted)
 {
     Fixture fixture;
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -502,6 +502,45 @@
     }
 }
 
+/** Callers send their jobs to another entry while the runs that the first one ordered are being stopped. */
+struct ElsewhereRow {
+    char name[48];
+    bool killsEntries; ///< Entries are killed; otherwise connections are reset.
+    double lostStops;
+};
+
+ParameterizedTestParameters(ClusterSimulation, runsOfAnotherEntryNeverOverlapTheirResubmission)
+{
+    static ElsewhereRow rows[] = {
+        { "reset connections", false, 0 },
+        { "reset connections, stops get lost", false, 0.5 },
+        { "killed entries", true, 0 },
+        { "killed entries, stops get lost", true, 0.5 },
+    };
+    return cr_make_param_array(ElsewhereRow, rows, sizeof(rows) / sizeof(ElsewhereRow));
+}
+
+ParameterizedTest(ElsewhereRow* row, ClusterSimulation, runsOfAnotherEntryNeverOverlapTheirResubmission, .timeout = 60)
+{
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        auto scenario = mingaScenario("callers turn to another entry");
+        scenario.seed = seed;
+        scenario.load = 0.7;
+        scenario.lostStops = row->lostStops;
+        scenario.quickResend = Milliseconds(10);
+        scenario.resendsElsewhere = true;
+        auto& disturbances = row->killsEntries ? scenario.entryKills : scenario.connectionResets;
+        for (size_t i = 0; i < 10; ++i)
+            disturbances.emplace_back(i % scenario.entries, Milliseconds(3000 + 1500 * i));
+        const auto report = simulate(scenario);
+        cr_expect(report.violations.empty(), "%s, seed %d: %zu violations, the first one: %s", row->name,
+            static_cast<int>(seed), report.violations.size(),
+            report.violations.empty() ? "" : report.violations.front().c_str());
+        cr_expect_geq(report.servedShare(), 0.8, "%s, seed %d: served %f", row->name, static_cast<int>(seed),
+            report.servedShare());
+    }
+}
+
 /** Callers of a killed entry send their jobs again, while servers answer polls but hardly any stop gets through. */
 Test(ClusterSimulation, runsOfLostEntriesNeverOverlapTheirReplacementsWhileStopsGetLost, .timeout = 120)
 {
