--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -259,6 +259,9 @@
         TimePoint suspectUntil {}; ///< Until then it is suspected to crash the server; see CrashRecords.h.
         TimePoint startCalled {}; ///< When the last start call was sent.
         Incarnation owner {}; ///< Entry that ordered the run; zero if unknown.
+        /** Other entries that have asked for its end, as its job was submitted to them. They get its result, too. */
+        std::vector<Incarnation> successors;
+        bool isOrphaned = false; ///< Its caller or its owner has gone; entries that link are told.
         Milliseconds estimate {};
         TimePoint ordered {};
         TimePoint started {}; ///< When the start call was answered; zero before.
@@ -279,6 +282,7 @@
     /** Result of an ended run, kept for an owner that links again. */
     struct EndedRun {
         wire::RunOutcome outcome {};
+        wire::Refusal refusal {};
         std::string reason;
         TimePoint expires {};
         uint64_t lastPoll = 0; ///< The last poll that was sent before the end; the listing of a later one refutes it.
@@ -327,11 +331,18 @@
     Resources freeFor(const EntryLink& link, TimePoint now) const;
     void onOrder(LinkId link, const wire::RunOrderT& order, TimePoint now);
     wire::Refusal refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const;
+    /** The run of a task that is on the server, at most one. */
+    std::map<RunId, Run>::const_iterator activeRunOf(const TaskId& task) const;
+    void recordRefusal(const EntryLink& link, const RunId& id, wire::Refusal refusal, TimePoint now);
     /** Sends a start call; the server ignores a repeated one if it has the run, or had it. */
     void callStart(const RunId& id, Run& run, TimePoint now);
-    void onStops(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
+    void onStops(LinkId link, const wire::RunStopT& message, TimePoint now);
     void onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
     void stopRun(const RunId& id, Run& run, TimePoint now);
+    /** An entry that didn't order a run asks for its end. */
+    void addSuccessor(Run& run, EntryLink& link);
+    /** Tells all entries but the one on `except` of runs that are orphaned now. */
+    void sendOrphans(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now);
     /** Stops a run that a start call may have started; it is over once a stop was answered and a poll shows no run. */
     void fenceRun(const RunId& id, Run& run, TimePoint now);
     void endRun(
@@ -364,7 +375,7 @@
     /** Writes the free resources for an entry, and the server's slowness, into a message to it. */
     template <typename Message> void fillResources(Message& message, EntryLink& link, TimePoint now);
     void sendResult(LinkId link, const RunId& id, wire::RunOutcome outcome, wire::Refusal refusal,
-        const std::string& reason, Microseconds runTime, TimePoint now);
+        const std::string& reason, Microseconds runTime, TimePoint now, RunNumber activeRun = {});
     void sendReport(LinkId link, TimePoint now);
     void sendReports(TimePoint now);
     void sendUpdate(LinkId id, EntryLink& link, TimePoint now);
@@ -405,6 +416,10 @@
     std::optional<LinkId> linkOf(Incarnation entry) const;
     /** When the owner of a run was last confirmed to have a link to this agent; zero if that isn't known. */
     TimePoint confirmedOf(const Run& run) const;
+    /** Whether the result of a run is to be sent to an entry. */
+    static bool concerns(const Run& run, Incarnation entry);
+    /** Returns the runs that lose their owner. */
+    std::vector<RunId> removeLink(LinkId id, TimePoint now);
     void recordRun(
         LogLevel level, std::string_view kind, const RunId& id, const Run& run, std::string reason, TimePoint now);
     template <typename Message> void send(LinkId link, Message message, TimePoint now)
