--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -9,7 +9,9 @@
 #include <sequoia/SettingsFile.h>
 #include <sequoia/StoreWatcher.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <array>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <fcntl.h>
@@ -355,6 +357,20 @@
     cr_expect(std::holds_alternative<HttpReply>(waiting.get_future().get()), "the process was alive");
 }
 
+/** The library's client was larger than the caller took it for, so that its constructor wrote beyond the object. */
+Test(HttpService, clientsHaveTheSizeThatTheLibraryExpects)
+{
+    constexpr size_t guardBytes = 64;
+    constexpr unsigned char guard = 0xAB;
+    alignas(httplib::Client) std::array<unsigned char, sizeof(httplib::Client) + guardBytes> buf {};
+    buf.fill(guard);
+    auto* client = new (buf.data()) httplib::Client("127.0.0.1", 1);
+    const auto changed = std::count_if(
+        buf.begin() + sizeof(httplib::Client), buf.end(), [](unsigned char byte) { return byte != guard; });
+    client->~Client();
+    cr_expect_eq(changed, 0, "%td bytes behind the client were written", changed);
+}
+
 Test(LineWriter, blockedReaderDropsLinesWithoutBlockingTheWriter, .timeout = 30)
 {
     int ends[2];
