Reject odd addresses of other writers

Another writer's registration with a port that is out of range ended every entry that sent a new configuration to its peers: the HTTP client read the port with std::stoi, which threw on a thread of ConfigSynchronizer. Agents that fetch the list of entries build a client of each address in the same way, and threw on a field of another type. In the platform's front the ports 0, an empty host and a host with blanks counted as known addresses and were dialled; an agent went on dialling them as long as they stood in the store.

--- a/include/sequoia/Dialer.h
+++ b/include/sequoia/Dialer.h
@@ -29,7 +29,7 @@
 
     /** Replaces the addresses; an address that has a link is kept even if it is not listed. */
     void setAddresses(const std::vector<std::string>& addresses, TimePoint now);
-    /** Adds addresses and renews the time to live of those already known. */
+    /** Adds addresses and renews the time to live of those already known; ignores those that can't be dialled. */
     void addAddresses(const std::vector<std::string>& addresses, TimePoint now);
     /** To be called when an entry has sent a Welcome on a link. Returns false if this dialer did not open the link. */
     bool welcomed(LinkId link);
--- a/include/sequoia/HttpService.h
+++ b/include/sequoia/HttpService.h
@@ -48,7 +48,8 @@
     std::atomic<bool> m_isStopping { false };
 };
 
-/** Makes a client of `host:port`; the timeout applies to connecting and to each single read and write. */
+/** Makes a client of `host:port`; the timeout applies to connecting and to each single read and write. The calls of a
+ * client of a malformed address fail to connect. */
 httplib::Client makeHttpClient(const std::string& address, Milliseconds timeout);
 
 /** Whether a request failed before anything was sent. */
--- a/src/AgentMain.cpp
+++ b/src/AgentMain.cpp
@@ -204,7 +204,7 @@
                 return reject("expected a JSON object");
             const auto address = json.value("address", Json());
             const auto slots = json.value("slots", Json());
-            if (!address.is_string() || !splitAddress(address.get<std::string>()))
+            if (!address.is_string() || !isDialable(address.get<std::string>()))
                 return reject("address: expected host:port");
             if (!slots.is_number_unsigned() || slots.get<uint64_t>() < 1
                 || slots.get<uint64_t>() > static_cast<uint64_t>(m_settings.max_slots))
@@ -281,11 +281,19 @@
                 return;
             }
             DiscoveredInput found;
-            for (const auto& entry : json.value("entries", Json::array())) {
-                if (!entry.is_object() || !entry.contains("link") || !entry.contains("http"))
-                    continue;
-                found.links.push_back(entry["link"].get<std::string>());
-                known.insert(entry["http"].get<std::string>());
+            const auto textOf = [](const Json& entry, const char* name) {
+                const auto field = entry.is_object() ? entry.find(name) : entry.end();
+                return field != entry.end() && field->is_string() ? field->get<std::string>() : std::string();
+            };
+            if (const auto entries = json.find("entries"); entries != json.end()) {
+                for (const auto& entry : *entries) {
+                    auto link = textOf(entry, "link");
+                    auto http = textOf(entry, "http");
+                    if (!isDialable(link) || !isDialable(http))
+                        continue;
+                    found.links.push_back(std::move(link));
+                    known.insert(std::move(http));
+                }
             }
             m_control->send(std::move(found));
         }
--- a/src/ConfigSynchronizer.cpp
+++ b/src/ConfigSynchronizer.cpp
@@ -46,8 +46,11 @@
     if (!json.is_object())
         return std::nullopt;
     try {
-        return EntryRegistration { json.at("name"), json.at("http"), json.at("link"),
+        EntryRegistration entry { json.at("name"), json.at("http"), json.at("link"),
             Incarnation(std::stoull(json.at("incarnation").get<std::string>(), nullptr, 16)) };
+        if (!isDialable(entry.http) || !isDialable(entry.link))
+            return std::nullopt;
+        return entry;
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/Dialer.cpp
+++ b/src/Dialer.cpp
@@ -1,6 +1,8 @@
 /** @file Dialer.cpp Dialing, backoff and expiry of the addresses of entries. */
 #include <sequoia/Dialer.h>
 
+#include <sequoia/Address.h>
+
 #include <algorithm>
 
 namespace sequoia {
@@ -29,6 +31,8 @@
 void Dialer::addAddresses(const std::vector<std::string>& addresses, TimePoint now)
 {
     for (const auto& address : addresses) {
+        if (!isDialable(address))
+            continue;
         const auto [it, isNew] = m_targets.try_emplace(address, makeTarget({}, now));
         it->second.lastReferenced = now;
     }
--- a/src/EntryDirectory.cpp
+++ b/src/EntryDirectory.cpp
@@ -24,7 +24,7 @@
         return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
     };
     EntryItem item { textOf("link"), textOf("peers"), textOf("domain") };
-    const bool isValid = splitAddress(item.linkAddress) && (item.peerAddress.empty() || splitAddress(item.peerAddress));
+    const bool isValid = isDialable(item.linkAddress) && (item.peerAddress.empty() || isDialable(item.peerAddress));
     return isValid ? std::optional(std::move(item)) : std::nullopt;
 }
 
--- a/src/HttpService.cpp
+++ b/src/HttpService.cpp
@@ -13,6 +13,7 @@
     constexpr Milliseconds idleThreadTimeout { 10000 };
     constexpr int listenBacklog = 1024;
     constexpr size_t maxKeepAliveRequests = 1U << 30U;
+    constexpr std::string_view unreachableHost = "127.0.0.1"; // With port 0, to which no connection can be opened.
 
     /** Task queue of the server: starts threads on demand, up to a limit, and ends idle ones. */
     class DynamicThreadPool : public httplib::TaskQueue {
@@ -81,7 +82,12 @@
 
 httplib::Client makeHttpClient(const std::string& address, Milliseconds timeout)
 {
-    httplib::Client client("http://" + address);
+    // The constructor that takes a URL throws on a port that is out of range, and its regular expression overflows the
+    // stack on a long host.
+    auto parts = splitAddress(address).value_or(std::pair(std::string(unreachableHost), 0));
+    if (parts.first.front() == '[')
+        parts.first = parts.first.substr(1, parts.first.size() - 2);
+    httplib::Client client(parts.first, parts.second);
     client.set_tcp_nodelay(true);
     client.set_connection_timeout(timeout);
     client.set_read_timeout(timeout);
--- /dev/null
+++ b/tests/OddValuesTest.cpp
@@ -0,0 +1,53 @@
+/** @file OddValuesTest.cpp Tests that odd values of other writers are skipped and reported, and end no process. */
+#include <sequoia/Address.h>
+#include <sequoia/HttpService.h>
+
+#include <criterion/criterion.h>
+#include <criterion/parameterized.h>
+
+using namespace sequoia;
+
+struct AddressRow {
+    char name[32];
+    char text[48]; ///< A host of 1,000,000 bytes if empty.
+    bool isValid;
+    bool isDialable;
+};
+
+ParameterizedTestParameters(Address, oddAddressesAreRejected)
+{
+    static AddressRow rows[] = {
+        { "address", "10.0.0.1:80", true, true },
+        { "name", "vm-1.example:80", true, true },
+        { "IPv6", "[::1]:80", true, true },
+        { "any port", "127.0.0.1:0", true, false },
+        { "no port", "127.0.0.1", false, false },
+        { "empty port", "127.0.0.1:", false, false },
+        { "port beyond 16 bits", "127.0.0.1:70000", false, false },
+        { "port beyond any type", "127.0.0.1:99999999999999999999", false, false },
+        { "negative port", "127.0.0.1:-1", false, false },
+        { "signed port", "127.0.0.1:+80", false, false },
+        { "fraction", "127.0.0.1:80.5", false, false },
+        { "no host", ":80", false, false },
+        { "blank host", " :80", false, false },
+        { "host with a blank", "vm 1:80", false, false },
+        { "host with a line break", "vm\r\n1:80", false, false },
+        { "path in the host", "vm/1:80", false, false },
+        { "user in the host", "a@vm:80", false, false },
+        { "no text", "\xff\xfe:80", false, false },
+        { "huge host", "", false, false },
+    };
+    return cr_make_param_array(AddressRow, rows, sizeof(rows) / sizeof(AddressRow));
+}
+
+/** An odd address of another writer was taken for known and dialled, or threw in the HTTP client. */
+ParameterizedTest(AddressRow* row, Address, oddAddressesAreRejected)
+{
+    const auto text = *row->text == '\0' ? std::string(1000000, 'a') + ":80" : std::string(row->text);
+    cr_expect_eq(splitAddress(text).has_value(), row->isValid, "%s", row->name);
+    cr_expect_eq(isDialable(text), row->isDialable, "%s", row->name);
+    if (row->isDialable)
+        return;
+    const auto reply = makeHttpClient(text, Milliseconds(1000)).Get("/");
+    cr_expect(!reply && isConnectFailure(reply.error()), "%s", row->name);
+}
--- a/tests/SystemTest.cpp
+++ b/tests/SystemTest.cpp
@@ -2,10 +2,13 @@
  * stops, quarantine, configuration, holidays and the time line. */
 #include "TestCluster.h"
 
+#include <sequoia/Configuration.h>
 #include <sequoia/HttpService.h>
 #include <sequoia/Ids.h>
+#include <sequoia/Store.h>
 
 #include <arpa/inet.h>
+#include <boost/leaf/result.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <fmt/format.h>
@@ -207,6 +210,50 @@
         caller.put(caller.openSession() + "~1", job(3, 5))["status"].get<std::string>().c_str(), "complete");
 }
 
+struct RegistrationRow {
+    char name[32];
+    char field[16]; ///< The field of a valid registration that is replaced.
+    char value[40]; ///< JSON text of its value; several levels of arrays if empty.
+};
+
+ParameterizedTestParameters(UntrustedPeers, oddRegistrationEndsNoProcess)
+{
+    static RegistrationRow rows[] = {
+        { "a port beyond any type", "http", "\"127.0.0.1:99999999999999999999\"" },
+        { "a port beyond 16 bits", "http", "\"127.0.0.1:70000\"" },
+        { "an address of another type", "link", "7" },
+        { "an incarnation too large", "incarnation", "\"fffffffffffffffffffffffff\"" },
+        { "arrays nested deeply", "name", "" },
+    };
+    return cr_make_param_array(RegistrationRow, rows, sizeof(rows) / sizeof(RegistrationRow));
+}
+
+/** An odd registration in the store ended the entries and the agents that read it. */
+ParameterizedTest(RegistrationRow* row, UntrustedPeers, oddRegistrationEndsNoProcess, .timeout = 90)
+{
+    TestCluster cluster({ .entries = 2, .agents = 1 });
+    const Store store(cluster.storeAddress(), Milliseconds(3000));
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    auto text = std::string(R"({"name":"odd","http":"127.0.0.1:1","link":"127.0.0.1:1","incarnation":"1")");
+    text += fmt::format(",\"{}\":{}}}", row->field, *row->value == '\0' ? deep : row->value);
+    const auto key = StoreKeys("sequoia").entry("odd");
+    cr_assert(store.compareAndSwap(key, StoreRevision(), { { key, text, {} } }).value());
+    // Entries read the registrations every 3 s and send a new configuration to all of them; agents fetch the list of
+    // entries every 2 s.
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    const auto setProfile = [](Configuration configuration) -> boost::leaf::result<Configuration> {
+        configuration.profile = "messages";
+        return configuration;
+    };
+    cr_expect(ConfigEditor(store, "sequoia").edit("test", "test", setProfile).has_value());
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    for (const auto* name : { "entry1", "entry2", "agent1" })
+        cr_expect(cluster.process(name).isRunning(), "%s, %s: ended", row->name, name);
+    const auto links = cluster.get("entry1", "/v1/links");
+    cr_assert(links.is_object());
+    cr_expect_eq(links["entries"].size(), 2U, "%s: %s", row->name, links.dump().substr(0, 500).c_str());
+}
+
 /** A graceful stop of an entry and of an agent under load must fail no job and lose no outcome. */
 Test(Stop, entryAndAgentStopUnderLoadWithoutFailedJobs, .timeout = 90)
 {
