Follow the other items of a page of the store that has an odd one

One item that can't be read (a value that isn't base64, an odd revision, a key of another type) made decodeItems reject the whole page, so that no entry, learned value or configuration under the prefix was followed any more. For a watch the watcher then listed and watched again without a pause, and each reading was logged.

If no watch succeeds after a listing, the watcher waits 400 ms before it lists again.

--- a/include/sequoia/SharedStore.h
+++ b/include/sequoia/SharedStore.h
@@ -25,10 +25,17 @@
     bool isRemoved = false;
 };
 
-/** The items under a prefix, or the changes to them. */
+/** An item that can't be read. */
+struct SharedItemProblem {
+    std::string key; ///< Empty if the key can't be read either.
+    std::string message;
+};
+
+/** The items under a prefix, or the changes to them. An item that can't be read counts as removed. */
 struct SharedItems {
     std::vector<SharedItem> items;
     StoreVersion version {}; ///< Version of the store; pass it to the next watch as `after`.
+    std::vector<SharedItemProblem> problems {};
 };
 
 /** Errors of calls to the shared store. */
--- a/include/sequoia/StoreWatcher.h
+++ b/include/sequoia/StoreWatcher.h
@@ -53,6 +53,7 @@
     std::map<std::string, std::string> m_items;
     std::optional<StoreVersion> m_version;
     bool m_isCallPending = false;
+    bool m_hasWatched = false; ///< A watch has succeeded since the last listing.
     uint32_t m_failures = 0;
     TimePoint m_nextCallAt {};
     TimePoint m_lostAt {};
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -3,6 +3,7 @@
 
 #include "ProcessMetrics.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -260,8 +261,11 @@
 void PlatformEntryProcess::updateEntries(const std::map<std::string, std::string>& items)
 {
     auto directory = EntryDirectory::fromItems(items);
-    for (const auto& key : directory.malformed)
-        m_log.event(LogLevel::Warning, "entry-malformed", { { "key", key } });
+    const auto& known = m_directory.malformed;
+    for (const auto& key : directory.malformed) {
+        if (std::find(known.begin(), known.end(), key) == known.end())
+            m_log.event(LogLevel::Warning, "entry-malformed", { { "key", key } });
+    }
     if (!items.contains(std::string(entryItemsPrefix) + m_settings.name))
         m_registration.onMissing();
     m_log.event(LogLevel::Info, "entries", { { "known", static_cast<int64_t>(directory.linkAddresses.size()) } });
--- a/src/StoreWatcher.cpp
+++ b/src/StoreWatcher.cpp
@@ -53,6 +53,7 @@
         return;
     }
     onSuccess();
+    m_hasWatched = true;
     const auto& found = std::get<SharedItems>(reply);
     m_version = std::max(*m_version, found.version);
     for (const auto& item : found.items) {
@@ -71,7 +72,9 @@
     if (error == SharedStoreError::HistoryGone) {
         m_log.event(LogLevel::Info, "store-history-gone", { { "prefix", m_prefix } });
         m_version.reset();
-        m_nextCallAt = m_hooks.now();
+        // Without a watch since the last listing, the next one may not help either.
+        m_nextCallAt = m_hooks.now() + (m_hasWatched ? Milliseconds(0) : m_limits.maxBackoff);
+        m_hasWatched = false;
         return;
     }
     if (m_failures == 0) {
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -165,6 +165,48 @@
     cr_expect(encodePut("k", "node-1", StoreLease(5)).find("bm9kZS0x") != std::string::npos);
 }
 
+struct OddItemRow {
+    char name[40];
+    char item[160]; ///< JSON text of the odd item; arrays nested deeply if empty.
+    bool isRemoval; ///< Whether the item is taken for a removal of its key.
+};
+
+ParameterizedTestParameters(Codec, oddItemsDoNotHideOthers)
+{
+    static OddItemRow rows[] = {
+        { "no object", "7", false },
+        { "nested deeply", "", false },
+        { "no key", R"({"value":"eA==","revision":1})", false },
+        { "key of another type", R"({"key":7,"value":"eA==","revision":1})", false },
+        { "value no base64", R"({"key":"p/odd","value":"*?","revision":1})", true },
+        { "value of another type", R"({"key":"p/odd","value":[1],"revision":1})", true },
+        { "revision too large", R"({"key":"p/odd","value":"eA==","revision":123456789012345678901})", true },
+        { "negative revision", R"({"key":"p/odd","value":"eA==","revision":-1})", true },
+        { "fractional revision", R"({"key":"p/odd","value":"eA==","revision":1.5})", true },
+        { "removed of another type", R"({"key":"p/odd","value":"eA==","revision":1,"removed":1})", true },
+    };
+    return cr_make_param_array(OddItemRow, rows, sizeof(rows) / sizeof(OddItemRow));
+}
+
+/** One odd item made the store's whole page unreadable, so that nothing under the prefix was followed any more. */
+ParameterizedTest(OddItemRow* row, Codec, oddItemsDoNotHideOthers)
+{
+    const std::string odd = *row->item == '\0' ? std::string(100000, '[') + std::string(100000, ']') : row->item;
+    for (const auto* list : { "items", "events" }) {
+        const auto text = R"({"current_rev":9,")" + std::string(list)
+            + R"(":[{"key":"p/a","value":"eA==","revision":1},)" + odd
+            + R"(,{"key":"p/z","value":"eQ==","revision":2}]})";
+        const auto decoded = decodeItems(text, nullptr);
+        cr_assert(std::holds_alternative<SharedItems>(decoded), "%s: %s", row->name, problemPlace(decoded).c_str());
+        cr_expect_eq(std::get<SharedItems>(decoded).problems.size(), 1U, "%s", row->name);
+        const auto& items = std::get<SharedItems>(decoded).items;
+        cr_assert_eq(items.size(), row->isRemoval ? 3U : 2U, "%s: %zu items", row->name, items.size());
+        cr_expect_eq(items.front().value + items.back().value, "xy", "%s", row->name);
+        if (row->isRemoval)
+            cr_expect(items[1].isRemoved && items[1].key == "p/odd", "%s", row->name);
+    }
+}
+
 Test(Codec, mutatedTextsAreDecodedOrRejected, .timeout = 60)
 {
     std::mt19937 random(1); // A fixed seed, so that the test is repeatable.
--- a/tests/PlatformTest.cpp
+++ b/tests/PlatformTest.cpp
@@ -130,13 +130,22 @@
                 items.push_back({ { "key", "op/config" }, { "value", put["writes"][0]["value"] }, { "revision", 5 } });
             }
             if (call.target.find("entries") != std::string::npos) {
-                // Malformed items of other writers: no JSON, a field of another type, an unusable address.
-                for (const auto* value : { "x", R"({"link":7})", R"({"link":"nowhere:1","peers":"nowhere:1"})" }) {
+                // Malformed items of other writers: no JSON, a field of another type, unusable addresses.
+                const auto deep = R"({"link":)" + std::string(100000, '[') + std::string(100000, ']') + "}";
+                for (const std::string& value : { std::string("x"), std::string(R"({"link":7})"),
+                         std::string(R"({"link":"nowhere:1","peers":"nowhere:1"})"),
+                         std::string(R"({"link":"127.0.0.1:0","peers":"127.0.0.1:99999999999999999999"})"),
+                         std::string(R"({"link":1e400})"), std::string("\xff\x00", 2), deep }) {
                     const auto key = fmt::format("sequoia/entries/stranger{}", items.size());
                     const auto put = Json::parse(platform::encodePut(key, value, StoreLease(0)));
                     items.push_back({ { "key", key }, { "value", put["writes"][0]["value"] }, { "revision", 5 } });
                 }
             }
+            // Rows that can't be read.
+            items.push_back(7);
+            items.push_back({ { "key", 7 }, { "value", "eA==" }, { "revision", 5 } });
+            items.push_back({ { "key", "sequoia/odd" }, { "value", "*" }, { "revision", 5 } });
+            items.push_back({ { "key", "sequoia/odd" }, { "value", "eA==" }, { "revision", -1 } });
             return reply(exchange, { { "items", items }, { "truncated", false }, { "current_rev", 5 } });
         }
         if (call.target.starts_with("/sequoiafold/kv-watch")) {
--- a/tests/StoreUseTest.cpp
+++ b/tests/StoreUseTest.cpp
@@ -96,6 +96,22 @@
     cr_expect(watcher.isConnected());
 }
 
+/** A watch whose replies couldn't be read made the watcher list without a pause. */
+Test(StoreWatcher, pausesIfNoWatchSucceedsAfterAListing)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    StoreWatcher watcher("p/", store, fake.log, {}, { [](const auto&) {}, [&] { return fake.now; } });
+    watcher.tick();
+    fake.items(itemsOf(5, {}));
+    fake.items(SharedStoreError::HistoryGone);
+    watcher.tick();
+    cr_expect_eq(fake.calls.back(), "watch 5", "the next listing must wait for the pause");
+    fake.now += Milliseconds(400);
+    watcher.tick();
+    cr_expect_eq(fake.calls.back(), "list");
+}
+
 Test(Registration, registersAgainAfterItsLeaseHasEnded)
 {
     FakeStore fake;
