Reject JSON texts that are nested too deeply

nlohmann-json parses and frees deep values without recursion, but copies and writes them with a call for each level. A configuration in the store with 100,000 arrays in a field ended each sequoia-entry that read it, and sequoiactl; an announcement of 800 kB ended a sequoia-agent: both copied the field, and the configuration's error also quoted it.

Pages of the store are not, since one deep item must not hide the others; nothing copies or writes their rows.

On the code before, Json::deepTextsAreRejected failed in all six rows ("CRASH!" in five) and UntrustedPeers::deepAnnouncementDoesNotEndAnAgent with "The expression cluster.process("agent1").isRunning() is false".

--- a/src/ConfigSynchronizer.cpp
+++ b/src/ConfigSynchronizer.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <sequoia/HttpService.h>
+#include <sequoia/JsonNesting.h>
 
 namespace sequoia {
 
@@ -42,6 +43,8 @@
 
 std::optional<EntryRegistration> parseRegistration(const std::string& text)
 {
+    if (isNestedTooDeeply(text))
+        return std::nullopt;
     const auto json = Json::parse(text, nullptr, false);
     if (!json.is_object())
         return std::nullopt;
--- a/src/Configuration.cpp
+++ b/src/Configuration.cpp
@@ -5,6 +5,7 @@
 #include <boost/leaf/error.hpp>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <sequoia/JsonNesting.h>
 #include <sequoia/Settings.h>
 
 namespace sequoia {
@@ -168,6 +169,8 @@
 
 leaf::result<Configuration> parseConfiguration(const std::string& text)
 {
+    if (isNestedTooDeeply(text))
+        return invalid({ "configuration: nested too deeply" });
     const auto json = Json::parse(text, nullptr, false);
     if (!json.is_object())
         return invalid({ "configuration: not a JSON object" });
@@ -208,6 +211,8 @@
 leaf::result<Configuration> withDocument(
     const Configuration& configuration, const std::string& name, const std::string& text)
 {
+    if (isNestedTooDeeply(text))
+        return invalid({ name + ": nested too deeply" });
     Json json;
     try {
         json = Json::parse(text);
--- a/src/EntryDirectory.cpp
+++ b/src/EntryDirectory.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sequoia/Address.h>
+#include <sequoia/JsonNesting.h>
 
 namespace sequoia {
 
@@ -18,6 +19,8 @@
 
 std::optional<EntryItem> parseEntryItem(const std::string& text)
 {
+    if (isNestedTooDeeply(text))
+        return std::nullopt;
     const auto json = Json::parse(text, nullptr, false);
     const auto textOf = [&](const char* name) {
         const auto it = json.is_object() ? json.find(name) : json.end();
--- a/src/Learned.cpp
+++ b/src/Learned.cpp
@@ -2,6 +2,7 @@
 #include <sequoia/Learned.h>
 
 #include <nlohmann/json.hpp>
+#include <sequoia/JsonNesting.h>
 
 namespace sequoia {
 
@@ -51,6 +52,8 @@
 
 std::optional<Learned> parseLearned(const std::string& text)
 {
+    if (isNestedTooDeeply(text))
+        return std::nullopt;
     const auto json = Json::parse(text, nullptr, false);
     if (!json.is_object())
         return std::nullopt;
--- a/tests/OddValuesTest.cpp
+++ b/tests/OddValuesTest.cpp
@@ -1,7 +1,10 @@
 /** @file OddValuesTest.cpp Tests that odd values of other writers are skipped and reported, and end no process. */
 #include <sequoia/Address.h>
+#include <sequoia/Configuration.h>
+#include <sequoia/EntryDirectory.h>
 #include <sequoia/HttpService.h>
 
+#include <boost/leaf/result.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
@@ -51,3 +54,34 @@
     const auto reply = makeHttpClient(text, Milliseconds(1000)).Get("/");
     cr_expect(!reply && isConnectFailure(reply.error()), "%s", row->name);
 }
+
+struct NestedTextRow {
+    char name[40];
+    char before[64]; ///< Text before the nested arrays, and after them.
+    char after[64];
+    bool isConfiguration; ///< Otherwise an entry's item.
+};
+
+ParameterizedTestParameters(Json, deepTextsAreRejected)
+{
+    static NestedTextRow rows[] = {
+        { "configuration, revision", R"({"revision":)", "}", true },
+        { "configuration, weight", R"({"revision":1,"teams":[{"name":"a","weight":)", "}]}", true },
+        { "configuration, quota", R"({"revision":1,"teams":[{"name":"a","quota":)", "}]}", true },
+        { "configuration, holidays", R"({"revision":1,"plan":{"holidays":[)", "]}}", true },
+        { "configuration, parts", R"({"revision":1,"plan":{"parts":)", "}}", true },
+        { "entry", R"({"link":"a:1","peers":"","domain":)", "}", false },
+    };
+    return cr_make_param_array(NestedTextRow, rows, sizeof(rows) / sizeof(NestedTextRow));
+}
+
+/** Arrays nested deeply overflowed the stack of the reader when it copied or quoted them. */
+ParameterizedTest(NestedTextRow* row, Json, deepTextsAreRejected)
+{
+    constexpr size_t depth = 100000;
+    const auto text = row->before + std::string(depth, '[') + std::string(depth, ']') + row->after;
+    if (row->isConfiguration)
+        cr_expect_not(parseConfiguration(text).has_value(), "%s", row->name);
+    else
+        cr_expect_not(parseEntryItem(text).has_value(), "%s", row->name);
+}
--- a/tests/SystemTest.cpp
+++ b/tests/SystemTest.cpp
@@ -254,6 +254,18 @@
     cr_expect_eq(links["entries"].size(), 2U, "%s: %s", row->name, links.dump().substr(0, 500).c_str());
 }
 
+/** An announcement that is nested deeply overflowed the stack of the agent, which ended. */
+Test(UntrustedPeers, deepAnnouncementDoesNotEndAnAgent, .timeout = 60)
+{
+    TestCluster cluster({ .entries = 1, .agents = 1 });
+    constexpr size_t depth = 400000;
+    const auto body = R"({"address":)" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    const auto reply = makeHttpClient(cluster.http("agent1"), Milliseconds(5000))
+                           .Post("/v1/backend/announce", body, "application/json");
+    cr_expect(reply && reply->status == 400, "%d", reply ? reply->status : 0);
+    cr_expect(cluster.process("agent1").isRunning());
+}
+
 /** A graceful stop of an entry and of an agent under load must fail no job and lose no outcome. */
 Test(Stop, entryAndAgentStopUnderLoadWithoutFailedJobs, .timeout = 90)
 {
