Reject numbers that can't be a time or the number of a run

The reader cut run numbers above 32 bits: a listed run was taken for run 2, whose end or life it doesn't show. Starts and clocks of a server up to 2^63 were taken as well; the end of a lease and an objective are computed from them, and overflowed.

Times are read up to the year 4000 (no clock is compared), counts up to 2^53, run numbers up to 32 bits. A listing with a row that can't be read is still not used at all: a row in `running` may be of any run, and a row in `ended` that is skipped would be acknowledged by the next one.

The bound of an objective has no test.

--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -120,7 +120,7 @@
 }
 
 struct PingRow {
-    char name[24];
+    char name[32];
     char from[40]; ///< Text of a valid ping that is replaced.
     char to[40];
     char place[16];
@@ -132,6 +132,8 @@
         { "no start time", "\"born\":17,", "", "born" },
         { "start time no integer", "\"born\":17", "\"born\":1.5", "born" },
         { "unknown state", "\"ready\"", "\"resting\"", "state" },
+        { "start beyond any clock", "\"born\":17", "\"born\":4611686018427387904", "born" },
+        { "sequence beyond any count", "\"seq\":4", "\"seq\":9223372036854775807", "seq" },
         { "no service", "\"service\":\"s\",", "", "service" },
         { "no capacity", "\"capacity\"", "\"capacities\"", "capacity" },
         { "labels of another type", "[\"a\",\"r1-3\"]", "[1]", "labels" },
@@ -207,6 +209,48 @@
     }
 }
 
+struct OddListingRow {
+    char name[40];
+    char from[48]; ///< Text of a valid listing that is replaced.
+    char to[64];
+    char place[16];
+};
+
+ParameterizedTestParameters(Codec, oddListingsAreRejected)
+{
+    static OddListingRow rows[] = {
+        { "running: run too large", "17\",2", "17\",4294967298", "running" },
+        { "running: negative run", "17\",2", "17\",-2", "running" },
+        { "running: fractional run", "17\",2", "17\",2.5", "running" },
+        { "running: no task", "\"5c0e7a21d94b36f8.0.1.17\",2", "7,2", "running" },
+        { "running: no row", "[\"5c0e7a21d94b36f8.0.1.17\",2,\"\",41]", "7", "running" },
+        { "ended: run too large", "0.9\",1", "0.9\",4294967297", "ended" },
+        { "ended: number beyond any type", "[58", "[123456789012345678901", "ended" },
+        { "ended: negative number", "[58", "[-58", "ended" },
+        { "ended: kind of another type", "\"done\"", "1", "ended" },
+        { "start beyond any clock", "\"born\":17", "\"born\":4611686018427387904", "born" },
+        { "negative start", "\"born\":17", "\"born\":-1", "born" },
+        { "clock beyond any clock", "\"clock_ms\":48", "\"clock_ms\":9223372036854775807", "clock_ms" },
+    };
+    return cr_make_param_array(OddListingRow, rows, sizeof(rows) / sizeof(OddListingRow));
+}
+
+/** A listing with a row that can't be read proves no run's end: none of it may be used. */
+ParameterizedTest(OddListingRow* row, Codec, oddListingsAreRejected)
+{
+    auto text = goodListing;
+    const auto at = text.find(row->from);
+    cr_assert_neq(at, std::string::npos, "%s", row->name);
+    text.replace(at, std::string(row->from).size(), row->to);
+    cr_expect_eq(problemPlace(decodeListing(text)), std::string(row->place), "%s", row->name);
+}
+
+Test(Codec, oddClocksOfServerRepliesAreIgnored)
+{
+    for (const auto* clock : { "9223372036854775807", "18446744073709551615", "-1", "1e400", "1.5", "[]" })
+        cr_expect_not(decodeServerReply(std::string("{\"clock_ms\":") + clock + "}").clock.has_value(), "%s", clock);
+}
+
 Test(Codec, mutatedTextsAreDecodedOrRejected, .timeout = 60)
 {
     std::mt19937 random(1); // A fixed seed, so that the test is repeatable.
