--- a/src/AgentMain.cpp
+++ b/src/AgentMain.cpp
@@ -5,6 +5,7 @@
 #include <sequoia/AgentControl.h>
 #include <sequoia/Daemon.h>
 #include <sequoia/EntryControl.h>
+#include <sequoia/JsonNesting.h>
 #include <sequoia/Metrics.h>
 
 #include <fmt/format.h>
@@ -194,7 +195,7 @@
 
         void handleAnnouncement(const httplib::Request& request, httplib::Response& response)
         {
-            const auto json = Json::parse(request.body, nullptr, false);
+            const auto json = isNestedTooDeeply(request.body) ? Json() : Json::parse(request.body, nullptr, false);
             const auto reject = [&](const std::string& message) {
                 response.status = 400;
                 response.set_content(
@@ -204,7 +205,7 @@
                 return reject("expected a JSON object");
             const auto address = json.value("address", Json());
             const auto slots = json.value("slots", Json());
-            if (!address.is_string() || !splitAddress(address.get<std::string>()))
+            if (!address.is_string() || !isDialable(address.get<std::string>()))
                 return reject("address: expected host:port");
             if (!slots.is_number_unsigned() || slots.get<uint64_t>() < 1
                 || slots.get<uint64_t>() > static_cast<uint64_t>(m_settings.max_slots))
@@ -275,17 +276,26 @@
             std::advance(it, static_cast<std::ptrdiff_t>(random() % known.size()));
             auto client = makeHttpClient(*it, discoveryTimeout);
             const auto reply = client.Get("/v1/links");
-            const auto json = reply ? Json::parse(reply->body, nullptr, false) : Json();
+            const bool isReadable = reply && !isNestedTooDeeply(reply->body);
+            const auto json = isReadable ? Json::parse(reply->body, nullptr, false) : Json();
             if (!json.is_object()) {
                 known = { m_settings.entries.begin(), m_settings.entries.end() };
                 return;
             }
             DiscoveredInput found;
-            for (const auto& entry : json.value("entries", Json::array())) {
-                if (!entry.is_object() || !entry.contains("link") || !entry.contains("http"))
-                    continue;
-                found.links.push_back(entry["link"].get<std::string>());
-                known.insert(entry["http"].get<std::string>());
+            const auto textOf = [](const Json& entry, const char* name) {
+                const auto field = entry.is_object() ? entry.find(name) : entry.end();
+                return field != entry.end() && field->is_string() ? field->get<std::string>() : std::string();
+            };
+            if (const auto entries = json.find("entries"); entries != json.end()) {
+                for (const auto& entry : *entries) {
+                    auto link = textOf(entry, "link");
+                    auto http = textOf(entry, "http");
+                    if (!isDialable(link) || !isDialable(http))
+                        continue;
+                    found.links.push_back(std::move(link));
+                    known.insert(std::move(http));
+                }
             }
             m_control->send(std::move(found));
         }
--- a/src/ConfigSynchronizer.cpp
+++ b/src/ConfigSynchronizer.cpp
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <sequoia/HttpService.h>
+#include <sequoia/JsonNesting.h>
 
 namespace sequoia {
 
@@ -42,12 +43,17 @@
 
 std::optional<EntryRegistration> parseRegistration(const std::string& text)
 {
+    if (isNestedTooDeeply(text))
+        return std::nullopt;
     const auto json = Json::parse(text, nullptr, false);
     if (!json.is_object())
         return std::nullopt;
     try {
-        return EntryRegistration { json.at("name"), json.at("http"), json.at("link"),
+        EntryRegistration entry { json.at("name"), json.at("http"), json.at("link"),
             Incarnation(std::stoull(json.at("incarnation").get<std::string>(), nullptr, 16)) };
+        if (!isDialable(entry.http) || !isDialable(entry.link))
+            return std::nullopt;
+        return entry;
     } catch (const std::exception&) {
         return std::nullopt;
     }
--- a/src/EntryDirectory.cpp
+++ b/src/EntryDirectory.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sequoia/Address.h>
+#include <sequoia/JsonNesting.h>
 
 namespace sequoia {
 
@@ -18,13 +19,15 @@
 
 std::optional<EntryItem> parseEntryItem(const std::string& text)
 {
+    if (isNestedTooDeeply(text))
+        return std::nullopt;
     const auto json = Json::parse(text, nullptr, false);
     const auto textOf = [&](const char* name) {
         const auto it = json.is_object() ? json.find(name) : json.end();
         return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
     };
     EntryItem item { textOf("link"), textOf("peers"), textOf("domain") };
-    const bool isValid = splitAddress(item.linkAddress) && (item.peerAddress.empty() || splitAddress(item.peerAddress));
+    const bool isValid = isDialable(item.linkAddress) && (item.peerAddress.empty() || isDialable(item.peerAddress));
     return isValid ? std::optional(std::move(item)) : std::nullopt;
 }
 
