Soak: links whose delay grows message by message, then a cut

The proxy now keeps the messages of each direction with the time at which they are due, and can delay each one more than the one before, up to a second. The fault links-delayed does so to what an entry sends, then cuts off what about half of the agents send to it, new connections included, so that the entry takes them for lost while they go on hearing it and the entry has others to start tasks on. About half of the servers lose nine of ten stops meanwhile and run tasks three times as long.

--- a/tests/PlatformSoak.cpp
+++ b/tests/PlatformSoak.cpp
@@ -433,6 +433,35 @@
     return [&server] { server.restart(); };
 }
 
+/** Delays what an entry sends to agents more and more, then cuts what some send to it, beside stops without an answer.
+ */
+EndOfFault delayLinks(Soak& soak)
+{
+    auto& proxy = soak.drawEntry().linkProxy;
+    std::vector<SoakServer*> servers;
+    for (auto& agent : soak.agents) {
+        if (chance(soak.faultRandom, 0.5))
+            servers.push_back(&agent->server);
+    }
+    for (auto* server : servers) {
+        server->lostStopShare = 0.9;
+        server->slowness = 3;
+    }
+    proxy.delay(SoakProxy::ToClient, Milliseconds(draw(soak.faultRandom, 20, 100)));
+    const Milliseconds untilCut(draw(soak.faultRandom, 1000, 2500));
+    soak.after(untilCut, [&soak, &proxy] { proxy.cutClients(soak.random, 0.5); });
+    soak.after(untilCut + Milliseconds(draw(soak.faultRandom, 1500, 3000)), [&proxy] {
+        proxy.endClientCut();
+        proxy.delay(SoakProxy::ToClient, 0ms);
+    });
+    return [servers] {
+        for (auto* server : servers) {
+            server->lostStopShare = 0;
+            server->slowness = 1;
+        }
+    };
+}
+
 // clang-format off
 const FaultRow faultRows[] = {
     { "", "links-reset", 6, 0ms, 0ms, [](Soak& s) -> EndOfFault { s.drawEntry().linkProxy.reset(s.faultRandom, 0.5); return {}; } },
@@ -486,6 +515,7 @@
          return [&s] { s.store->lostShare = 0; };
      } },
     { "", "configuration", 3, 0ms, 0ms, [](Soak& s) -> EndOfFault { s.changeConfiguration(); return {}; } },
+    { "delays", "links-delayed", 4, 3000ms, 6000ms, delayLinks },
 };
 // clang-format on
 
--- a/tests/soak/Proxy.h
+++ b/tests/soak/Proxy.h
@@ -1,10 +1,13 @@
-/** @file Proxy.h A TCP proxy for the soak, on the test's own event loop: resets, silent connections, cuts one way. */
+/** @file Proxy.h A TCP proxy for the soak, on the test's own event loop: resets, silent connections, cuts one way,
+ * delays that grow. */
 #pragma once
 
 #include <sequoia/Address.h>
+#include <sequoia/Time.h>
 
 #include <array>
 #include <boost/asio.hpp>
+#include <deque>
 #include <list>
 #include <memory>
 #include <random>
@@ -63,9 +66,27 @@
     void hold(Way way, bool isHeld)
     {
         m_cuts[way] += isHeld ? 1 : -1;
+        for (const auto& pair : std::list(m_pairs))
+            forward(pair, way);
+    }
+
+    /** Delays each message of a direction by `growth` more than the one before it; 0 ends that. */
+    void delay(Way way, Milliseconds growth) { m_growth[way] = growth; }
+
+    /** Begins a cut that holds back what a share of the clients, and all that connect meanwhile, send. */
+    void cutClients(Random& random, double share)
+    {
+        ++m_clientCuts;
+        for (const auto& pair : m_pairs)
+            pair->isCut = pair->isCut || chance(random, share);
+    }
+    void endClientCut()
+    {
+        if (--m_clientCuts > 0)
+            return;
         for (const auto& pair : std::list(m_pairs)) {
-            if (pair->isWaiting[way])
-                forward(pair, way);
+            pair->isCut = false;
+            forward(pair, ToTarget);
         }
     }
 
@@ -87,28 +108,57 @@
     }
 
 private:
+    static constexpr Milliseconds maxDelay { 1000 };
+    static constexpr size_t maxMessages = 64; ///< That wait in one direction of a connection.
+
     using Tcp = boost::asio::ip::tcp;
 
+    /** Bytes that were read at once, or the end of a connection. */
+    struct Message {
+        TimePoint due;
+        std::string bytes;
+        boost::system::error_code end;
+    };
+
+    /** One direction of a connection. */
+    struct Stream {
+        Stream(Tcp::socket from, boost::asio::io_context& context)
+            : source(std::move(from))
+            , timer(context)
+        {
+        }
+
+        Tcp::socket source;
+        boost::asio::steady_timer timer;
+        std::array<char, 16384> buf {};
+        std::deque<Message> messages; ///< Read, but not forwarded yet.
+        Milliseconds delay { 0 };
+        bool isReading = false;
+        bool isWriting = false;
+        bool hasEnded = false; ///< By what was read.
+        bool isEnded = false; ///< By what was forwarded.
+    };
+
     struct Pair {
-        explicit Pair(Tcp::socket accepted, boost::asio::io_context& context)
-            : sockets { std::move(accepted), Tcp::socket(context) }
+        Pair(Tcp::socket accepted, boost::asio::io_context& context)
+            : streams { Stream(std::move(accepted), context), Stream(Tcp::socket(context), context) }
         {
         }
         void reset()
         {
+            isClosed = true;
             boost::system::error_code ec;
-            for (auto& socket : sockets) {
-                socket.set_option(boost::asio::socket_base::linger(true, 0), ec);
-                socket.close(ec);
+            for (auto& stream : streams) {
+                stream.timer.cancel();
+                stream.source.set_option(boost::asio::socket_base::linger(true, 0), ec);
+                stream.source.close(ec);
             }
         }
 
-        std::array<Tcp::socket, 2> sockets; ///< Source of the bytes of a direction: the client's, the target's.
-        std::array<std::array<char, 16384>, 2> buf {};
-        std::array<size_t, 2> size {};
-        std::array<boost::system::error_code, 2> end {};
-        std::array<bool, 2> isWaiting {};
+        std::array<Stream, 2> streams; ///< From the client, from the target.
         bool isSilent = false;
+        bool isCut = false; ///< Holds back what the client sends.
+        bool isClosed = false;
     };
     using PairPtr = std::shared_ptr<Pair>;
 
@@ -124,13 +174,14 @@
             if (ec)
                 return;
             const auto pair = std::make_shared<Pair>(std::move(socket), m_context);
+            pair->isCut = m_clientCuts > 0;
             m_pairs.push_back(pair);
-            pair->sockets[1].async_connect(endpointOf(m_target), [this, pair](const auto& failed) {
+            pair->streams[1].source.async_connect(endpointOf(m_target), [this, pair](const auto& failed) {
                 if (failed)
                     return drop(pair);
-                for (auto& end : pair->sockets) {
+                for (auto& stream : pair->streams) {
                     boost::system::error_code ignored; // Set on a connection that was reset meanwhile.
-                    end.set_option(Tcp::no_delay(true), ignored);
+                    stream.source.set_option(Tcp::no_delay(true), ignored);
                 }
                 read(pair, ToTarget);
                 read(pair, ToClient);
@@ -141,38 +192,65 @@
 
     void read(const PairPtr& pair, size_t way)
     {
-        pair->sockets[way].async_read_some(
-            boost::asio::buffer(pair->buf[way]), [this, pair, way](const auto& ec, size_t n) {
-                if (ec == boost::asio::error::operation_aborted || ec == boost::asio::error::bad_descriptor)
+        auto& stream = pair->streams[way];
+        if (stream.messages.size() >= maxMessages || std::exchange(stream.isReading, true))
+            return;
+        stream.source.async_read_some(
+            boost::asio::buffer(stream.buf), [this, pair, way, &stream](const auto& ec, size_t n) {
+                stream.isReading = false;
+                if (pair->isClosed)
                     return;
-                pair->end[way] = ec;
-                pair->size[way] = n;
+                stream.delay
+                    = m_growth[way].count() == 0 ? m_growth[way] : std::min(stream.delay + m_growth[way], maxDelay);
+                const auto due = Clock::now() + stream.delay;
+                stream.messages.push_back({ stream.messages.empty() ? due : std::max(due, stream.messages.back().due),
+                    std::string(stream.buf.data(), n), ec });
+                stream.hasEnded = ec.failed();
+                if (!ec)
+                    read(pair, way);
                 forward(pair, way);
             });
     }
 
+    /** Forwards the next message of a direction if it is due, or waits until it is. */
     void forward(const PairPtr& pair, size_t way)
     {
-        pair->isWaiting[way] = pair->isSilent || m_cuts[way] > 0;
-        if (pair->isWaiting[way])
+        auto& stream = pair->streams[way];
+        if (pair->isClosed || pair->isSilent || (way == ToTarget && pair->isCut) || m_cuts[way] > 0 || stream.isWriting
+            || stream.messages.empty())
+            return;
+        if (const auto due = stream.messages.front().due; due > Clock::now()) {
+            stream.timer.expires_at(due);
+            stream.timer.async_wait([this, pair, way](const auto& ec) {
+                if (!ec)
+                    forward(pair, way);
+            });
             return;
-        auto& to = pair->sockets[1 - way];
-        if (pair->end[way] == boost::asio::error::eof) {
+        }
+        const auto message = std::make_shared<Message>(std::move(stream.messages.front()));
+        stream.messages.pop_front();
+        auto& to = pair->streams[1 - way];
+        if (message->end == boost::asio::error::eof) {
             boost::system::error_code ec;
-            to.shutdown(Tcp::socket::shutdown_send, ec);
-            if (ec || pair->end[1 - way])
+            to.source.shutdown(Tcp::socket::shutdown_send, ec);
+            stream.isEnded = true;
+            if (ec || to.isEnded)
                 m_pairs.remove(pair);
             return;
         }
-        if (pair->end[way])
+        if (message->end)
             return drop(pair);
-        boost::asio::async_write(
-            to, boost::asio::buffer(pair->buf[way], pair->size[way]), [this, pair, way](const auto& ec, size_t) {
-                if (ec == boost::asio::error::operation_aborted || ec == boost::asio::error::bad_descriptor)
+        stream.isWriting = true;
+        boost::asio::async_write(to.source, boost::asio::buffer(message->bytes),
+            [this, pair, way, &stream, message](const auto& ec, size_t) {
+                stream.isWriting = false;
+                if (pair->isClosed)
                     return;
                 if (ec)
                     return drop(pair);
-                read(pair, way);
+                if (!stream.hasEnded)
+                    read(pair, way);
+                forward(pair, way);
             });
     }
 
@@ -187,6 +265,8 @@
     std::string m_target;
     Tcp::acceptor m_acceptor;
     std::array<int, 2> m_cuts {}; ///< Cuts in force, which may overlap.
+    int m_clientCuts = 0;
+    std::array<Milliseconds, 2> m_growth {}; ///< Of the delay, with each message.
     std::list<PairPtr> m_pairs;
 };
 
--- a/tests/soak/Server.h
+++ b/tests/soak/Server.h
@@ -91,6 +91,7 @@
     double slowness = 1; ///< Factor of run times.
     Milliseconds delay { 3 }; ///< Longest delay of a reply.
     double unansweredShare = 0; ///< Calls that get no reply, carried out or not.
+    double lostStopShare = 0; ///< Stops that get no reply and are not carried out.
 
 private:
     struct Run {
@@ -220,6 +221,11 @@
     {
         if (!m_isUp)
             return;
+        if (call.target == "/sequoiafold/run-stop" && lostStopShare > 0 && chance(m_random, lostStopShare)) {
+            m_judge.note(fmt::format("server{} loses stop {}", m_number, call.body));
+            m_unanswered.push_back(exchange);
+            return;
+        }
         if (!chance(m_random, unansweredShare))
             return carryOut(call, exchange, false);
         m_unanswered.push_back(exchange); // Keeps the connection open.
