Soak: callers send a reset job again at once, to another entry

Callers sent a job again only after 1.3 s and left an entry for any that the load balancer drew, also after a 503, so that the soak could not show two entries at work on one job (hypothesis 2 of docs/incidents/two-runs-again.md).

The faults jobs-reset and ending-entry-jobs-reset reset callers' connections a millisecond after a job's bytes reach an entry; the second does so while that entry gets SIGTERM, is killed or suspended. Where the group is played, seven of ten callers whose open connection broke send the job again after 10 ms, to another entry; the rest do as before. In all soaks a caller now stays on its open connection after a 503, until the process is gone.

--- a/tests/PlatformSoak.cpp
+++ b/tests/PlatformSoak.cpp
@@ -195,8 +195,8 @@
         const auto count = shape.agents * callersPerAgent;
         for (size_t i = 0; i < count; ++i) {
             const bool isDeadly = shape.isDeadly && i % deadlyCallerPeriod == 0;
-            callers.push_back(std::make_unique<SoakCaller>(
-                loop, random, *judge, addresses, isDeadly ? deadlySpec : fmt::format("spec {}", i)));
+            callers.push_back(std::make_unique<SoakCaller>(loop, random, *judge, addresses,
+                isDeadly ? deadlySpec : fmt::format("spec {}", i), isGroupPlayed("resends") ? 0.7 : 0));
         }
         checkProcesses();
         loop.start();
@@ -248,6 +248,8 @@
         return *agents[static_cast<size_t>(draw(faultRandom, 0, static_cast<int64_t>(agents.size()) - 1))];
     }
 
+    bool isGroupPlayed(const std::string& group) const { return m_shape.group == "all" || m_shape.group == group; }
+
     /** Runs a later part of a fault, which is open until then. */
     void after(Milliseconds time, const EndOfFault& work)
     {
@@ -462,6 +464,27 @@
     };
 }
 
+/** Resets callers' connections as jobs arrive at an entry. */
+EndOfFault resetJobs(Soak& soak, Entry& entry)
+{
+    entry.callerProxy.resetArrivals(soak.random, static_cast<double>(draw(soak.faultRandom, 20, 100)) / 100);
+    return [&soak, &entry] { entry.callerProxy.resetArrivals(soak.random, 0); };
+}
+
+/** Resets callers' connections to an entry around the moment at which it is stopped, killed or suspended. */
+EndOfFault resetJobsOfEndingEntry(Soak& soak)
+{
+    auto& entry = soak.drawEntry();
+    const auto kind = draw(soak.faultRandom, 0, 2);
+    const Milliseconds duration(draw(soak.faultRandom, 50, 3000));
+    soak.after(Milliseconds(draw(soak.faultRandom, 50, 400)), [&soak, &unit = entry.unit, kind, duration] {
+        const auto end = kind == 0 ? restartStoppedUnit(unit) : kind == 1 ? restartKilledUnit(unit) : pauseUnit(unit);
+        if (end)
+            soak.after(duration, end);
+    });
+    return resetJobs(soak, entry);
+}
+
 // clang-format off
 const FaultRow faultRows[] = {
     { "", "links-reset", 6, 0ms, 0ms, [](Soak& s) -> EndOfFault { s.drawEntry().linkProxy.reset(s.faultRandom, 0.5); return {}; } },
@@ -515,6 +538,8 @@
          return [&s] { s.store->lostShare = 0; };
      } },
     { "", "configuration", 3, 0ms, 0ms, [](Soak& s) -> EndOfFault { s.changeConfiguration(); return {}; } },
+    { "resends", "jobs-reset", 4, 100ms, 1500ms, [](Soak& s) { return resetJobs(s, s.drawEntry()); } },
+    { "resends", "ending-entry-jobs-reset", 4, 500ms, 1500ms, resetJobsOfEndingEntry },
     { "delays", "links-delayed", 4, 3000ms, 6000ms, delayLinks },
 };
 // clang-format on
@@ -525,7 +550,7 @@
         return;
     std::vector<int> weights;
     for (const auto& row : faultRows) {
-        const bool isPlayed = *row.group == '\0' || m_shape.group == "all" || m_shape.group == row.group;
+        const bool isPlayed = *row.group == '\0' || isGroupPlayed(row.group);
         const bool isStressed = m_shape.group == row.group && *row.group != '\0';
         weights.push_back(isPlayed ? row.weight * (isStressed ? stressedWeight : 1) : 0);
     }
--- a/tests/soak/Caller.h
+++ b/tests/soak/Caller.h
@@ -9,11 +9,14 @@
 
 class SoakCaller {
 public:
-    SoakCaller(HttpLoop& loop, Random& random, Judge& judge, const std::vector<std::string>& entries, std::string spec)
+    /** `quickResendShare`: of resubmissions after a broken connection, which go to another entry almost at once. */
+    SoakCaller(HttpLoop& loop, Random& random, Judge& judge, const std::vector<std::string>& entries, std::string spec,
+        double quickResendShare)
         : m_loop(loop)
         , m_random(random)
         , m_judge(judge)
         , m_spec(std::move(spec))
+        , m_quickResendShare(quickResendShare)
     {
         for (const auto& entry : entries)
             m_connections.push_back(std::make_unique<AsyncHttpClient>(loop, entry, 1));
@@ -27,6 +30,7 @@
 
 private:
     static constexpr Milliseconds resendDelay { 1300 };
+    static constexpr Milliseconds resendDelayAfterReset { 10 };
     static constexpr Milliseconds deadlyBudget { 30000 };
     static constexpr int maxAttempts = 4; ///< Then the caller goes away, but not at the end of the soak.
 
@@ -35,6 +39,11 @@
     {
         m_entry = static_cast<size_t>(draw(m_random, 0, static_cast<int64_t>(m_connections.size()) - 1));
     }
+    void moveToOtherEntry()
+    {
+        const auto steps = static_cast<size_t>(draw(m_random, 1, static_cast<int64_t>(m_connections.size()) - 1));
+        m_entry = (m_entry + steps) % m_connections.size();
+    }
 
     void next()
     {
@@ -72,18 +81,26 @@
         // Long enough for the job's steps one after the other.
         const auto budget
             = m_spec == deadlySpec ? deadlyBudget : m_chain * 3 / 2 + Milliseconds(draw(m_random, 2500, 6000));
+        const auto timeout = budget + Milliseconds(500);
         m_connections[m_entry]->call(
             { "POST", "/p/" + m_id, m_body,
                 { { "Host", "h.example" }, { "Deadline-Ms", fmt::to_string(budget.count()) } } },
-            budget + Milliseconds(500), [this](const HttpResult& result) { answered(result); });
+            timeout, [this, until = Clock::now() + timeout](const HttpResult& result) {
+                const auto* fault = std::get_if<HttpFault>(&result);
+                answered(result, fault != nullptr && *fault == HttpFault::NoAnswer && Clock::now() < until);
+            });
     }
 
-    void answered(const HttpResult& result)
+    void answered(const HttpResult& result, bool isReset)
     {
         const auto status = statusOf(result);
         m_judge.answered(m_id, m_entry, status, bodyOf(result));
         const bool isUnknown = status == 0 || status == 502 || status == 504;
-        if (isUnknown || status == 503 || chance(m_random, 0.05))
+        if (isReset && m_attempts < maxAttempts && chance(m_random, m_quickResendShare)) {
+            moveToOtherEntry();
+            return runAfter(m_loop, resendDelayAfterReset, [this] { send(); });
+        }
+        if (isUnknown || chance(m_random, 0.05))
             moveToEntry();
         if (isUnknown && (m_attempts < maxAttempts || m_isStopping))
             return runAfter(m_loop, resendDelay, [this] { send(); });
@@ -94,6 +111,7 @@
     Random& m_random;
     Judge& m_judge;
     std::string m_spec;
+    double m_quickResendShare;
     std::vector<std::unique_ptr<AsyncHttpClient>> m_connections;
     size_t m_entry = 0;
     std::string m_id;
--- a/tests/soak/Proxy.h
+++ b/tests/soak/Proxy.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <boost/asio.hpp>
 #include <deque>
+#include <functional>
 #include <list>
 #include <memory>
 #include <random>
@@ -97,6 +98,12 @@
             pair->isSilent = pair->isSilent || chance(random, share);
     }
 
+    /** Resets a share of the connections on which bytes reach the target, a moment later; 0 ends that. */
+    void resetArrivals(Random& random, double share)
+    {
+        m_resetArrival = [&random, share] { return chance(random, share); };
+    }
+
     void reset(Random& random, double share)
     {
         std::erase_if(m_pairs, [&](const auto& pair) {
@@ -248,6 +255,11 @@
                     return;
                 if (ec)
                     return drop(pair);
+                if (way == ToTarget && m_resetArrival()) {
+                    stream.timer.expires_after(Milliseconds(1));
+                    stream.timer.async_wait([this, pair](const auto&) { drop(pair); });
+                    return;
+                }
                 if (!stream.hasEnded)
                     read(pair, way);
                 forward(pair, way);
@@ -266,6 +278,7 @@
     Tcp::acceptor m_acceptor;
     std::array<int, 2> m_cuts {}; ///< Cuts in force, which may overlap.
     int m_clientCuts = 0;
+    std::function<bool()> m_resetArrival = [] { return false; };
     std::array<Milliseconds, 2> m_growth {}; ///< Of the delay, with each message.
     std::list<PairPtr> m_pairs;
 };
