Soak: servers that come back under their id while calls are held up

A call without an answer was carried out only by the process that it was sent to, so that the soak could not show one that reaches the next process (hypothesis 3 of docs/incidents/two-runs-again.md).

The fault server-revived leaves 30 to 80% of a server's calls without an answer and carries two of three of them out 2 to 6 s later by whichever process is there, crashes the server and starts it again under its id, with a clock that begins at 0; in half of the cases the agent is killed meanwhile. A process that keeps its id has a clock from 0 in all soaks.

--- a/tests/PlatformSoak.cpp
+++ b/tests/PlatformSoak.cpp
@@ -485,6 +485,33 @@
     return resetJobs(soak, entry);
 }
 
+/** Starts a server's process again under its id while calls to the one before are held up; its agent may be killed. */
+EndOfFault reviveServer(Soak& soak)
+{
+    auto& agent = soak.drawAgent();
+    auto& server = agent.server;
+    if (!server.isUp())
+        return {};
+    server.isHeldUp = true;
+    server.unansweredShare = static_cast<double>(draw(soak.faultRandom, 30, 80)) / 100;
+    const Milliseconds crashAt(draw(soak.faultRandom, 100, 1000));
+    const auto restartAt = crashAt + Milliseconds(draw(soak.faultRandom, 10, 800));
+    soak.after(crashAt, [&server] { server.crash("crash"); });
+    soak.after(restartAt, [&server] { server.restart(false); });
+    if (chance(soak.faultRandom, 0.5)) {
+        const Milliseconds killAt(draw(soak.faultRandom, 0, 1500));
+        const Milliseconds startAt(killAt + Milliseconds(draw(soak.faultRandom, 20, 1000)));
+        soak.after(killAt, [&soak, &unit = agent.unit, duration = startAt - killAt] {
+            if (const auto end = restartKilledUnit(unit))
+                soak.after(duration, end);
+        });
+    }
+    return [&server] {
+        server.isHeldUp = false;
+        server.unansweredShare = 0;
+    };
+}
+
 // clang-format off
 const FaultRow faultRows[] = {
     { "", "links-reset", 6, 0ms, 0ms, [](Soak& s) -> EndOfFault { s.drawEntry().linkProxy.reset(s.faultRandom, 0.5); return {}; } },
@@ -538,6 +565,7 @@
          return [&s] { s.store->lostShare = 0; };
      } },
     { "", "configuration", 3, 0ms, 0ms, [](Soak& s) -> EndOfFault { s.changeConfiguration(); return {}; } },
+    { "lives", "server-revived", 8, 300ms, 2000ms, reviveServer },
     { "resends", "jobs-reset", 4, 100ms, 1500ms, [](Soak& s) { return resetJobs(s, s.drawEntry()); } },
     { "resends", "ending-entry-jobs-reset", 4, 500ms, 1500ms, resetJobsOfEndingEntry },
     { "delays", "links-delayed", 4, 3000ms, 6000ms, delayLinks },
--- a/tests/soak/Server.h
+++ b/tests/soak/Server.h
@@ -46,10 +46,11 @@
             m_judge.ended(id, m_number, cause);
     }
 
-    void restart()
+    void restart() { restart(chance(m_random, 0.5)); }
+    void restart(bool isNewId)
     {
         if (!m_isUp)
-            startProcess(chance(m_random, 0.5));
+            startProcess(isNewId);
     }
 
     /** Announces that the process leaves; it ends once the drain was acknowledged and its time is over. */
@@ -91,6 +92,7 @@
     double slowness = 1; ///< Factor of run times.
     Milliseconds delay { 3 }; ///< Longest delay of a reply.
     double unansweredShare = 0; ///< Calls that get no reply, carried out or not.
+    bool isHeldUp = false; ///< Calls without a reply are carried out seconds later, by the process that is there then.
     double lostStopShare = 0; ///< Stops that get no reply and are not carried out.
 
 private:
@@ -113,7 +115,7 @@
         if (isNewId)
             m_instance = fmt::format("i-{}-{}", m_number, ++m_lastInstance);
         m_started = Clock::now();
-        m_clockOffset = draw(m_random, 0, 1'000'000);
+        m_clockOffset = isNewId ? draw(m_random, 0, 1'000'000) : 0;
         m_clockRate = 1 - 0.02 * static_cast<double>(draw(m_random, 0, 100)) / 100;
         m_fence = 0;
         m_leaseEnd = 0;
@@ -229,14 +231,20 @@
         if (!chance(m_random, unansweredShare))
             return carryOut(call, exchange, false);
         m_unanswered.push_back(exchange); // Keeps the connection open.
-        const auto late = Milliseconds(chance(m_random, 0.5) ? 0 : draw(m_random, 50, 4000));
+        const auto late = Milliseconds(isHeldUp ? draw(m_random, 2000, 6000)
+                : chance(m_random, 0.5)         ? 0
+                                                : draw(m_random, 50, 4000));
         if (chance(m_random, 0.3))
             return;
         m_judge.note(fmt::format(
             "server{} answers no {} {}, carries it out after {} ms", m_number, call.target, call.body, late.count()));
-        runAfter(m_loop, late, [this, call, born = m_born] {
-            if (m_isUp && born == m_born)
-                carryOut(call, nullptr, true);
+        runAfter(m_loop, late, [this, call, born = m_born, isForAnyProcess = isHeldUp] {
+            if (!m_isUp || (born != m_born && !isForAnyProcess))
+                return;
+            if (born != m_born)
+                m_judge.note(
+                    fmt::format("server{} gets {} {} of its process before", m_number, call.target, call.body));
+            carryOut(call, nullptr, true);
         });
     }
 
