Soak: odd entries in the store and odd pings; every server must be used again

Nothing but the platform's programs wrote to the store and to the agents. The fault odd-entries writes items beside those of the entries: nested 100,000 deep, with ports 0 and 70000 and past 64 bits, a number past 64 bits, bytes that aren't text. The fault odd-ping sends an agent a ping with a start time or count far ahead, under the server's id or another one, or one that can't be read.

An agent that ignores its server for good showed nowhere: the judge asked only that each entry serves after the faults. It now also asks that each server gets a start within the same 12 s; they begin once no server is leaving any more.

--- a/tests/PlatformSoak.cpp
+++ b/tests/PlatformSoak.cpp
@@ -218,9 +218,12 @@
         onLoop([&] {
             judge->note("calm");
             judge->served.clear();
+            judge->startsOn.clear();
         });
-        if (!waitUntil(isServedByAll, recoveryTime))
-            onLoop([&] { judge->broken("RECOVER", "not all entries served within 12 s after the faults"); });
+        const auto areAllUsed
+            = [&] { return isServedByAll() && (m_shape.isDeadly || judge->startsOn.size() == agents.size()); };
+        if (!waitUntil(areAllUsed, recoveryTime))
+            onLoop([&] { reportUnused(); });
         onLoop([&] {
             for (auto& caller : callers)
                 caller->stop();
@@ -343,6 +346,18 @@
         runAfter(loop, Milliseconds(100), [this] { checkProcesses(); });
     }
 
+    void reportUnused()
+    {
+        for (size_t i = 0; i < entries.size(); ++i) {
+            if (!judge->served.contains(i))
+                judge->broken("RECOVER", fmt::format("entry{} served nothing within 12 s after the faults", i));
+        }
+        for (int i = 0; i < static_cast<int>(agents.size()) && !m_shape.isDeadly; ++i) {
+            if (!judge->startsOn.contains(i))
+                judge->broken("RECOVER", fmt::format("server{} got no start within 12 s after the faults", i));
+        }
+    }
+
     void onLoop(const std::function<void()>& work)
     {
         std::promise<void> done;
@@ -512,6 +527,59 @@
     };
 }
 
+/** Writes items beside those of the entries that name no entry, or can't be read. */
+EndOfFault writeOddEntries(Soak& soak)
+{
+    const auto withLink = [](const std::string& link) { return R"({"link":)" + link + R"(,"peers":"","domain":"d"})"; };
+    const std::string values[] = { std::string(100000, '['), withLink(R"("127.0.0.1:0")"),
+        withLink(R"("127.0.0.1:70000")"), withLink(R"("127.0.0.1:99999999999999999999")"),
+        withLink("123456789012345678901234567890"), withLink("1e999"), withLink(R"("")"), "ÿþ{", "[]", "",
+        R"({"link":"127.0.0.1:1","peers":"127.0.0.1:0","domain":7})" };
+    std::vector<std::string> keys;
+    for (size_t i = 0; i < std::size(values); ++i) {
+        if (!chance(soak.faultRandom, 0.5))
+            continue;
+        keys.push_back(fmt::format("sequoia/entries/{}-odd{}", chance(soak.faultRandom, 0.5) ? "a" : "z", i));
+        soak.store->write(keys.back(), values[i], 0);
+    }
+    return [&soak, keys] {
+        for (const auto& key : keys)
+            soak.store->remove(key);
+    };
+}
+
+/** Sends an agent pings of another writer. */
+EndOfFault sendOddPings(Soak& soak)
+{
+    auto& server = soak.drawAgent().server;
+    if (!server.isUp())
+        return {};
+    const int64_t far = int64_t(1) << draw(soak.faultRandom, 42, 62);
+    switch (draw(soak.faultRandom, 0, 6)) {
+    case 0:
+        server.sendOddPing("i-odd", { { "born", far }, { "seq", 1 } });
+        break;
+    case 1:
+        server.sendOddPing("", { { "seq", far } });
+        break;
+    case 2:
+        server.sendOddPing("", { { "born", far } });
+        break;
+    case 3:
+        server.sendOddPing("i-odd", { { "state", "resting" }, { "born", 1.5 } });
+        break;
+    case 4:
+        server.sendOddPing("i-odd", { { "address", "127.0.0.1:0" }, { "born", far } });
+        break;
+    case 5:
+        server.sendOddBody("", std::string(100000, '['));
+        break;
+    default:
+        server.sendOddBody("", "ÿþ{");
+    }
+    return {};
+}
+
 // clang-format off
 const FaultRow faultRows[] = {
     { "", "links-reset", 6, 0ms, 0ms, [](Soak& s) -> EndOfFault { s.drawEntry().linkProxy.reset(s.faultRandom, 0.5); return {}; } },
@@ -565,6 +633,8 @@
          return [&s] { s.store->lostShare = 0; };
      } },
     { "", "configuration", 3, 0ms, 0ms, [](Soak& s) -> EndOfFault { s.changeConfiguration(); return {}; } },
+    { "odd", "odd-entries", 3, 300ms, 4000ms, writeOddEntries },
+    { "odd", "odd-ping", 3, 0ms, 0ms, sendOddPings },
     { "lives", "server-revived", 8, 300ms, 2000ms, reviveServer },
     { "resends", "jobs-reset", 4, 100ms, 1500ms, [](Soak& s) { return resetJobs(s, s.drawEntry()); } },
     { "resends", "ending-entry-jobs-reset", 4, 500ms, 1500ms, resetJobsOfEndingEntry },
@@ -607,7 +677,8 @@
     std::this_thread::sleep_for(m_shape.faults);
     const auto isCalm = [this] {
         return m_openFaults == 0 && std::ranges::none_of(entries, [](auto& it) { return it->unit.isBusy; })
-            && std::ranges::none_of(agents, [](auto& it) { return it->unit.isBusy || !it->server.isUp(); });
+            && std::ranges::none_of(
+                agents, [](auto& it) { return it->unit.isBusy || !it->server.isUp() || it->server.isDraining(); });
     };
     constexpr Milliseconds healTimeout { 30000 };
     cr_assert(waitUntil(isCalm, healTimeout), "all faults must end");
--- a/tests/soak/Judge.h
+++ b/tests/soak/Judge.h
@@ -96,6 +96,7 @@
         const auto& [task, number] = start.run;
         const auto text = fmt::format("task {} run {} on server{}", task, number, start.server);
         note("start " + text);
+        ++startsOn[start.server];
         for (const auto& [server, other] : m_running[task])
             broken("TWICE", fmt::format("{} while run {} is on server{}", text, other, server));
         m_running[task].emplace_back(start.server, number);
@@ -140,6 +141,7 @@
     std::vector<std::string> violations;
     std::map<int, int> answers; ///< By status.
     std::map<size_t, int> served; ///< Jobs that succeeded, by entry.
+    std::map<int, int> startsOn; ///< By server.
     int64_t starts = 0;
 
 private:
--- a/tests/soak/Server.h
+++ b/tests/soak/Server.h
@@ -61,6 +61,20 @@
         runAfter(m_loop, drainWithoutReply, [this, born = m_born] { leave(born); });
     }
 
+    /** Sends the agent a ping that isn't the server's: `id` is "" for the server's own. */
+    void sendOddPing(const std::string& id, const Json& changes)
+    {
+        auto body = pingBody();
+        body.update(changes);
+        sendOddBody(id, body.dump());
+    }
+    void sendOddBody(const std::string& id, const std::string& body)
+    {
+        m_judge.note(fmt::format("server{} odd ping of {}: {}", m_number, id, body.substr(0, 200)));
+        m_pings->call({ "PUT", "/sequoiafold/instances/" + (id.empty() ? m_instance : id), body, {} },
+            Milliseconds(1000), [](auto) {});
+    }
+
     /** Ends the runs that are due; to be called before the account is used. */
     void settle()
     {
@@ -140,10 +154,8 @@
         runAfter(m_loop, pingPeriod, [this, born] { ping(born); });
         if (std::exchange(m_isPinging, true))
             return;
-        const Json body { { "service", "s" }, { "address", m_address.text }, { "zone", "z" },
-            { "state", m_isDraining ? "draining" : "ready" },
-            { "capacity", { { "cpu", m_cpuTotal }, { "mem_mb", 100000 }, { "gpu", 0 } } }, { "labels", { "a" } },
-            { "born", m_born }, { "seq", ++m_sequence }, { "clock_ms", clock() } };
+        ++m_sequence;
+        const auto body = pingBody();
         m_pings->call({ "PUT", "/sequoiafold/instances/" + m_instance, body.dump(), {} }, Milliseconds(1000),
             [this, born, isDraining = m_isDraining](const HttpResult& result) {
                 if (born != m_born)
@@ -157,6 +169,14 @@
             });
     }
 
+    Json pingBody() const
+    {
+        return { { "service", "s" }, { "address", m_address.text }, { "zone", "z" },
+            { "state", m_isDraining ? "draining" : "ready" },
+            { "capacity", { { "cpu", m_cpuTotal }, { "mem_mb", 100000 }, { "gpu", 0 } } }, { "labels", { "a" } },
+            { "born", m_born }, { "seq", m_sequence }, { "clock_ms", clock() } };
+    }
+
     void leave(int64_t born)
     {
         if (!m_isUp || born != m_born)
--- a/tests/soak/Store.h
+++ b/tests/soak/Store.h
@@ -64,6 +64,12 @@
         changed(m_items[key]);
     }
 
+    void remove(const std::string& key)
+    {
+        if (m_items.erase(key) > 0)
+            changed({ { "key", key }, { "revision", ++m_revision }, { "removed", true } });
+    }
+
     /** While the store is down, leases pause; after it, their holders have some time to renew them. */
     void setDown(bool down)
     {
