--- a/tests/soak/Server.h
+++ b/tests/soak/Server.h
@@ -46,10 +46,11 @@
             m_judge.ended(id, m_number, cause);
     }
 
-    void restart()
+    void restart() { restart(chance(m_random, 0.5)); }
+    void restart(bool isNewId)
     {
         if (!m_isUp)
-            startProcess(chance(m_random, 0.5));
+            startProcess(isNewId);
     }
 
     /** Announces that the process leaves; it ends once the drain was acknowledged and its time is over. */
@@ -60,6 +61,20 @@
         runAfter(m_loop, drainWithoutReply, [this, born = m_born] { leave(born); });
     }
 
+    /** Sends the agent a ping that isn't the server's: `id` is "" for the server's own. */
+    void sendOddPing(const std::string& id, const Json& changes)
+    {
+        auto body = pingBody();
+        body.update(changes);
+        sendOddBody(id, body.dump());
+    }
+    void sendOddBody(const std::string& id, const std::string& body)
+    {
+        m_judge.note(fmt::format("server{} odd ping of {}: {}", m_number, id, body.substr(0, 200)));
+        m_pings->call({ "PUT", "/sequoiafold/instances/" + (id.empty() ? m_instance : id), body, {} },
+            Milliseconds(1000), [](auto) {});
+    }
+
     /** Ends the runs that are due; to be called before the account is used. */
     void settle()
     {
@@ -91,6 +106,8 @@
     double slowness = 1; ///< Factor of run times.
     Milliseconds delay { 3 }; ///< Longest delay of a reply.
     double unansweredShare = 0; ///< Calls that get no reply, carried out or not.
+    bool isHeldUp = false; ///< Calls without a reply are carried out seconds later, by the process that is there then.
+    double lostStopShare = 0; ///< Stops that get no reply and are not carried out.
 
 private:
     struct Run {
@@ -112,7 +129,7 @@
         if (isNewId)
             m_instance = fmt::format("i-{}-{}", m_number, ++m_lastInstance);
         m_started = Clock::now();
-        m_clockOffset = draw(m_random, 0, 1'000'000);
+        m_clockOffset = isNewId ? draw(m_random, 0, 1'000'000) : 0;
         m_clockRate = 1 - 0.02 * static_cast<double>(draw(m_random, 0, 100)) / 100;
         m_fence = 0;
         m_leaseEnd = 0;
@@ -137,10 +154,8 @@
         runAfter(m_loop, pingPeriod, [this, born] { ping(born); });
         if (std::exchange(m_isPinging, true))
             return;
-        const Json body { { "service", "s" }, { "address", m_address.text }, { "zone", "z" },
-            { "state", m_isDraining ? "draining" : "ready" },
-            { "capacity", { { "cpu", m_cpuTotal }, { "mem_mb", 100000 }, { "gpu", 0 } } }, { "labels", { "a" } },
-            { "born", m_born }, { "seq", ++m_sequence }, { "clock_ms", clock() } };
+        ++m_sequence;
+        const auto body = pingBody();
         m_pings->call({ "PUT", "/sequoiafold/instances/" + m_instance, body.dump(), {} }, Milliseconds(1000),
             [this, born, isDraining = m_isDraining](const HttpResult& result) {
                 if (born != m_born)
@@ -154,6 +169,14 @@
             });
     }
 
+    Json pingBody() const
+    {
+        return { { "service", "s" }, { "address", m_address.text }, { "zone", "z" },
+            { "state", m_isDraining ? "draining" : "ready" },
+            { "capacity", { { "cpu", m_cpuTotal }, { "mem_mb", 100000 }, { "gpu", 0 } } }, { "labels", { "a" } },
+            { "born", m_born }, { "seq", m_sequence }, { "clock_ms", clock() } };
+    }
+
     void leave(int64_t born)
     {
         if (!m_isUp || born != m_born)
@@ -220,17 +243,28 @@
     {
         if (!m_isUp)
             return;
+        if (call.target == "/sequoiafold/run-stop" && lostStopShare > 0 && chance(m_random, lostStopShare)) {
+            m_judge.note(fmt::format("server{} loses stop {}", m_number, call.body));
+            m_unanswered.push_back(exchange);
+            return;
+        }
         if (!chance(m_random, unansweredShare))
             return carryOut(call, exchange, false);
         m_unanswered.push_back(exchange); // Keeps the connection open.
-        const auto late = Milliseconds(chance(m_random, 0.5) ? 0 : draw(m_random, 50, 4000));
+        const auto late = Milliseconds(isHeldUp ? draw(m_random, 2000, 6000)
+                : chance(m_random, 0.5)         ? 0
+                                                : draw(m_random, 50, 4000));
         if (chance(m_random, 0.3))
             return;
         m_judge.note(fmt::format(
             "server{} answers no {} {}, carries it out after {} ms", m_number, call.target, call.body, late.count()));
-        runAfter(m_loop, late, [this, call, born = m_born] {
-            if (m_isUp && born == m_born)
-                carryOut(call, nullptr, true);
+        runAfter(m_loop, late, [this, call, born = m_born, isForAnyProcess = isHeldUp] {
+            if (!m_isUp || (born != m_born && !isForAnyProcess))
+                return;
+            if (born != m_born)
+                m_judge.note(
+                    fmt::format("server{} gets {} {} of its process before", m_number, call.target, call.body));
+            carryOut(call, nullptr, true);
         });
     }
 
