Skip learned values that can't be ours

One value of another type in a learned item hid all others of the item, and values that can't be (a negative weight, a mean of 1e300, a start beyond any clock, integers that were cut) were restored to the models, whose times then overflowed. An agent's name that isn't text made the entry's own item unwritable: dump() threw on the control thread at each period.

Values are now checked one by one, and others are skipped; the publisher logs the item once with the place of the first one and their number.

On the code before, Learned::oddValuesDoNotHideOthers failed in all 11 rows (for example "negative slowness", "huge mean") and Learned::namesThatAreNoTextCanBeWritten as well.

--- a/include/sequoia/Learned.h
+++ b/include/sequoia/Learned.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sequoia {
 
@@ -58,7 +59,8 @@
 
 /** Serialises to a JSON object. */
 std::string toText(const Learned& learned);
-/** Parses a text that `toText` wrote; empty if it is malformed. */
-std::optional<Learned> parseLearned(const std::string& text);
+/** Parses a text that `toText` wrote; empty if it is malformed. Values that can't be ours are skipped; `problems`, if
+ * not null, gets their places. */
+std::optional<Learned> parseLearned(const std::string& text, std::vector<std::string>* problems = nullptr);
 
 } // namespace sequoia
--- a/src/Learned.cpp
+++ b/src/Learned.cpp
@@ -1,6 +1,7 @@
 /** @file Learned.cpp Serialisation and merging of the learned models. */
 #include <sequoia/Learned.h>
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <sequoia/JsonNesting.h>
 
@@ -26,6 +27,68 @@
         }
     }
 
+    /** Whether a number can be the logarithm of a time in ms. The bounds keep the powers of sums of two in range. */
+    bool isLogMs(double x)
+    {
+        constexpr double minLogMs = -3; // 50 µs.
+        constexpr double maxLogMs = 20; // Five days.
+        return x >= minLogMs && x <= maxLogMs;
+    }
+
+    bool isValid(const LearnedRunTimes& times)
+    {
+        constexpr double maxSum = 1e9;
+        const auto isSum = [](double sum) { return sum >= 0 && sum <= maxSum; };
+        return isSum(times.weight) && isLogMs(times.meanX) && isLogMs(times.meanY) && isSum(times.sumXX)
+            && isSum(std::abs(times.sumXY)) && isSum(times.sumResidual);
+    }
+
+    bool isValid(const LearnedCallerTimeouts& timeouts)
+    {
+        constexpr double maxSum = 1e9;
+        return timeouts.requests >= 0 && timeouts.requests <= maxSum && isLogMs(timeouts.mean) && timeouts.squares >= 0
+            && timeouts.squares <= maxSum && timeouts.shortShare >= 0 && timeouts.shortShare <= 1;
+    }
+
+    bool isValid(const LearnedSpeed& speed)
+    {
+        constexpr double maxSlowness = 1000;
+        constexpr int64_t maxTimeMs = 64'060'588'800'000; // The year 4000.
+        return speed.life >= 0 && speed.life <= maxTimeMs && speed.slowness > 0 && speed.slowness <= maxSlowness;
+    }
+
+    bool isValid(const LearnedSuspicion&) { return true; }
+
+    /** Whether the fields kept the values of the text; integers are cut silently. */
+    template <typename T> bool isExact(const T& value, const Json& json)
+    {
+        const Json fields = value;
+        for (const auto& [name, field] : fields.items()) {
+            if (json.at(name) != field)
+                return false;
+        }
+        return true;
+    }
+
+    /** Reads the values of a section that are valid; adds the places of the others to `problems`. */
+    template <typename T>
+    void readSection(
+        const Json& json, const char* name, std::map<std::string, T>& out, std::vector<std::string>& problems)
+    {
+        const auto& section = json.at(name).get_ref<const Json::object_t&>();
+        for (const auto& [key, item] : section) {
+            try {
+                const auto value = item.template get<T>();
+                if (isValid(value) && isExact(value, item)) {
+                    out.emplace(key, value);
+                    continue;
+                }
+            } catch (const Json::exception&) { // NOLINT(bugprone-empty-catch): reported below.
+            }
+            problems.push_back(std::string(name) + "." + key);
+        }
+    }
+
 } // namespace
 
 void Learned::merge(const Learned& other)
@@ -47,10 +110,10 @@
     return Json {
         { "declared", learned.declared }, { "undeclared", learned.undeclared }, { "patience", learned.callerTimeouts },
         { "speeds", learned.speeds }, { "suspicions", learned.suspicions }
-    }.dump();
+    }.dump(-1, ' ', false, Json::error_handler_t::replace); // Agents' names may be any bytes.
 }
 
-std::optional<Learned> parseLearned(const std::string& text)
+std::optional<Learned> parseLearned(const std::string& text, std::vector<std::string>* problems)
 {
     if (isNestedTooDeeply(text))
         return std::nullopt;
@@ -59,12 +122,15 @@
         return std::nullopt;
     try {
         Learned out;
-        json.at("declared").get_to(out.declared);
-        json.at("undeclared").get_to(out.undeclared);
-        json.at("patience").get_to(out.callerTimeouts);
-        json.at("speeds").get_to(out.speeds);
+        std::vector<std::string> skipped;
+        readSection(json, "declared", out.declared, skipped);
+        readSection(json, "undeclared", out.undeclared, skipped);
+        readSection(json, "patience", out.callerTimeouts, skipped);
+        readSection(json, "speeds", out.speeds, skipped);
         if (json.contains("suspicions")) // Items of earlier releases have none.
-            json.at("suspicions").get_to(out.suspicions);
+            readSection(json, "suspicions", out.suspicions, skipped);
+        if (problems != nullptr)
+            *problems = std::move(skipped);
         return out;
     } catch (const Json::exception&) {
         return std::nullopt;
--- a/src/LearnedPublisher.cpp
+++ b/src/LearnedPublisher.cpp
@@ -53,10 +53,16 @@
     m_hasRestored = true;
     Learned all;
     for (const auto& item : found->items) {
-        if (const auto learned = parseLearned(item.value))
+        std::vector<std::string> problems;
+        if (const auto learned = parseLearned(item.value, &problems))
             all.merge(*learned);
         else
-            m_log.event(LogLevel::Warning, "learned-malformed", { { "key", item.key } });
+            problems.emplace_back("body");
+        if (!problems.empty()) {
+            m_log.event(LogLevel::Warning, "learned-malformed",
+                { { "key", item.key }, { "place", problems.front() },
+                    { "values", static_cast<int64_t>(problems.size()) } });
+        }
     }
     m_hooks.restore(all);
 }
--- a/tests/OddValuesTest.cpp
+++ b/tests/OddValuesTest.cpp
@@ -3,6 +3,7 @@
 #include <sequoia/Configuration.h>
 #include <sequoia/EntryDirectory.h>
 #include <sequoia/HttpService.h>
+#include <sequoia/Learned.h>
 
 #include <boost/leaf/result.hpp>
 #include <criterion/criterion.h>
@@ -85,3 +86,55 @@
     else
         cr_expect_not(parseEntryItem(text).has_value(), "%s", row->name);
 }
+
+struct LearnedRow {
+    char name[40];
+    char section[16];
+    char item[160]; ///< JSON text of the odd value.
+};
+
+ParameterizedTestParameters(Learned, oddValuesDoNotHideOthers)
+{
+    static LearnedRow rows[] = {
+        { "speed of another type", "speeds", "7" },
+        { "speed without fields", "speeds", "{}" },
+        { "negative slowness", "speeds", R"({"life":1,"slowness":-1,"samples":5})" },
+        { "huge slowness", "speeds", R"({"life":1,"slowness":1e300,"samples":5})" },
+        { "life beyond any clock", "speeds", R"({"life":4611686018427387904,"slowness":1,"samples":5})" },
+        { "negative weight", "declared", R"({"weight":-20,"meanX":1,"meanY":1,"sumXX":1,"sumXY":1,"sumResidual":1})" },
+        { "huge mean", "declared", R"({"weight":20,"meanX":1,"meanY":1e300,"sumXX":1,"sumXY":1,"sumResidual":1})" },
+        { "negative residual", "undeclared",
+            R"({"weight":20,"meanX":1,"meanY":1,"sumXX":1,"sumXY":1,"sumResidual":-1})" },
+        { "huge mean of time-outs", "patience", R"({"requests":50,"mean":1e300,"squares":1,"shortShare":0})" },
+        { "negative requests", "patience", R"({"requests":-1,"mean":1,"squares":1,"shortShare":0})" },
+        { "number too large", "suspicions",
+            R"({"total":99999999999,"crashes":1,"blamed":1,"hasCrashedAsSuspect":true,"ageMs":1})" },
+    };
+    return cr_make_param_array(LearnedRow, rows, sizeof(rows) / sizeof(LearnedRow));
+}
+
+/** One odd value hid the others of its item, or spoilt the models that it was restored to. */
+ParameterizedTest(LearnedRow* row, Learned, oddValuesDoNotHideOthers)
+{
+    Learned learned;
+    learned.speeds["good"] = { 7, 1.5, 20 };
+    auto text = toText(learned);
+    const auto section = std::string("\"") + row->section + "\":{";
+    auto at = text.find(section);
+    cr_assert_neq(at, std::string::npos);
+    at += section.size();
+    text.insert(at, std::string("\"odd\":") + row->item + (text[at] == '}' ? "" : ","));
+    const auto read = parseLearned(text);
+    cr_assert(read.has_value(), "%s", row->name);
+    cr_expect_eq(read->speeds.count("good"), 1U, "%s", row->name);
+    const auto odd = read->speeds.count("odd") + read->declared.count("odd") + read->undeclared.count("odd")
+        + read->callerTimeouts.count("odd") + read->suspicions.count("odd");
+    cr_expect_eq(odd, 0U, "%s", row->name);
+}
+
+Test(Learned, namesThatAreNoTextCanBeWritten)
+{
+    Learned learned;
+    learned.speeds["\xff\xfe"] = { 7, 1.5, 20 };
+    cr_expect(parseLearned(toText(learned)).has_value());
+}
