Skip odd registrations in sequoiactl

A registration in the store with a name of another type ended sequoiactl with an uncaught exception, as did an odd list of entries. It now reads them as entries do, and skips those that can't be read.

UntrustedPeers::oddRegistrationDoesNotEndTheOperatorsProgram failed on the code before: "The expression (status.wait()) == (0) is false".

--- a/src/CtlMain.cpp
+++ b/src/CtlMain.cpp
@@ -1,4 +1,5 @@
 /** @file CtlMain.cpp Options, help and main function of sequoiactl. */
+#include "ConfigSynchronizer.h"
 #include "Ctl.h"
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sequoia/HttpService.h>
+#include <sequoia/JsonNesting.h>
 #include <sstream>
 
 namespace sequoia {
@@ -237,10 +239,13 @@
     if (!options.entry.empty()) {
         auto client = makeHttpClient(options.entry, Milliseconds(1500));
         const auto reply = client.Get("/v1/links");
-        const auto json = reply ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json();
-        if (json.is_object()) {
-            for (const auto& entry : json["entries"])
-                out.push_back({ entry.value("name", ""), entry.value("http", "") });
+        const bool isReadable = reply && !isNestedTooDeeply(reply->body);
+        const auto json = isReadable ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json();
+        if (json.is_object() && json.contains("entries")) {
+            for (const auto& entry : json.at("entries")) {
+                if (auto known = parseRegistration(entry.dump()))
+                    out.push_back({ std::move(known->name), std::move(known->http) });
+            }
             return out;
         }
     }
@@ -251,9 +256,8 @@
         [&]() -> leaf::result<std::vector<KnownEntry>> {
             BOOST_LEAF_AUTO(stored, store.list(StoreKeys(options.cluster).entries));
             for (const auto& value : stored) {
-                const auto json = nlohmann::json::parse(value.value, nullptr, false);
-                if (json.is_object())
-                    out.push_back({ json.value("name", ""), json.value("http", "") });
+                if (auto known = parseRegistration(value.value))
+                    out.push_back({ std::move(known->name), std::move(known->http) });
             }
             return out;
         },
--- a/tests/SystemTest.cpp
+++ b/tests/SystemTest.cpp
@@ -254,6 +254,19 @@
     cr_expect_eq(links["entries"].size(), 2U, "%s: %s", row->name, links.dump().substr(0, 500).c_str());
 }
 
+/** A registration with a name of another type ended sequoiactl. */
+Test(UntrustedPeers, oddRegistrationDoesNotEndTheOperatorsProgram, .timeout = 60)
+{
+    TestCluster cluster({ .entries = 1, .agents = 1 });
+    const Store store(cluster.storeAddress(), Milliseconds(3000));
+    const std::string text = R"({"name":7,"http":"127.0.0.1:1","link":"127.0.0.1:1","incarnation":"1"})";
+    const auto key = StoreKeys("sequoia").entry("odd");
+    cr_assert(store.compareAndSwap(key, StoreRevision(), { { key, text, {} } }).value());
+    Process status("sequoiactl", "sequoiactl", { "status", "--store", cluster.storeAddress() });
+    cr_expect_eq(status.wait(), 0);
+    cr_expect(status.output().find("entry1") != std::string::npos);
+}
+
 /** An announcement that is nested deeply overflowed the stack of the agent, which ended. */
 Test(UntrustedPeers, deepAnnouncementDoesNotEndAnAgent, .timeout = 60)
 {
