Soak: odd bytes are no UTF-8

The two values of that were to hold bytes that aren't text held the same numbers as UTF-8 characters, which any reader accepts. They are written as escapes now.

--- a/tests/PlatformSoak.cpp
+++ b/tests/PlatformSoak.cpp
@@ -533,7 +533,7 @@
     const auto withLink = [](const std::string& link) { return R"({"link":)" + link + R"(,"peers":"","domain":"d"})"; };
     const std::string values[] = { std::string(100000, '['), withLink(R"("127.0.0.1:0")"),
         withLink(R"("127.0.0.1:70000")"), withLink(R"("127.0.0.1:99999999999999999999")"),
-        withLink("123456789012345678901234567890"), withLink("1e999"), withLink(R"("")"), "ÿþ{", "[]", "",
+        withLink("123456789012345678901234567890"), withLink("1e999"), withLink(R"("")"), "\xff\xfe\x80{\x01", "[]", "",
         R"({"link":"127.0.0.1:1","peers":"127.0.0.1:0","domain":7})" };
     std::vector<std::string> keys;
     for (size_t i = 0; i < std::size(values); ++i) {
@@ -575,7 +575,7 @@
         server.sendOddBody("", std::string(100000, '['));
         break;
     default:
-        server.sendOddBody("", "ÿþ{");
+        server.sendOddBody("", "\xff\xfe{");
     }
     return {};
 }
