Judge late starts at a server's next process; a late start of a run that is over is outranked

What callers may see: a task runs twice. A start without an answer is over, as the server's process before answered its stop; the process is replaced at once, without a refused connection, and obeys the start after its first poll, whose fence was that of the start.

The judge left late starts at a process that had seen no fence out altogether. It now carries them out unless the run was over and told before, or the agent has restarted since, and no poll of the agent has brought its fence yet: no agent can prevent those, see docs/PROOF.md. For these two kinds a fence that only another late call had brought doesn't count any more. The simulated processes' start times now are of the simulated time, as their clocks were already.

Why it works: the fence rises with the end of each run whose start may still arrive, so that the first poll of the next process has a higher one.

--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -453,6 +453,11 @@
     default:
         break;
     }
+    // A start that may still arrive could reach the server's next process, whose first poll has to outrank it.
+    const bool isUnanswered
+        = run.started == TimePoint() && (outcome == wire::RunOutcome::Lost || refusal == wire::Refusal::Unanswered);
+    if ((run.startCalls > 1 || isUnanswered) && m_fence > 0 && m_startFence >= m_fence)
+        setFence(m_fence + 1);
     m_endedRuns[id] = { outcome, reason, now + m_limits.resultRetention, m_pollNumber };
     m_runSeconds.add({ { "outcome", wire::EnumNameRunOutcome(outcome) } }, now - run.ordered);
     const auto link = linkOf(run.owner);
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -174,7 +174,7 @@
     if (m_pendingPolls.empty() && now >= m_nextPoll)
         poll(m_isPollLost || !m_isRecovered ? Milliseconds(0) : m_limits.pollWait, now);
     // Runs that are left when the process has ended have no lease: they may start in the next one.
-    if (!m_runs.empty() && !m_isProcessEnded && now > m_leaseEnds) {
+    if (!m_runs.empty() && now > m_leaseEnds && !m_isProcessEnded) {
         m_lapsedRuns = crashedRuns(now); // Whether the server has crashed shows when it answers again.
         endAll("lease-ended", now);
         // The next poll renews the lease. Its higher fence makes the server ignore a start call that is still in
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -102,7 +102,9 @@
         Resources used() const { return m_used; }
         bool isUp() const { return m_isUp; }
         int64_t startedMs() const { return m_startedMs; }
-        bool hasSeenFence() const { return m_fence > 0; }
+        /** An agent's poll has brought the present process its fence. */
+        bool hasFencedPoll() const { return m_hasFencedPoll; }
+        void receivedPoll(int64_t fence) { m_hasFencedPoll |= fence > 0; }
         bool hasEndAfter(uint64_t number) const { return !m_ended.empty() && m_ended.back().number > number; }
         bool isUnreachable = false;
         bool isHanging = false;
@@ -134,6 +136,7 @@
         TimePoint m_leaseEnd {};
         TimePoint m_startedAt {};
         int64_t m_fence = 0; ///< Highest fence seen since the last restart.
+        bool m_hasFencedPoll = false;
     };
 
     /** A connection between an entry and an agent. */
@@ -260,6 +263,7 @@
         std::map<WaiterId, size_t> m_waiters;
         std::map<WorkId, SimulatedJob> m_jobs;
         std::map<TaskId, std::set<size_t>> m_runningOn;
+        std::set<std::pair<size_t, RunId>> m_toldResults; ///< Runs that are over, as their agent has told an entry.
         std::map<TaskId, uint32_t> m_crashes; ///< Servers that each task has crashed.
         uint64_t m_pings = 0;
         double m_stranded = 0;
@@ -397,9 +401,10 @@
     void SimulatedServer::restart()
     {
         m_isUp = true;
-        ++m_startedMs;
+        m_startedMs = std::max(m_startedMs + 1, toMilliseconds(m_simulation.events.now().time_since_epoch()).count());
         m_startedAt = m_simulation.events.now();
         m_fence = 0;
+        m_hasFencedPoll = false;
         m_leaseEnd = {};
         isUnreachable = false;
     }
@@ -571,6 +576,8 @@
     {
         ++m_report.messages;
         const auto& connection = m_connections.at(id);
+        if (const auto* result = body->AsRunResult(); result != nullptr && result->outcome != wire::RunOutcome::Running)
+            m_toldResults.emplace(connection.agent, fromWire(*result->id));
         if (!connection.isOpen || m_isPartitioned[connection.entry])
             return;
         events.add(arrivalOn(connection), [this, id, body] {
@@ -643,13 +650,20 @@
         const bool isLate = chance(m_scenario.lateOrders);
         if (isLate || !server.isUp()) {
             if (isLate) {
-                const auto delay = Milliseconds(std::uniform_int_distribution<>(2000, 12000)(m_generator));
+                const auto delay = Milliseconds(std::uniform_int_distribution<int64_t>(
+                    m_scenario.minLateness.count(), m_scenario.maxLateness.count())(m_generator));
                 events.add(events.now() + delay,
-                    [this, i, id = action.id, fence = action.fence, startedMs = server.startedMs(), leaseEnd] {
+                    [this, i, id = action.id, fence = action.fence, startedMs = server.startedMs(), leaseEnd,
+                        incarnation = m_gateIncarnations[i]] {
                         auto& server = *m_servers[i];
+                        if (!server.isUp())
+                            return;
                         const bool isRestarted = server.startedMs() != startedMs;
-                        // No agent can keep a restarted server from obeying the first call that it gets.
-                        if (!server.isUp() || (isRestarted && !server.hasSeenFence()))
+                        // No agent can keep the next process of a server from obeying a call that it gets before the
+                        // first poll. That must not end in two runs unless the process before had shown the run to be
+                        // over.
+                        const bool isOver = m_gateIncarnations[i] != incarnation || m_toldResults.contains({ i, id });
+                        if (isRestarted && !server.hasFencedPoll() && isOver)
                             return;
                         // The clock of a restarted server starts at zero: it shortens the lease to the longest allowed.
                         server.start(id, fence, isRestarted ? events.now() + m_tuning.gate.maxLease : leaseEnd);
@@ -718,6 +732,7 @@
             clockOnly.clock = server.clock();
             return result(PollOutcome::StaleFence, clockOnly, m_scenario.serverDelay);
         }
+        server.receivedPoll(action.fence);
         if (action.leaseEnd)
             server.renew(*action.leaseEnd);
         const auto isDone = std::make_shared<bool>(false);
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -83,8 +83,10 @@
     double estimateSpread = 0.4;
     double estimateFactor = 1; ///< Factor on all estimates.
     /** Share of starts and stops that get no answer and take effect late, in whatever process of the server there is:
-     * starts after 2 to 12 s, stops after 5 s. */
+     * starts after `minLateness` to `maxLateness`, stops after 5 s. */
     double lateOrders = 0;
+    Milliseconds minLateness { 2000 };
+    Milliseconds maxLateness { 12000 };
     double lostStops = 0; ///< Share of stops that get no answer and never take effect.
     double lostPolls = 0; ///< Share of polls that get no answer.
     double heldCalls = 0; ///< Share of starts and polls that an agent sends up to 600 ms after its gate has decided.
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -540,6 +540,52 @@
     }
 }
 
+/** How server processes of the same id follow one another, and what their agents do meanwhile. */
+struct SuccessionRow {
+    char name[56];
+    Milliseconds downTime;
+    bool killsAgents; ///< The agent restarts while its server is down.
+    double lostPolls;
+};
+
+ParameterizedTestParameters(ClusterSimulation, lateStartsAtTheNextServerProcessNeverOverlapTheirReplacements)
+{
+    static SuccessionRow rows[] = {
+        { "replaced at once", Milliseconds(0), false, 0 },
+        { "down for 30 ms", Milliseconds(30), false, 0 },
+        { "down for 300 ms", Milliseconds(300), false, 0 },
+        { "down for 300 ms, agents restart", Milliseconds(300), true, 0 },
+        { "down for 900 ms", Milliseconds(900), false, 0 },
+        { "down for 900 ms, polls get lost", Milliseconds(900), false, 0.3 },
+    };
+    return cr_make_param_array(SuccessionRow, rows, sizeof(rows) / sizeof(SuccessionRow));
+}
+
+ParameterizedTest(SuccessionRow* row, ClusterSimulation, lateStartsAtTheNextServerProcessNeverOverlapTheirReplacements,
+    .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 4; ++seed) {
+        auto scenario = mingaScenario(row->name);
+        scenario.seed = seed;
+        scenario.load = 0.5;
+        scenario.lateOrders = 0.3;
+        scenario.minLateness = Milliseconds(0);
+        scenario.maxLateness = Milliseconds(1500);
+        scenario.lostPolls = row->lostPolls;
+        for (size_t i = 0; i < 3 * scenario.servers; ++i) {
+            const Milliseconds when(1000 + 500 * i);
+            scenario.faults.push_back({ ServerFaultKind::Crash, { i % scenario.servers }, when, row->downTime });
+            if (row->killsAgents)
+                scenario.agentKills.emplace_back(i % scenario.servers, when + row->downTime / 2);
+        }
+        const auto report = simulate(scenario);
+        for (const auto& violation : report.violations)
+            cr_expect_fail("%s, seed %d: %s", row->name, static_cast<int>(seed), violation.c_str());
+        cr_expect_geq(report.servedShare(), 0.5, "%s, seed %d: served %f", row->name, static_cast<int>(seed),
+            report.servedShare());
+    }
+}
+
 /** Agents that send some calls late must not take leases for ended that those calls renew. */
 Test(ClusterSimulation, leasesOfCallsThatAreSentLateEndInTime, .timeout = 120)
 {
