--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -480,6 +480,11 @@
     default:
         break;
     }
+    // A start that may still arrive could reach the server's next process, whose first poll has to outrank it.
+    const bool isUnanswered
+        = run.started == TimePoint() && (outcome == wire::RunOutcome::Lost || refusal == wire::Refusal::Unanswered);
+    if ((run.startCalls > 1 || isUnanswered) && m_fence > 0 && m_startFence >= m_fence)
+        setFence(m_fence + 1);
     const bool isTakenOver = !run.successors.empty() && refusal == wire::Refusal::None;
     refusal = isTakenOver ? wire::Refusal::TakenOver : refusal;
     m_endedRuns[id] = { outcome, refusal, reason, now + m_limits.resultRetention, m_pollNumber };
