A run that another entry took over is never repeated, however it ends

Callers could see a task run twice: two entries have a job (the first hasn't noticed that its caller left), the second one waits for the end of the first one's run. If that run turned out never to have started, or failed, the result didn't say that it was taken over, and both entries started the task again, on two servers; after a run that was done both went on with the next steps.

Found by the review, by reading. The result now says so for all ends, and the first entry ends its job.

--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -895,6 +895,15 @@
     if (task.state != TaskState::Ordered || task.run != id.run)
         return;
     const auto& agent = m_agents[agentIndex];
+    if (result.refusal == wire::Refusal::TakenOver && !task.isStopping) {
+        const auto jobId = job.spec.id;
+        traceRun("run-taken-over", job, id, agent, wire::EnumNameRunOutcome(result.outcome), now);
+        if (result.outcome == wire::RunOutcome::Done)
+            taskDone(job, raw(id.task.step), task, Microseconds(result.run_us), now);
+        if (findJob(jobId) != nullptr)
+            finish(jobId, { WorkStatus::GivenUp, takenOverReason, {} }, now);
+        return;
+    }
     switch (result.outcome) {
     case wire::RunOutcome::Done:
         m_agents[agentIndex].lastSuccess = now;
@@ -933,8 +942,6 @@
             task.avoidedAgents.push_back(agentIndex);
         if (m_crashes.isGivenUp(id.task))
             return giveUpCrashing(job.spec.id, now);
-        if (result.refusal == wire::Refusal::TakenOver && !task.isStopping)
-            return finish(job.spec.id, { WorkStatus::GivenUp, takenOverReason, {} }, now);
         break;
     case wire::RunOutcome::Running:
         break;
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -543,8 +543,8 @@
         = run.started == TimePoint() && (outcome == wire::RunOutcome::Lost || refusal == wire::Refusal::Unanswered);
     if ((run.startCalls > 1 || isUnanswered) && m_fence > 0 && m_startFence >= m_fence)
         setFence(m_fence + 1);
-    const bool isTakenOver = !run.successors.empty() && refusal == wire::Refusal::None;
-    refusal = isTakenOver ? wire::Refusal::TakenOver : refusal;
+    if (!run.successors.empty())
+        refusal = wire::Refusal::TakenOver;
     m_endedRuns[id] = { outcome, refusal, reason, now + m_limits.resultRetention, m_pollNumber };
     m_runSeconds.add({ { "outcome", wire::EnumNameRunOutcome(outcome) } }, now - run.ordered);
     std::vector<LinkId> receivers;
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -613,13 +613,30 @@
     cr_expect_eq(fixture.orders.size(), 1U);
 }
 
-Test(Dispatcher, jobThatAnotherEntryHasIsNotRepeated)
+struct TakenOverRow {
+    char name[16];
+    wire::RunOutcome outcome;
+};
+
+ParameterizedTestParameters(Dispatcher, jobThatAnotherEntryHasIsNotRepeated)
+{
+    static TakenOverRow rows[] = {
+        { "stopped", wire::RunOutcome::Stopped },
+        { "lost", wire::RunOutcome::Lost },
+        { "not started", wire::RunOutcome::NotStarted },
+        { "failed", wire::RunOutcome::Failed },
+        { "done", wire::RunOutcome::Done },
+    };
+    return cr_make_param_array(TakenOverRow, rows, sizeof(rows) / sizeof(TakenOverRow));
+}
+
+ParameterizedTest(TakenOverRow* row, Dispatcher, jobThatAnotherEntryHasIsNotRepeated)
 {
     DispatcherFixture fixture;
     fixture.submit(1, stepOf(2, 1000));
     const auto run = fixture.orders.back();
     const auto other = fixture.orders.front();
-    fixture.end(run, wire::RunOutcome::Stopped, Milliseconds(10), wire::Refusal::TakenOver);
+    fixture.end(run, row->outcome, Milliseconds(10), wire::Refusal::TakenOver);
     cr_expect_eq(fixture.orders.size(), 2U, "its run at the other entry would have another one beside it");
     cr_assert(fixture.answers.contains(1));
     cr_expect(fixture.answers.at(1).status == WorkStatus::GivenUp);
