A third entry's job doesn't end for a run that the second one took over

A caller whose connection broke twice, and whose job reached a third entry within 10 s, got 504 at once: the order of that entry was answered from the record of the first entry's run, which says that another entry has taken it over.

Found by the review, by reading.

--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -357,7 +357,10 @@
         std::max<int64_t>(link.reserved.memory - resources.memory, 0),
         std::max<int64_t>(link.reserved.accelerators - resources.accelerators, 0) };
     if (const auto ended = m_endedRuns.find(id); ended != m_endedRuns.end()) {
-        sendResult(linkId, id, ended->second.outcome, ended->second.refusal, ended->second.reason, {}, now);
+        // The order may be of an entry that got the job after those that the result was for.
+        const auto refusal
+            = ended->second.refusal == wire::Refusal::TakenOver ? wire::Refusal::None : ended->second.refusal;
+        sendResult(linkId, id, ended->second.outcome, refusal, ended->second.reason, {}, now);
         return;
     }
     if (const auto known = m_runs.find(id); known != m_runs.end() && known->second.owner == link.entry)
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -646,6 +646,10 @@
     }
     fixture.collectEffects();
     cr_expect(fixture.closed.empty(), "%s", row->name);
+    fixture.linkEntry(LinkId(3), 13);
+    fixture.order(LinkId(3), runId(1));
+    cr_expect(
+        fixture.lastRefusal[LinkId(3)] == wire::Refusal::None, "%s: a third entry has a job of its own", row->name);
 }
 
 Test(RunGate, queryOfAnOrderThatAnotherEntrysRunRefusedIsNoLongerRunning)
