Orphaned runs: remembered until callers send again, stopped when known too late

Findings of the review of how entries learn of each other's runs, by reading: - They were forgotten after 1,250 ms, while callers send again after 1,300 ms: a run that is held since its server's process ended could be forgotten before.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -35,6 +35,9 @@
     Milliseconds summaryPeriod { 5000 }; ///< Interval of the `entry-summary` log line.
     size_t maxOpenJobs = 4000;
     size_t maxQueuedTasks = 40000;
+    /** Orphaned runs of other entries are remembered for this long; it exceeds the time after which their callers
+     * submit the jobs again. */
+    Milliseconds orphanRetention { 3000 };
     size_t maxOrphanedRuns = 16384; ///< Orphaned runs of other entries beyond this many are not remembered.
     uint64_t traceSampleInterval = 64; ///< The trace of one in this many jobs answered in time is logged.
     size_t backfillDepth = 24; ///< Queued jobs that may fail to be placed before a pass over the queue ends.
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -347,7 +347,7 @@
     void onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
     void stopRun(const RunId& id, Run& run, TimePoint now);
     /** An entry that didn't order a run asks for its end. */
-    void addSuccessor(Run& run, EntryLink& link);
+    void addSuccessor(Run& run, EntryLink& link, TimePoint now);
     /** Tells all entries but the one on `except` of runs that are orphaned now. */
     void sendOrphans(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now);
     /** Stops a run that a start call may have started; it is over once a stop was answered and a poll shows no run. */
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -271,7 +271,7 @@
         auto* job = findJob(id.task.job);
         if (job == nullptr) {
             if (m_orphanedRuns.size() < m_limits.maxOrphanedRuns)
-                m_orphanedRuns[{ id, index }] = now + m_limits.runLapse;
+                m_orphanedRuns[{ id, index }] = now + m_limits.orphanRetention;
             continue;
         }
         const auto* task = findTask(id.task);
@@ -286,6 +286,7 @@
         m_effects.record(LogLevel::Warning, "job-elsewhere",
             { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
                 { "agent", m_agents[index].name } });
+        sendStop(index, { id }, false, now);
     }
 }
 
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -491,7 +491,7 @@
         return;
     auto& run = it->second;
     if (!isAnswered) {
-        run.nextStop = now;
+        run.nextStop = m_isServerGone ? now + m_limits.stopTimeout : now;
         return;
     }
     // The stop took effect: the next listing shows the run as running or ended, or it never started.
@@ -579,7 +579,7 @@
         const auto id = fromWire(wireId);
         const auto it = m_runs.find(id);
         if (it != m_runs.end()) {
-            addSuccessor(it->second, m_links.at(link));
+            addSuccessor(it->second, m_links.at(link), now);
             if (message.caller_gone) {
                 it->second.isOrphaned = true;
                 orphans.push_back(id);
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -33,12 +33,13 @@
     return run.owner == entry || std::find(run.successors.begin(), run.successors.end(), entry) != run.successors.end();
 }
 
-void RunGate::addSuccessor(Run& run, EntryLink& link)
+void RunGate::addSuccessor(Run& run, EntryLink& link, TimePoint now)
 {
     if (concerns(run, link.entry))
         return;
     run.successors.push_back(link.entry);
-    ++link.runs;
+    if (++link.runs == 1)
+        link.busySince = now;
 }
 
 void RunGate::sendOrphans(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now)
@@ -49,7 +50,7 @@
     for (const auto& id : ids)
         message.ids.push_back(toWire(id));
     for (const auto& [id, link] : m_links) {
-        if (id != except)
+        if (id != except && link.hasAgentTimes) // Entries of an earlier release don't know the message.
             send(id, message, now);
     }
 }
@@ -91,7 +92,7 @@
         { { "entry", welcome.entry }, { "incarnation", fmt::format("{:016x}", raw(entry)) },
             { "runs", static_cast<int64_t>(link.runs) } });
     sendCrashes(id, now); // These precede the report, on which the entry sends orders.
-    if (!orphans.ids.empty())
+    if (!orphans.ids.empty() && link.hasAgentTimes)
         send(id, std::move(orphans), now);
     sendReport(id, now);
 }
