Any resend delay of a deployment is accepted; agents bound what entries tell

An entry of a deployment with a resend delay under 1,178 ms didn't start any more, and an agent took a delay from a Welcome that left no time for a lease, after which its gate never opened.

--- a/include/sequoia/Settings.h
+++ b/include/sequoia/Settings.h
@@ -44,7 +44,6 @@
     std::string_view defaultText;
     std::string_view choices; ///< Allowed values, separated by `|`; empty if any text is allowed.
     std::string_view help;
-    bool allowsZero = false; ///< 0 is allowed below `minNumber`; it stands for an unknown value.
 };
 
 /** Settings of sequoia-entry. */
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -68,9 +68,9 @@
     link.lastHeard = now;
     auto limits = m_limits;
     if (welcome.run_lapse_ms > 0)
-        limits.runLapse = Milliseconds(welcome.run_lapse_ms);
+        limits.runLapse = std::max(Milliseconds(welcome.run_lapse_ms), m_limits.shortestLapse());
     if (welcome.caller_resend_ms > 0)
-        limits.resendDelay = Milliseconds(welcome.caller_resend_ms);
+        limits.resendDelay = std::max(Milliseconds(welcome.caller_resend_ms), m_limits.shortestLapse());
     link.ownerBound = limits.ownerBound();
     m_stopBound = std::min(m_stopBound, limits.stopBound());
     link.hasAgentTimes = agentTime != TimePoint();
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -47,9 +47,8 @@
         const auto* field = std::get_if<typename SettingRow<T>::Number>(&row.field);
         if (field == nullptr)
             return fmt::format("a number where text is expected");
-        if ((value < row.minNumber || value > row.maxNumber) && !(row.allowsZero && value == 0))
-            return fmt::format(
-                "{} is not {}within {} and {}", value, row.allowsZero ? "0 or " : "", row.minNumber, row.maxNumber);
+        if (value < row.minNumber || value > row.maxNumber)
+            return fmt::format("{} is not within {} and {}", value, row.minNumber, row.maxNumber);
         settings.** field = value;
         return std::nullopt;
     }
@@ -168,7 +167,7 @@
     template <typename T> std::string rangeText(const SettingRow<T>& row)
     {
         if (row.field.index() == 0)
-            return fmt::format("{}{} to {}", row.allowsZero ? "0, " : "", row.minNumber, row.maxNumber);
+            return fmt::format("{} to {}", row.minNumber, row.maxNumber);
         if (row.field.index() == 2)
             return "list of texts";
         return row.choices.empty() ? "text" : fmt::format("{}", fmt::join(std::string(row.choices), ""));
--- a/src/SettingsTables.cpp
+++ b/src/SettingsTables.cpp
@@ -16,12 +16,6 @@
         return { key, field, value, low, high, {}, {}, help };
     }
 
-    template <typename T> SettingRow<T> orZero(SettingRow<T> row)
-    {
-        row.allowsZero = true;
-        return row;
-    }
-
     template <typename T>
     SettingRow<T> text(std::string_view key, std::string T::*field, std::string_view value, std::string_view choices,
         std::string_view help)
@@ -169,8 +163,8 @@
         number<S>("max_connections", &S::max_connections, 3000, 4, 100000, "Maximum number of callers' connections."),
         number<S>("max_body_bytes", &S::max_body_bytes, mebibyte, 1024, 64 * mebibyte,
             "Maximum size of a request body, bytes."),
-        orZero(number<S>("caller_resend_ms", &S::caller_resend_ms, 0, shortestLapseMs, hourMs,
-            "Minimum time between the first and the second sending of a caller's request, ms; set by the deployment.")),
+        number<S>("caller_resend_ms", &S::caller_resend_ms, 0, 0, hourMs,
+            "Minimum time between the first and the second sending of a caller's request, ms; set by the deployment."),
         number<S>("rotation_ms", &S::rotation_ms, 2300, 0, 60000,
             "Time from a stop signal until the load balancer sends no new connections, ms."),
         number<S>("stop_timeout_ms", &S::stop_timeout_ms, 5250, 0, hourMs,
