A row of a listing that can't be read stalls its server no more

Cause: decodeListing rejected the whole answer to a poll for one row that it couldn't read, so that the poll counted as unanswered. A row that stayed kept the server from being used until its next process.

Change: the rows that can be read are used. An unreadable row among the running ones may be any run of this agent, so that such a listing proves no absence, neither of a run nor of those of an earlier process. The server takes no orders and its leases aren't renewed beyond stopBound, as for an unknown run, but no stop can name this one. A row that is listed by a poll that was sent after all leases had ended is no run; it is told from others by its task and run, and the server serves on beside it. Ends are acknowledged up to the last one that can be read; an unreadable one may be that of a run whose start had no answer, which therefore counts as lost and not as unstarted. While only such ends are listed, polls pause, as the server answers them at once.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -131,7 +131,11 @@
     int64_t startedMs = 0; ///< Incarnation of the server that answered.
     std::optional<Milliseconds> clock; ///< Reading of the server's own clock, which is monotonic within an incarnation.
     std::vector<ListedRun> running;
+    /** Rows of runs in progress that can't be read, by the text of what they have of task and run. Such a row may be
+     * any run, so that a run that isn't in `running` may be there. */
+    std::vector<std::string> unreadableRunning;
     std::vector<ListedEnd> ended;
+    size_t unreadableEnded = 0; ///< Rows of ended runs that can't be read.
 };
 
 /** Result of a poll. */
@@ -294,6 +298,14 @@
         int64_t endListedBy = 0; ///< Incarnation of the server that listed the end; zero if none did.
     };
 
+    /** A row of a run in progress that can't be read. */
+    struct UnreadableRun {
+        TimePoint overBy {}; ///< No lease is granted beyond.
+        /** First poll that was sent when all leases had ended: a row in its answer is no run of this agent. */
+        uint64_t firstPollWithoutLease = 0; ///< 0 until it was sent.
+        bool isDisproved = false; ///< It was listed without a lease: it is no run.
+    };
+
     struct EntryLink {
         Incarnation entry {};
         TimePoint lastHeard {};
@@ -374,6 +386,14 @@
     void processEnded(TimePoint now);
     void processEnds(const Listing& listing, TimePoint now);
     void processRunning(uint64_t number, const Listing& listing, TimePoint now);
+    /** Follows the rows that can't be read in a listing that wasn't overtaken. */
+    void processUnreadable(uint64_t number, const Listing& listing, TimePoint now);
+    /** Whether a run that isn't among the running ones of a listing isn't running. */
+    bool provesAbsence(const Listing& listing) const;
+    /** Whether a row that can't be read may be a run. */
+    bool hasUnreadableRuns() const;
+    /** Tells unreadable rows with the same text apart. */
+    static std::set<std::string> unreadableRows(const Listing& listing);
     /** Whether the server made a listing before one that was processed: replies on different connections may overtake
      * each other. */
     bool isOvertaken(const Listing& listing) const;
@@ -475,6 +495,9 @@
     uint64_t m_lastStartNumber = 0;
     /** Runs in the last listing that this process didn't start, or has taken for over: when they have to be over. */
     std::map<RunId, TimePoint> m_unknownRuns;
+    std::map<std::string, UnreadableRun> m_unreadableRuns; ///< Of the last listing.
+    size_t m_unreadableEnded = 0; ///< Rows of ended runs in the last listing that can't be read.
+    TimePoint m_unreadableEndListed {}; ///< When a listing last had one; zero if none did.
     Resources m_used; ///< Sum over `m_runs`.
     std::map<LinkId, EntryLink> m_links;
     std::map<Incarnation, LostOwner> m_lostOwners;
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -75,6 +75,8 @@
         return "server-changing";
     if (!m_unknownRuns.empty())
         return "unknown-runs";
+    if (hasUnreadableRuns())
+        return "unreadable-runs";
     if (grantableLease(leaseLimit(), now) < m_limits.minLease())
         return "stops-unanswered";
     if (m_health.health() == Health::Quarantined)
@@ -216,6 +218,9 @@
     m_listedClock = {};
     m_roomLimit.reset();
     m_unknownRuns.clear();
+    m_unreadableRuns.clear();
+    m_unreadableEnded = 0;
+    m_unreadableEndListed = {};
     m_pendingPolls.clear(); // The process before doesn't answer them any more.
     m_speed.reset(); // The new incarnation may run on another kind of VM.
     if (isFirst)
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -2,6 +2,7 @@
 #include <sequoia/RunGate.h>
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace sequoia {
 
@@ -44,6 +45,10 @@
     }
     for (const auto& [id, overBy] : m_unknownRuns)
         limit = std::min(limit, overBy);
+    for (const auto& [row, unreadable] : m_unreadableRuns) {
+        if (!unreadable.isDisproved)
+            limit = std::min(limit, unreadable.overBy);
+    }
     return limit;
 }
 
@@ -80,6 +85,12 @@
     m_lastPoll = now;
     m_pendingPolls.insert(++m_pollNumber);
     ++m_counters.polls;
+    if (now > m_leaseEnds && !m_mayHaveEarlierLease && m_oldLeasesEnd && now >= *m_oldLeasesEnd) {
+        for (auto& [row, unreadable] : m_unreadableRuns) {
+            if (unreadable.firstPollWithoutLease == 0)
+                unreadable.firstPollWithoutLease = m_pollNumber;
+        }
+    }
     m_effects.add(PollServer { m_pollNumber, m_fence, leaseEnd, wait, wait + m_limits.pollTimeout, m_seenUpTo });
 }
 
@@ -188,7 +199,10 @@
         // A new end answers all waiting polls: those without an answer by now are on their way or lost.
         if (m_seenUpTo > seenBefore)
             m_pendingPolls.clear();
-        sendWaitingPolls(now);
+        if (listing.unreadableEnded > 0 && m_seenUpTo == seenBefore)
+            m_nextPoll = now + m_limits.refusedPollInterval; // The server answers at once as long as it lists an end.
+        else
+            sendWaitingPolls(now);
     }
     if (!wasFresh || state(now) != m_reportedState)
         sendReports(now);
@@ -222,6 +236,14 @@
 
 void RunGate::processEnds(const Listing& listing, TimePoint now)
 {
+    // An end that can't be read is acknowledged with the next one that can, as its number may be as wrong as the rest.
+    // If it is that of a run of this agent, a listing without the run shows that it is over.
+    if (listing.unreadableEnded > 0)
+        m_unreadableEndListed = now;
+    if (listing.unreadableEnded > m_unreadableEnded)
+        m_effects.record(
+            LogLevel::Warning, "unreadable-end", { { "rows", static_cast<int64_t>(listing.unreadableEnded) } });
+    m_unreadableEnded = listing.unreadableEnded;
     for (const auto& end : listing.ended) {
         if (end.number <= m_seenUpTo)
             continue;
@@ -273,9 +295,56 @@
     });
 }
 
+std::set<std::string> RunGate::unreadableRows(const Listing& listing)
+{
+    std::set<std::string> rows;
+    for (const auto& text : listing.unreadableRunning) {
+        auto row = text;
+        for (int n = 2; !rows.insert(row).second; ++n)
+            row = fmt::format("{} {}", text, n);
+    }
+    return rows;
+}
+
+bool RunGate::hasUnreadableRuns() const
+{
+    return std::any_of(
+        m_unreadableRuns.begin(), m_unreadableRuns.end(), [](const auto& row) { return !row.second.isDisproved; });
+}
+
+bool RunGate::provesAbsence(const Listing& listing) const
+{
+    const auto rows = unreadableRows(listing);
+    return std::all_of(rows.begin(), rows.end(), [this](const auto& row) {
+        const auto it = m_unreadableRuns.find(row);
+        return it != m_unreadableRuns.end() && it->second.isDisproved;
+    });
+}
+
+void RunGate::processUnreadable(uint64_t number, const Listing& listing, TimePoint now)
+{
+    const auto rows = unreadableRows(listing);
+    std::erase_if(m_unreadableRuns, [&](const auto& unreadable) { return !rows.contains(unreadable.first); });
+    for (const auto& row : rows) {
+        // No stop call can name the run. Its lease ends instead, with those of the other runs on the server.
+        const auto [it, isNew] = m_unreadableRuns.try_emplace(row, UnreadableRun { now + m_stopBound });
+        auto& unreadable = it->second;
+        if (isNew)
+            m_effects.record(LogLevel::Warning, "unreadable-run", { { "row", row } });
+        if (unreadable.isDisproved || unreadable.firstPollWithoutLease == 0
+            || number < unreadable.firstPollWithoutLease)
+            continue;
+        unreadable.isDisproved = true;
+        m_effects.record(LogLevel::Warning, "unreadable-run-disproved", { { "row", row } });
+    }
+}
+
 void RunGate::processRunning(uint64_t number, const Listing& listing, TimePoint now)
 {
     const bool isNewest = !isOvertaken(listing);
+    if (isNewest)
+        processUnreadable(number, listing, now);
+    const bool isComplete = provesAbsence(listing);
     if (isNewest && listing.clock)
         m_listedClock = *listing.clock;
     std::set<RunId> running;
@@ -293,7 +362,7 @@
             recordUnknownRun(number, listed.id);
         m_effects.add(StopRun { listed.id, "", m_fence, m_limits.stopTimeout });
     }
-    if (isNewest) {
+    if (isNewest && isComplete) {
         std::erase_if(m_unknownRuns, [&](const auto& unknown) { return !running.contains(unknown.first); });
         const bool isFenced = m_fence == 0 || number >= m_fencedFromPoll;
         if (m_unknownRuns.empty() && isFenced)
@@ -301,7 +370,7 @@
     }
     std::vector<RunId> missing;
     for (const auto& [id, run] : m_runs) {
-        if (run.firstConclusivePoll > 0 && number >= run.firstConclusivePoll && !running.contains(id))
+        if (isComplete && run.firstConclusivePoll > 0 && number >= run.firstConclusivePoll && !running.contains(id))
             missing.push_back(id);
     }
     for (const auto& id : missing) {
@@ -312,7 +381,8 @@
             endRun(id, wire::RunOutcome::Lost, wire::Refusal::None, reason, now);
             continue;
         }
-        const bool hasStarted = run.isListed || run.started != TimePoint();
+        // An end that can't be read may be that of a run whose start had no answer.
+        const bool hasStarted = run.isListed || run.started != TimePoint() || run.ordered <= m_unreadableEndListed;
         endRun(id, hasStarted ? wire::RunOutcome::Lost : wire::RunOutcome::NotStarted,
             hasStarted ? wire::Refusal::None : wire::Refusal::Unanswered, "not-listed", now);
     }
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -1524,6 +1524,158 @@
     cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open);
 }
 
+/** A run that isn't among the rows that can be read, and how it would end if that were a proof. */
+struct UnreadableRunRow {
+    char name[40];
+    bool isStartAnswered;
+    int outcome; ///< wire::RunOutcome by a listing of which all rows can be read.
+};
+
+ParameterizedTestParameters(RunGate, unreadableRowProvesNoAbsence)
+{
+    static UnreadableRunRow rows[] = {
+        { "started", true, static_cast<int>(wire::RunOutcome::Lost) },
+        { "start unanswered, fenced", false, static_cast<int>(wire::RunOutcome::NotStarted) },
+    };
+    return cr_make_param_array(UnreadableRunRow, rows, sizeof(rows) / sizeof(UnreadableRunRow));
+}
+
+ParameterizedTest(UnreadableRunRow* row, RunGate, unreadableRowProvesNoAbsence)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.order(firstLink, runId(2));
+    fixture.answerStart(runId(2), StartOutcome::Started);
+    if (row->isStartAnswered) {
+        fixture.answerStart(runId(1), StartOutcome::Started);
+    } else {
+        for (uint32_t i = 0; i < fixture.limits.maxStartCalls; ++i)
+            fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+        fixture.gate.stopAnswered(runId(1), true, fixture.now);
+    }
+    auto listing = listingOf({}, { { 1, runId(2), EndKind::Done } });
+    listing.unreadableRunning = { "odd" };
+    fixture.advance(Milliseconds(200), listing);
+    cr_expect_not(fixture.outcome(runId(1)).has_value(), "%s: the row may be this run", row->name);
+    cr_expect(fixture.outcome(runId(2)) == wire::RunOutcome::Done, "%s: an end that can be read is one", row->name);
+    cr_expect_eq(fixture.lastSeenUpTo, 1U, "%s", row->name);
+    fixture.advance(Milliseconds(40), listingOf({}));
+    cr_expect_eq(
+        static_cast<int>(fixture.outcome(runId(1)).value_or(wire::RunOutcome::Running)), row->outcome, "%s", row->name);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open, "%s", row->name);
+}
+
+/** A row that stayed made each listing count as unanswered until the server's next process. */
+Test(RunGate, serverServesOnBesideARowThatIsNoRun)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    auto listing = listingOf({ runId(1) });
+    listing.unreadableRunning = { "odd" };
+    fixture.answerPoll(listing);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Closed, "the row may be a run that takes resources");
+    auto leaseEnds = fixture.leaseEnds;
+    while (fixture.gate.state(fixture.now) == wire::GateState::Closed && fixture.now < start + Milliseconds(5000)) {
+        if (fixture.lastLease.count() > 0)
+            leaseEnds = fixture.leaseEnds;
+        if (fixture.now > leaseEnds)
+            listing.running.clear(); // The server has ended it.
+        fixture.advance(Milliseconds(20), listing);
+    }
+    cr_assert(
+        fixture.gate.state(fixture.now) == wire::GateState::Open, "%s", fixture.gate.closedReason(fixture.now).c_str());
+    cr_expect_gt((fixture.now - leaseEnds).count(), 0, "all leases end first: what is listed then is no run");
+    cr_expect(fixture.outcome(runId(1)) == wire::RunOutcome::Lost);
+
+    fixture.order(firstLink, runId(2));
+    fixture.order(firstLink, runId(3));
+    fixture.answerStart(runId(2), StartOutcome::Started);
+    fixture.answerStart(runId(3), StartOutcome::Started);
+    listing.running = { { runId(2) } };
+    for (const auto until = fixture.now + Milliseconds(2000); fixture.now < until;) {
+        fixture.now += Milliseconds(20);
+        fixture.sendHeartbeats();
+        fixture.gate.tick(fixture.now);
+        fixture.answerPolls(listing);
+    }
+    cr_expect_eq(fixture.gate.runs(), 1U, "leases are renewed; a listing beside the row proves absence again");
+    cr_expect(fixture.outcome(runId(3)) == wire::RunOutcome::Lost);
+    listing.unreadableRunning = { "odd", "odd" };
+    fixture.advance(Milliseconds(20), listing);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Closed, "another row may be a run");
+    listing.unreadableRunning = { "odd" };
+    fixture.advance(Milliseconds(20), listing);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open);
+}
+
+/** Whether a run of an earlier process of the agent can be behind a row that can't be read. */
+Test(RunGate, restartedAgentRecoversBesideAnUnreadableRowOnceEarlierLeasesHaveEnded)
+{
+    RunGate gate(Incarnation(8), {});
+    ServerReport report;
+    report.instance = "i-1";
+    report.startedMs = 1;
+    report.service = "service";
+    gate.serverAnnounced(report, start);
+    auto listing = listingOf({});
+    listing.clock = Milliseconds(5000);
+    listing.unreadableRunning = { "odd" };
+    const RunGateLimits limits;
+    auto now = start;
+    while (!gate.isRecovered() && now < start + 2 * limits.maxLease) {
+        gate.tick(now);
+        for (const auto& effect : gate.takeEffects()) {
+            if (const auto* poll = std::get_if<PollServer>(&effect))
+                gate.pollAnswered(poll->number, PollOutcome::Listed, listing, now);
+        }
+        now += Milliseconds(20);
+    }
+    cr_expect(gate.isRecovered());
+    cr_expect_geq((now - start).count(), Microseconds(limits.maxLease).count());
+}
+
+/** The server lists an end that can't be read; the run may be the one whose start had no answer. */
+Test(RunGate, unreadableEndIsNoProofThatARunNeverStarted)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.order(firstLink, runId(2));
+    fixture.answerStart(runId(2), StartOutcome::Started);
+    for (uint32_t i = 0; i < fixture.limits.maxStartCalls; ++i)
+        fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+    auto listing = listingOf({ runId(2) });
+    listing.unreadableEnded = 1;
+    fixture.answerPoll(listing);
+    cr_expect_eq(fixture.lastSeenUpTo, 0U, "nothing that was read is there to be acknowledged");
+    listing.ended = { { 2, runId(2), EndKind::Done } };
+    listing.running.clear();
+    fixture.advance(Milliseconds(40), listing);
+    cr_expect(fixture.outcome(runId(2)) == wire::RunOutcome::Done, "it doesn't stall the ones behind");
+    cr_expect_eq(fixture.lastSeenUpTo, 2U);
+    fixture.gate.stopAnswered(runId(1), true, fixture.now);
+    fixture.answerPoll(listingOf({}));
+    cr_expect(fixture.outcome(runId(1)) == wire::RunOutcome::Lost, "it may have run");
+}
+
+Test(RunGate, unreadableEndCausesNoFloodOfPolls)
+{
+    Fixture fixture;
+    auto listing = listingOf({});
+    listing.unreadableEnded = 1;
+    const auto before = fixture.polls.size();
+    constexpr int rounds = 100;
+    for (int i = 0; i < rounds; ++i) {
+        fixture.now += Milliseconds(1);
+        fixture.gate.tick(fixture.now);
+        fixture.collectEffects();
+        fixture.answerPolls(listing); // The server answers at once, as an end waits to be acknowledged.
+    }
+    const auto most = static_cast<size_t>(rounds / fixture.limits.refusedPollInterval.count() + 2);
+    cr_expect_leq(fixture.polls.size() - before, most, "%zu polls", fixture.polls.size() - before);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open);
+}
+
 struct OddReportRow {
     char name[40];
     char instance[8];
