The server tells which of two ids of its process is its own

Cause: two reports with the same start and different ids are both of the process that answers polls, as a listing doesn't name the id. The first one was used for good: if it was the odd one, every start carried the wrong id and was refused, or nothing was ordered at all, as its service, capacity or state was wrong.

Change: a report that rivals the one in use sends a poll that is meant for the id in use. If the server answers that it has another id (421), the other report is used; an answer with a listing changes nothing. Of several rivals the last one is kept, so that each of them gets its turn. A server that ignores the expected id of a poll keeps the first report, as before.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -143,6 +143,7 @@
     Listed,
     Refused, ///< Connection refused and no other open: the server's process has ended.
     StaleFence, ///< The server has seen a higher fence; its listing holds the clock only.
+    OtherInstance, ///< The server has another id than the one that the poll was meant for.
     NoAnswer
 };
 
@@ -171,6 +172,7 @@
     Milliseconds wait {}; ///< The server answers after this time, or earlier if a run ends.
     Milliseconds timeout {};
     uint64_t seenUpTo = 0; ///< The server may drop the ends up to this number.
+    std::string instance {}; ///< Id of the server that it is meant for; empty for any.
 };
 
 using GateEffect = std::variant<SendMessage, CloseLink, StartRun, StopRun, PollServer, RecordEvent>;
@@ -415,6 +417,11 @@
     bool acceptOtherProcess(const ServerReport& report);
     /** Uses the report of the process that answers polls, if another one is in use. */
     void selectReport(TimePoint now);
+    /** Whether both claim to be of the same process, under different ids. A listing doesn't tell the id. */
+    static bool isRival(const ServerReport& a, const ServerReport& b);
+    /** The server has another id than the report in use: uses the other one of the same process. */
+    void instanceRefused(const std::string& instance, TimePoint now);
+    void useOtherReport(TimePoint now);
     /** Another process of the server has answered with this listing; it may have runs that were ordered before. */
     void startIncarnation(const Listing& listing, TimePoint now);
     /** The earliest time by which a run has to be over; no lease may last longer, as a lease holds for all runs. */
@@ -426,7 +433,7 @@
     /** Until a new process of the server has seen the fence, calls that were meant for the one before, whose clock was
      * another one, may give it the longest lease. */
     void extendLease(uint64_t number, TimePoint now);
-    void poll(Milliseconds wait, TimePoint now);
+    void poll(Milliseconds wait, TimePoint now, std::string instance = {});
     /** Number of polls that should wait at the same time, from the share of lost calls. */
     size_t waitingPollsWanted() const;
     /** Sends polls until as many wait as are wanted. */
@@ -472,6 +479,12 @@
     LabelledHistograms m_startSeconds;
     std::optional<ServerReport> m_server;
     std::optional<ServerReport> m_otherServer; ///< Last report of another process; at most one is kept.
+    /** The last poll that was meant for one id. */
+    struct InstanceProbe {
+        uint64_t poll = 0;
+        std::string instance;
+    };
+    InstanceProbe m_probe;
     /** Reports of the process in use that came after one with a higher sequence number. */
     struct LowerReports {
         uint64_t sequence = 0; ///< Of the last one.
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -136,16 +136,32 @@
             m_otherServer = m_server;
         return true;
     }
-    if (isRepeated ? report.sequence > m_otherServer->sequence : !isOtherListed)
+    if (isRepeated ? report.sequence > m_otherServer->sequence : isListed || !isOtherListed)
         m_otherServer = report;
     return false;
 }
 
+bool RunGate::isRival(const ServerReport& a, const ServerReport& b)
+{
+    return a.startedMs == b.startedMs && a.instance != b.instance;
+}
+
+void RunGate::instanceRefused(const std::string& instance, TimePoint now)
+{
+    if (m_server && m_otherServer && m_server->instance == instance && isRival(*m_server, *m_otherServer))
+        useOtherReport(now);
+}
+
 void RunGate::selectReport(TimePoint now)
 {
     if (!m_server || !m_otherServer || m_server->startedMs == m_serverStartedMs
         || m_otherServer->startedMs != m_serverStartedMs)
         return;
+    useOtherReport(now);
+}
+
+void RunGate::useOtherReport(TimePoint now)
+{
     std::swap(m_server, m_otherServer);
     m_lowerReports = {};
     m_roomLimit.reset();
@@ -163,7 +179,9 @@
     if (isSame && isLate(report, now))
         return false;
     if (m_server && !isSame && !acceptOtherProcess(report)) {
-        poll(Milliseconds(0), now); // The listing decides which of the processes is there.
+        // The listing decides which of the processes is there; between two ids of one process, whether the server
+        // answers a poll that is meant for the one in use.
+        poll(Milliseconds(0), now, isRival(*m_server, report) ? m_server->instance : "");
         return false;
     }
     const bool isChanged = !isSame || report.total != m_server->total || report.service != m_server->service
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -75,7 +75,7 @@
     m_mayHaveEarlierLease = number < m_fencedFromPoll;
 }
 
-void RunGate::poll(Milliseconds wait, TimePoint now)
+void RunGate::poll(Milliseconds wait, TimePoint now, std::string instance)
 {
     std::optional<TimePoint> leaseEnd;
     // Until recovery is complete, leases aren't renewed, so that runs of an earlier process end; nor are those of a
@@ -91,7 +91,10 @@
                 unreadable.firstPollWithoutLease = m_pollNumber;
         }
     }
-    m_effects.add(PollServer { m_pollNumber, m_fence, leaseEnd, wait, wait + m_limits.pollTimeout, m_seenUpTo });
+    if (!instance.empty())
+        m_probe = { m_pollNumber, instance };
+    m_effects.add(PollServer {
+        m_pollNumber, m_fence, leaseEnd, wait, wait + m_limits.pollTimeout, m_seenUpTo, std::move(instance) });
 }
 
 void RunGate::recordCall(bool isAnswered)
@@ -159,6 +162,10 @@
         } else {
             sendWaitingPolls(now); // The server has answered a later poll.
         }
+    } else if (outcome == PollOutcome::OtherInstance) {
+        if (number == m_probe.poll)
+            instanceRefused(m_probe.instance, now);
+        sendWaitingPolls(now);
     } else if (outcome == PollOutcome::StaleFence) {
         const auto startedMs = m_serverStartedMs > 0 || !m_server ? m_serverStartedMs : m_server->startedMs;
         if (startedMs == 0)
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -194,6 +194,7 @@
                 lastLease = toMilliseconds(poll->leaseEnd.value_or(now) - now);
                 noteLease(lastLease);
                 lastSeenUpTo = poll->seenUpTo;
+                pollInstances[poll->number] = poll->instance;
                 shortestWait = std::min(shortestWait, poll->wait);
                 lastFence = poll->fence;
             } else if (auto* close = std::get_if<CloseLink>(&effect))
@@ -229,6 +230,7 @@
     std::vector<RunId> stops;
     std::vector<uint64_t> polls;
     std::vector<uint64_t> waitingPolls;
+    std::map<uint64_t, std::string> pollInstances; ///< The id of the server that each poll is meant for.
     std::vector<LinkId> closed;
     std::map<RunId, wire::RunOutcome> results;
     std::map<RunId, wire::Refusal> refusals;
@@ -237,6 +239,7 @@
     std::map<LinkId, std::vector<RunId>> orphans;
     std::map<LinkId, Resources> free;
     std::map<LinkId, Resources> total;
+    std::string service; ///< In the last report.
     std::map<LinkId, TimePoint> lastSent; ///< The agent time of the last message on each link.
     std::map<LinkId, TimePoint> mutedSince; ///< From then on nothing arrives at the entry, which goes on sending.
     std::map<std::string, std::vector<LogField>> events; ///< The last line of each kind.
@@ -263,6 +266,7 @@
         } else if (const auto* report = send.body.AsRoomReport()) {
             reportedState = report->state;
             total[send.link] = fromWire(report->total.get());
+            service = report->service;
             free[send.link] = fromWire(report->free.get());
         } else if (const auto* update = send.body.AsRoomUpdate())
             free[send.link] = fromWire(update->free.get());
@@ -1676,6 +1680,92 @@
     cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open);
 }
 
+struct RivalRow {
+    char name[48];
+    char service[16]; ///< Of the odd reports.
+    bool isDraining;
+    int64_t cpu;
+    int oddIds; ///< How many ids report the start of the server's process before the server does, and go on to.
+};
+
+ParameterizedTestParameters(RunGate, firstReportUnderAWrongIdDoesNotSilenceTheServer)
+{
+    static RivalRow rows[] = {
+        { "the same service", "service", false, 9000, 1 },
+        { "another service", "other", false, 9000, 1 },
+        { "draining", "service", true, 9000, 1 },
+        { "without resources", "service", false, 0, 1 },
+        { "two wrong ids", "other", false, 9000, 2 },
+        { "three wrong ids", "other", true, 9000, 3 },
+    };
+    return cr_make_param_array(RivalRow, rows, sizeof(rows) / sizeof(RivalRow));
+}
+
+/** The listing doesn't tell the server's id: the first report of the start of its process was used for good. */
+ParameterizedTest(RivalRow* row, RunGate, firstReportUnderAWrongIdDoesNotSilenceTheServer)
+{
+    Fixture fixture;
+    const auto report = [&](const std::string& instance, bool isOdd) {
+        ServerReport report;
+        report.instance = instance;
+        report.startedMs = 5;
+        report.service = isOdd ? row->service : "service";
+        report.total = { isOdd ? row->cpu : 8000, 1000, 0 };
+        report.isDraining = isOdd && row->isDraining;
+        report.sequence = ++fixture.sequence;
+        fixture.gate.serverAnnounced(report, fixture.now);
+        fixture.collectEffects();
+    };
+    const auto answerAll = [&] {
+        auto listing = listingOf({});
+        listing.startedMs = 5;
+        for (const auto number : std::exchange(fixture.waitingPolls, {})) {
+            const auto& instance = fixture.pollInstances.at(number);
+            const bool isOther = !instance.empty() && instance != "i-true";
+            fixture.gate.pollAnswered(
+                number, isOther ? PollOutcome::OtherInstance : PollOutcome::Listed, listing, fixture.now);
+        }
+        fixture.collectEffects();
+    };
+    constexpr int rounds = 6;
+    for (int i = 0; i < rounds; ++i) {
+        for (int odd = 0; odd < row->oddIds; ++odd)
+            report("i-odd-" + std::to_string(odd), true);
+        answerAll();
+        report("i-true", false);
+        answerAll();
+        for (const auto until = fixture.now + Milliseconds(1000); fixture.now < until;
+             fixture.now += Milliseconds(20)) {
+            fixture.sendHeartbeats();
+            fixture.gate.tick(fixture.now);
+            fixture.collectEffects();
+            answerAll();
+        }
+    }
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open, "%s: %s", row->name,
+        fixture.gate.closedReason(fixture.now).c_str());
+    cr_expect_eq(fixture.gate.total().cpu, 8000, "%s", row->name);
+    cr_expect_eq(fixture.service, "service", "%s", row->name);
+}
+
+/** A server that has the id in use keeps it, whatever others report. */
+Test(RunGate, reportUnderAnotherIdIsNotUsedWhileTheServerHasTheOneInUse)
+{
+    Fixture fixture;
+    ServerReport odd;
+    odd.instance = "i-odd";
+    odd.startedMs = 1;
+    odd.service = "other";
+    odd.sequence = 1000;
+    fixture.gate.serverAnnounced(odd, fixture.now);
+    fixture.collectEffects();
+    cr_expect_eq(fixture.pollInstances.at(fixture.lastPoll), "i-1", "the server is asked for the id in use");
+    fixture.answerPolls(listingOf({}));
+    cr_expect_eq(fixture.gate.total().cpu, 10000);
+    fixture.gate.pollAnswered(fixture.lastPoll, PollOutcome::OtherInstance, {}, fixture.now);
+    cr_expect_eq(fixture.gate.total().cpu, 10000, "the answer to a poll that was meant for no id refuses none");
+}
+
 struct OddReportRow {
     char name[40];
     char instance[8];
--- a/tests/ServerDriverTest.cpp
+++ b/tests/ServerDriverTest.cpp
@@ -25,7 +25,8 @@
         agentLoop.start();
         driver = std::make_unique<ServerDriver>(agentLoop, address, 4, log,
             ServerResultHooks { [this](RunId, StartOutcome outcome) { started.set_value(outcome); }, {},
-                [this](uint64_t, PollOutcome, Listing) { std::exchange(polled, {}).set_value(); }, suspendAwareNow });
+                [this](uint64_t, PollOutcome outcome, Listing) { std::exchange(polled, {}).set_value(outcome); },
+                suspendAwareNow });
         poll(std::nullopt); // Its answer has the server's clock.
     }
     ~Fixture()
@@ -47,11 +48,11 @@
         isHeld.get_future().wait();
     }
 
-    void poll(std::optional<TimePoint> leaseEnd)
+    PollOutcome poll(std::optional<TimePoint> leaseEnd, const std::string& instance = "")
     {
         auto answered = polled.get_future();
-        driver->poll({ 1, 0, leaseEnd, Milliseconds(0), callTimeout, 0 });
-        answered.wait();
+        driver->poll({ 1, 0, leaseEnd, Milliseconds(0), callTimeout, 0, instance });
+        return answered.get();
     }
 
     StartOutcome start(TimePoint leaseEnd)
@@ -70,6 +71,9 @@
 private:
     void serve(const HttpServerRequest& call, const HttpExchangePtr& exchange)
     {
+        const auto expected = call.header("expect-instance");
+        if (!expected.empty() && expected != "i-1")
+            return exchange->reply({ 421, R"({"clock_ms":1000,"born":1})", "application/json", {} });
         until = Json::parse(call.body).value("until_ms", int64_t(0));
         const Json reply { { "clock_ms", serverClock().count() }, { "born", 1 }, { "running", Json::array() },
             { "ended", Json::array() } };
@@ -85,7 +89,7 @@
     AsyncHttpServer server { serverLoop, {},
         [this](const HttpServerRequest& call, const HttpExchangePtr& exchange) { serve(call, exchange); } };
     std::promise<StartOutcome> started;
-    std::promise<void> polled;
+    std::promise<PollOutcome> polled;
     std::unique_ptr<ServerDriver> driver;
 };
 
@@ -126,3 +130,11 @@
     cr_expect_eq(fixture.until > 0, row->hasLease, "%s", row->name);
     cr_expect_leq(fixture.until.load(), endByServer.count(), "%s: no later than the agent reckons with", row->name);
 }
+
+Test(ServerDriver, pollTellsWhetherTheServerHasTheExpectedId, .timeout = 30)
+{
+    Fixture fixture;
+    cr_expect(fixture.poll(std::nullopt) == PollOutcome::Listed);
+    cr_expect(fixture.poll(std::nullopt, "i-1") == PollOutcome::Listed);
+    cr_expect(fixture.poll(std::nullopt, "i-odd") == PollOutcome::OtherInstance);
+}
