All calls for a run carry the id that its first start carried

Cause: start and stop calls carried the id of the report in use when they were sent. A server answers a call that is meant for another id with 421, which the gate takes for a proof that the run isn't there. If an odd report was in use when the stop was sent, that proved nothing about the start call with the right id, which could arrive later, when its run was taken for over. A repeated start with another id could start a run that the first one's id refuses.

Change: the run keeps the id of its first start call; repeated starts and stops carry it. A process with another id refuses all of them.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -265,6 +265,7 @@
         std::string payload; ///< For another start call; empty once one was answered.
         int64_t serverStartedMs = 0; ///< Incarnation of the server that it was ordered for, or that has listed it.
         uint32_t startCalls = 0;
+        std::string instance; ///< The id that its start calls carry. A stop has to carry it, too: see callStart.
         std::string route;
         uint64_t startNumber = 0; ///< Counts the orders that were accepted.
         TimePoint suspectUntil {}; ///< Until then it is suspected to crash the server; see CrashRecords.h.
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -432,10 +432,13 @@
 
 void RunGate::callStart(const RunId& id, Run& run, TimePoint now)
 {
-    ++run.startCalls;
+    // All calls for a run carry one id: a process with another one refuses them all. That it refuses a stop with an id
+    // of an odd report would not show that it refuses the start, too.
+    if (run.startCalls++ == 0)
+        run.instance = m_server->instance;
     run.startCalled = now;
     m_startFence = m_fence;
-    m_effects.add(StartRun { id, run.payload, m_server->instance, m_fence, grantLease(now), m_callTime.timeout(now) });
+    m_effects.add(StartRun { id, run.payload, run.instance, m_fence, grantLease(now), m_callTime.timeout(now) });
 }
 
 void RunGate::startAnswered(const RunId& id, StartOutcome outcome, TimePoint now)
@@ -503,7 +506,7 @@
         return;
     run.state = run.state == RunState::Starting ? RunState::Fencing : RunState::Stopping;
     run.nextStop = now + m_limits.stopTimeout;
-    m_effects.add(StopRun { id, m_server ? m_server->instance : "", m_fence, m_limits.stopTimeout });
+    m_effects.add(StopRun { id, run.instance, m_fence, m_limits.stopTimeout });
 }
 
 void RunGate::stopAnswered(const RunId& id, bool isAnswered, TimePoint now)
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -333,7 +333,7 @@
         if ((run.state != RunState::Fencing && run.state != RunState::Stopping) || now < run.nextStop)
             continue;
         run.nextStop = now + 2 * m_limits.stopTimeout;
-        m_effects.add(StopRun { id, m_server ? m_server->instance : "", m_fence, m_limits.stopTimeout });
+        m_effects.add(StopRun { id, run.instance, m_fence, m_limits.stopTimeout });
     }
 }
 
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -183,11 +183,13 @@
         for (auto& effect : gate.takeEffects()) {
             if (auto* run = std::get_if<StartRun>(&effect)) {
                 starts.push_back(run->id);
+                callInstances[run->id].insert(run->instance);
                 lastStartFence = run->fence;
                 noteLease(run->leaseEnd - now);
-            } else if (auto* run = std::get_if<StopRun>(&effect))
+            } else if (auto* run = std::get_if<StopRun>(&effect)) {
                 stops.push_back(run->id);
-            else if (auto* poll = std::get_if<PollServer>(&effect)) {
+                callInstances[run->id].insert(run->instance);
+            } else if (auto* poll = std::get_if<PollServer>(&effect)) {
                 lastPoll = poll->number;
                 polls.push_back(poll->number);
                 waitingPolls.push_back(poll->number);
@@ -228,6 +230,7 @@
     TimePoint leaseEnds {}; ///< When the leases granted so far have ended, by a server clock that is 2% slow.
     std::vector<RunId> starts;
     std::vector<RunId> stops;
+    std::map<RunId, std::set<std::string>> callInstances; ///< The ids that start and stop calls of runs carry.
     std::vector<uint64_t> polls;
     std::vector<uint64_t> waitingPolls;
     std::map<uint64_t, std::string> pollInstances; ///< The id of the server that each poll is meant for.
@@ -1680,6 +1683,52 @@
     cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open);
 }
 
+struct CallInstanceRow {
+    char name[40];
+    bool isStopped; ///< An entry asks for its end; otherwise its start gets no answer.
+    bool isLate; ///< The report comes between two start calls.
+};
+
+ParameterizedTestParameters(RunGate, callsOfARunCarryOneId)
+{
+    static CallInstanceRow rows[] = {
+        { "stopped by its entry", true, false },
+        { "start unanswered", false, false },
+        { "start unanswered, repeated before", false, true },
+    };
+    return cr_make_param_array(CallInstanceRow, rows, sizeof(rows) / sizeof(CallInstanceRow));
+}
+
+/** A stop with the id of an odd report was refused by the server, which was taken for a proof that the start call,
+ * which had the right one, would be refused as well. */
+ParameterizedTest(CallInstanceRow* row, RunGate, callsOfARunCarryOneId)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    if (row->isLate)
+        fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+    ServerReport odd;
+    odd.instance = "i-odd";
+    odd.startedMs = 2;
+    odd.service = "service";
+    odd.total = fixture.capacity;
+    odd.sequence = 1000;
+    fixture.gate.serverAnnounced(odd, fixture.now);
+    fixture.collectEffects();
+    if (row->isStopped)
+        fixture.stop(firstLink, runId(1));
+    for (uint32_t i = 0; i < fixture.limits.maxStartCalls; ++i)
+        fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+    for (int i = 0; i < 10; ++i) {
+        fixture.now += fixture.limits.stopTimeout;
+        fixture.gate.tick(fixture.now);
+        fixture.collectEffects();
+    }
+    cr_expect_gt(fixture.stops.size(), 0U, "%s", row->name);
+    cr_expect_eq(fixture.callInstances[runId(1)].size(), 1U, "%s", row->name);
+    cr_expect(fixture.callInstances[runId(1)].contains("i-1"), "%s", row->name);
+}
+
 struct RivalRow {
     char name[48];
     char service[16]; ///< Of the odd reports.
