An odd reply of the own product's store ends no entry and is reported with its place

Cause: Store::watch read the fields of a change with std::stoll and without a handler, on a thread of the entry's own: an odd revision, a field of another type or a deep value ended the process. Other calls failed without telling why.

Change: integers are read within 64 bits. A part of a reply that can't be read is a StoreReplyProblem with its place, beside StoreError::BadReply; entries log it (`store-reply-odd`), and sequoiactl shows it. A watch reports the changes that can be read, then ends with the problem and is begun again.

--- a/include/sequoia/Store.h
+++ b/include/sequoia/Store.h
@@ -21,6 +21,12 @@
     BadReply ///< The reply has an error status or can't be parsed.
 };
 
+/** Comes with BadReply if a part of the reply can't be read. */
+struct StoreReplyProblem {
+    std::string place; ///< Path of the field, such as `kvs[0].mod_revision`.
+    std::string message;
+};
+
 /** Revision of a key or of the whole store; 0 for a key that does not exist. */
 enum class StoreRevision : int64_t {};
 /** A lease granted by the store; 0 for none. */
@@ -69,7 +75,8 @@
     boost::leaf::result<void> revokeLease(LeaseId lease) const;
     /**
      * Reports changes under a prefix. Blocks until the connection ends, nothing arrives for 30 s, stopWatches is
-     * called, or `isStopped` returns true; it is asked only when data arrives.
+     * called, or `isStopped` returns true; it is asked only when data arrives. Ends with BadReply if a change can't be
+     * read, after the others that arrived with it.
      */
     boost::leaf::result<void> watch(const std::string& prefix, const std::function<void(const StoreChange&)>& changed,
         const std::function<bool()>& isStopped) const;
--- a/src/ConfigEditor.cpp
+++ b/src/ConfigEditor.cpp
@@ -31,9 +31,12 @@
     /** Runs a call to the store and converts its StoreError into a ConfigError. */
     template <typename T> leaf::result<T> mapStoreError(const std::function<leaf::result<T>()>& call)
     {
-        return leaf::try_handle_some(call, [](StoreError error) -> leaf::result<T> {
+        return leaf::try_handle_some(call, [](StoreError error, const StoreReplyProblem* problem) -> leaf::result<T> {
             const auto kind
                 = error == StoreError::NoReply ? ConfigErrorKind::OutcomeUnknown : ConfigErrorKind::StoreUnavailable;
+            if (problem != nullptr)
+                return configError(
+                    kind, { "the reply of the store can't be parsed: " + problem->place + ": " + problem->message });
             return configError(kind,
                 { error == StoreError::BadReply ? "the reply of the store can't be parsed"
                                                 : "the store did not answer" });
--- a/src/ConfigSynchronizer.cpp
+++ b/src/ConfigSynchronizer.cpp
@@ -19,8 +19,13 @@
     constexpr Milliseconds peerTimeout { 1000 };
     constexpr auto tokenHeader = "X-Sequoia-Token";
 
+    void recordProblem(Log& log, const StoreReplyProblem& problem)
+    {
+        log.event(LogLevel::Warning, "store-reply-odd", { { "place", problem.place }, { "error", problem.message } });
+    }
+
     /** The value of a call; empty on any error. */
-    template <typename F> auto valueOf(F&& call) -> std::optional<std::decay_t<decltype(call().value())>>
+    template <typename F> auto valueOf(Log& log, F&& call) -> std::optional<std::decay_t<decltype(call().value())>>
     {
         using T = std::decay_t<decltype(call().value())>;
         return leaf::try_handle_all(
@@ -28,6 +33,10 @@
                 BOOST_LEAF_AUTO(value, call());
                 return std::optional<T>(std::move(value));
             },
+            [&](const StoreReplyProblem& problem) {
+                recordProblem(log, problem);
+                return std::optional<T>();
+            },
             []() { return std::optional<T>(); });
     }
 
@@ -94,7 +103,7 @@
         thread.join();
     if (m_lease == LeaseId())
         return;
-    valueOf([&]() -> leaf::result<int> {
+    valueOf(m_options.log, [&]() -> leaf::result<int> {
         BOOST_LEAF_CHECK(m_options.store->revokeLease(m_lease));
         return 0;
     });
@@ -126,7 +135,7 @@
             [&]() -> leaf::result<void> {
                 return m_options.store->watch(m_keys.prefix, onChange, [this] { return m_isStopped.load(); });
             },
-            [] {});
+            [&](const StoreReplyProblem& problem) { recordProblem(m_options.log, problem); }, [] {});
         if (!sleepFor(retryPause))
             return;
     }
@@ -153,14 +162,14 @@
 
 bool ConfigSynchronizer::readStore()
 {
-    const auto stored = valueOf([&] { return m_options.store->get(m_keys.current); });
+    const auto stored = valueOf(m_options.log, [&] { return m_options.store->get(m_keys.current); });
     if (!stored)
         return false;
     if (*stored)
         applyIfNewer((*stored)->value, "store");
     else
         m_options.holder.replaceIfNewer({});
-    const auto entries = valueOf([&] { return m_options.store->list(m_keys.entries); });
+    const auto entries = valueOf(m_options.log, [&] { return m_options.store->list(m_keys.entries); });
     if (!entries)
         return true;
     const std::lock_guard lock(m_mutex);
@@ -269,7 +278,7 @@
 {
     if (auto known = part(digest))
         return known;
-    const auto stored = valueOf([&] { return m_options.store->get(m_keys.part(digest)); });
+    const auto stored = valueOf(m_options.log, [&] { return m_options.store->get(m_keys.part(digest)); });
     if (stored && *stored)
         return (*stored)->value;
     for (const auto& address : peerAddresses()) {
@@ -307,15 +316,15 @@
 
 void ConfigSynchronizer::registerSelf()
 {
-    const auto lease = valueOf([&] { return m_options.store->grantLease(m_options.leaseTtl); });
+    const auto lease = valueOf(m_options.log, [&] { return m_options.store->grantLease(m_options.leaseTtl); });
     if (!lease)
         return;
     const auto key = m_keys.entry(m_options.self.http);
-    const auto known = valueOf([&] { return m_options.store->get(key); });
+    const auto known = valueOf(m_options.log, [&] { return m_options.store->get(key); });
     if (!known)
         return;
     const auto revision = *known ? (*known)->revision : StoreRevision();
-    const auto isWritten = valueOf([&] {
+    const auto isWritten = valueOf(m_options.log, [&] {
         return m_options.store->compareAndSwap(key, revision, { { key, toJson(m_options.self), *lease } });
     });
     if (isWritten.value_or(false))
@@ -326,8 +335,8 @@
 {
     const auto period = toMilliseconds(m_options.leaseTtl) / 3;
     do {
-        const bool isRenewed
-            = m_lease != LeaseId() && valueOf([&] { return m_options.store->renewLease(m_lease); }).value_or(false);
+        const bool isRenewed = m_lease != LeaseId()
+            && valueOf(m_options.log, [&] { return m_options.store->renewLease(m_lease); }).value_or(false);
         if (!isRenewed)
             registerSelf();
     } while (sleepFor(m_lease == LeaseId() ? retryPause : period));
--- a/src/Store.cpp
+++ b/src/Store.cpp
@@ -3,6 +3,8 @@
 
 #include <array>
 #include <boost/leaf/error.hpp>
+#include <charconv>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <sequoia/HttpService.h>
 
@@ -28,32 +30,87 @@
     }
 
     /** Reads an integer, which the gateway writes as a string if it has 64 bits; 0 if it is missing. */
-    int64_t readNumber(const Json& object, const char* name)
+    int64_t readNumber(const Json& object, const char* name, const std::string& place)
     {
         const auto it = object.find(name);
         if (it == object.end())
             return 0;
-        if (it->is_string())
-            return std::stoll(it->get<std::string>());
-        return it->get<int64_t>();
+        int64_t n = 0;
+        if (it->is_string()) {
+            const auto text = it->get<std::string>();
+            const auto [end, ec] = std::from_chars(text.data(), text.data() + text.size(), n);
+            if (ec == std::errc() && end == text.data() + text.size())
+                return n;
+        } else if (it->is_number_integer() && (!it->is_number_unsigned() || it->get<uint64_t>() <= INT64_MAX)) {
+            return it->get<int64_t>();
+        }
+        throw StoreReplyProblem { place + name, "expected an integer of 64 bits" };
+    }
+
+    std::string readBytes(const Json& object, const char* name, const std::string& place)
+    {
+        const auto it = object.find(name);
+        if (it == object.end())
+            return "";
+        if (!it->is_string())
+            throw StoreReplyProblem { place + name, "expected a string" };
+        return fromBase64(it->get<std::string>()).value_or("");
     }
 
-    StoredValue readValue(const Json& kv)
+    StoredValue readValue(const Json& kv, const std::string& place)
     {
+        if (!kv.is_object())
+            throw StoreReplyProblem { place, "expected an object" };
         StoredValue out;
-        out.key = fromBase64(kv.value("key", "")).value_or("");
-        out.value = fromBase64(kv.value("value", "")).value_or("");
-        out.revision = StoreRevision(readNumber(kv, "mod_revision"));
+        out.key = readBytes(kv, "key", place);
+        out.value = readBytes(kv, "value", place);
+        out.revision = StoreRevision(readNumber(kv, "mod_revision", place));
         return out;
     }
 
-    /** Runs a function that parses a reply; fails with BadReply if it throws. */
+    Json parseObject(const std::string& text)
+    {
+        auto reply = Json::parse(text, nullptr, false);
+        if (!reply.is_object())
+            throw StoreReplyProblem { "body", "expected a JSON object" };
+        return reply;
+    }
+
+    /** Runs a function that parses a reply; fails with BadReply and a StoreReplyProblem if it throws. */
     template <typename F> auto parseReply(F&& f) -> leaf::result<decltype(f())>
     {
         try {
             return f();
-        } catch (const std::exception&) {
-            return leaf::new_error(StoreError::BadReply);
+        } catch (const StoreReplyProblem& problem) {
+            return leaf::new_error(StoreError::BadReply, problem);
+        } catch (const std::exception& error) {
+            return leaf::new_error(StoreError::BadReply, StoreReplyProblem { "body", error.what() });
+        }
+    }
+
+    /** Reports the changes in a line of a watch; `failed` is called for those that can't be read. */
+    void readChanges(const std::string& line, const std::function<void(const StoreChange&)>& changed,
+        const std::function<void(StoreReplyProblem)>& failed)
+    {
+        const auto reply = Json::parse(line, nullptr, false);
+        const auto result = reply.find("result");
+        if (result == reply.end() || !result->is_object())
+            return;
+        const auto events = result->find("events");
+        if (events == result->end())
+            return;
+        for (size_t i = 0; i < events->size(); ++i) {
+            const auto place = fmt::format("result.events[{}].", i);
+            try {
+                const auto& event = events->at(i);
+                const auto value = readValue(event.at("kv"), place + "kv.");
+                const bool isDeleted = event.value("type", "PUT") == "DELETE";
+                changed({ value.key, isDeleted ? std::nullopt : std::optional(value.value) });
+            } catch (const StoreReplyProblem& problem) {
+                failed(problem);
+            } catch (const Json::exception& error) {
+                failed({ place, error.what() });
+            }
         }
     }
 
@@ -134,11 +191,11 @@
     ++m_calls.reads;
     BOOST_LEAF_AUTO(body, post("/v3/kv/range", Json { { "key", toBase64(key) } }.dump()));
     return parseReply([&]() -> std::optional<StoredValue> {
-        const auto reply = Json::parse(body);
+        const auto reply = parseObject(body);
         const auto kvs = reply.find("kvs");
         if (kvs == reply.end() || kvs->empty())
             return std::nullopt;
-        return readValue(kvs->at(0));
+        return readValue(kvs->at(0), "kvs[0].");
     });
 }
 
@@ -149,10 +206,10 @@
     BOOST_LEAF_AUTO(body, post("/v3/kv/range", request.dump()));
     return parseReply([&] {
         std::vector<StoredValue> out;
-        const auto reply = Json::parse(body);
+        const auto reply = parseObject(body);
         if (const auto kvs = reply.find("kvs"); kvs != reply.end()) {
-            for (const auto& kv : *kvs)
-                out.push_back(readValue(kv));
+            for (size_t i = 0; i < kvs->size(); ++i)
+                out.push_back(readValue(kvs->at(i), fmt::format("kvs[{}].", i)));
         }
         return out;
     });
@@ -177,14 +234,14 @@
         { "mod_revision", std::to_string(static_cast<int64_t>(expected)) } };
     const Json request { { "compare", Json::array({ compare }) }, { "success", std::move(operations) } };
     BOOST_LEAF_AUTO(body, post("/v3/kv/txn", request.dump()));
-    return parseReply([&] { return Json::parse(body).value("succeeded", false); });
+    return parseReply([&] { return parseObject(body).value("succeeded", false); });
 }
 
 leaf::result<LeaseId> Store::grantLease(std::chrono::seconds ttl) const
 {
     ++m_calls.writes;
     BOOST_LEAF_AUTO(body, post("/v3/lease/grant", Json { { "TTL", std::to_string(ttl.count()) } }.dump()));
-    return parseReply([&] { return LeaseId(readNumber(Json::parse(body), "ID")); });
+    return parseReply([&] { return LeaseId(readNumber(parseObject(body), "ID", "")); });
 }
 
 leaf::result<bool> Store::renewLease(LeaseId lease) const
@@ -192,7 +249,7 @@
     ++m_calls.writes;
     const Json request { { "ID", std::to_string(static_cast<int64_t>(lease)) } };
     BOOST_LEAF_AUTO(body, post("/v3/lease/keepalive", request.dump()));
-    return parseReply([&] { return readNumber(Json::parse(body).at("result"), "TTL") > 0; });
+    return parseReply([&] { return readNumber(parseObject(body).at("result"), "TTL", "result.") > 0; });
 }
 
 leaf::result<void> Store::revokeLease(LeaseId lease) const
@@ -224,23 +281,15 @@
     request.body = Json { { "create_request", create } }.dump();
     request.set_header("Content-Type", "application/json");
     std::string buf;
-    const auto readLine = [&](const std::string& line) {
-        const auto reply = Json::parse(line, nullptr, false);
-        if (reply.is_discarded() || !reply.contains("result"))
-            return;
-        for (const auto& event : reply["result"].value("events", Json::array())) {
-            const auto value = readValue(event.value("kv", Json::object()));
-            const bool isDeleted = event.value("type", "PUT") == "DELETE";
-            changed({ value.key, isDeleted ? std::nullopt : std::optional(value.value) });
-        }
-    };
+    std::optional<StoreReplyProblem> problem;
+    const auto failed = [&](StoreReplyProblem found) { problem = std::move(found); };
     request.content_receiver = [&](const char* data, size_t n, uint64_t, uint64_t) {
         buf.append(data, n);
         for (size_t at = buf.find('\n'); at != std::string::npos; at = buf.find('\n')) {
-            readLine(buf.substr(0, at));
+            readChanges(buf.substr(0, at), changed, failed);
             buf.erase(0, at + 1);
         }
-        return !isStopped();
+        return !problem && !isStopped();
     };
     httplib::Response response;
     httplib::Error error = httplib::Error::Success;
@@ -257,6 +306,8 @@
     }
     if (isConnectFailure(error))
         return leaf::new_error(StoreError::Unreachable);
+    if (problem)
+        return leaf::new_error(StoreError::BadReply, *problem);
     return {};
 }
 
--- a/tests/OddValuesTest.cpp
+++ b/tests/OddValuesTest.cpp
@@ -4,7 +4,9 @@
 #include <sequoia/EntryDirectory.h>
 #include <sequoia/HttpService.h>
 #include <sequoia/Learned.h>
+#include <sequoia/Store.h>
 
+#include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
@@ -138,3 +140,113 @@
     learned.speeds["\xff\xfe"] = { 7, 1.5, 20 };
     cr_expect(parseLearned(toText(learned)).has_value());
 }
+
+/** A store whose calls are all answered with the same text, without the faults of an HTTP server. */
+class TextStore {
+public:
+    explicit TextStore(std::string text)
+    {
+        service.server().Post(".*", [text = std::move(text)](const httplib::Request&, httplib::Response& response) {
+            response.set_content(text, "application/json");
+        });
+        store.emplace(service.start("127.0.0.1:0"), Milliseconds(5000));
+    }
+    ~TextStore() { service.stop(); }
+    TextStore(const TextStore&) = delete;
+    TextStore& operator=(const TextStore&) = delete;
+
+    /** Where a call found a reply that it can't read; "-" if it failed otherwise, empty if it succeeded. */
+    template <typename F> static std::string placeOf(F&& call)
+    {
+        return boost::leaf::try_handle_all(
+            [&]() -> boost::leaf::result<std::string> {
+                BOOST_LEAF_CHECK(call());
+                return std::string();
+            },
+            [](StoreError, const StoreReplyProblem& problem) { return problem.place; },
+            [] { return std::string("-"); });
+    }
+
+    std::optional<Store> store;
+
+private:
+    HttpService service { {} };
+};
+
+struct StoreReplyRow {
+    char name[40];
+    char kv[100]; ///< JSON text of the odd item; arrays nested deeply if empty.
+    char field[16]; ///< Where it is odd.
+};
+
+ParameterizedTestParameters(Store, oddRepliesAreReportedWithTheirPlace)
+{
+    static StoreReplyRow rows[] = {
+        { "revision no number", R"({"key":"YQ==","value":"eA==","mod_revision":"odd"})", "mod_revision" },
+        { "revision empty", R"({"key":"YQ==","value":"eA==","mod_revision":""})", "mod_revision" },
+        { "revision too large", R"({"key":"YQ==","value":"eA==","mod_revision":"99999999999999999999"})",
+            "mod_revision" },
+        { "number too large", R"({"key":"YQ==","value":"eA==","mod_revision":18446744073709551615})", "mod_revision" },
+        { "fraction", R"({"key":"YQ==","value":"eA==","mod_revision":1.5})", "mod_revision" },
+        { "revision of another type", R"({"key":"YQ==","value":"eA==","mod_revision":[]})", "mod_revision" },
+        { "key of another type", R"({"key":7,"value":"eA==","mod_revision":"1"})", "key" },
+        { "value of another type", R"({"key":"YQ==","value":{},"mod_revision":"1"})", "value" },
+        { "no object", "7", "" },
+        { "nested deeply", "", "" },
+    };
+    return cr_make_param_array(StoreReplyRow, rows, sizeof(rows) / sizeof(StoreReplyRow));
+}
+
+/** An odd revision threw in the thread that watches the store, which ended the entry. */
+ParameterizedTest(StoreReplyRow* row, Store, oddRepliesAreReportedWithTheirPlace, .timeout = 60)
+{
+    const std::string odd = *row->kv == '\0' ? std::string(100000, '[') + std::string(100000, ']') : row->kv;
+    const std::string good = R"({"key":"Yg==","value":"eQ==","mod_revision":"2"})";
+    TextStore listed(R"({"kvs":[)" + odd + "," + good + "]}");
+    cr_expect_eq(TextStore::placeOf([&] { return listed.store->get("a"); }), std::string("kvs[0].") + row->field, "%s",
+        row->name);
+    cr_expect_eq(TextStore::placeOf([&] { return listed.store->list("a"); }), std::string("kvs[0].") + row->field, "%s",
+        row->name);
+    TextStore watched(R"({"result":{"events":[{"kv":)" + odd + R"(},{"kv":)" + good + "}]}}\n");
+    std::vector<StoreChange> changes;
+    const auto place = TextStore::placeOf([&] {
+        return watched.store->watch(
+            "a", [&](const StoreChange& change) { changes.push_back(change); }, [] { return false; });
+    });
+    cr_expect_eq(place, std::string("result.events[0].kv.") + row->field, "%s", row->name);
+    cr_assert_eq(changes.size(), 1U, "%s: the change that can be read is reported", row->name);
+    cr_expect_eq(changes.front().key, "b", "%s", row->name);
+}
+
+struct StoreTextRow {
+    char name[40];
+    char text[64];
+};
+
+ParameterizedTestParameters(Store, oddTextsEndNoWatch)
+{
+    static StoreTextRow rows[] = {
+        { "no JSON", "odd" },
+        { "no object", "7" },
+        { "result of another type", R"({"result":7})" },
+        { "events of another type", R"({"result":{"events":7}})" },
+        { "event of another type", R"({"result":{"events":[7]}})" },
+        { "event without an item", R"({"result":{"events":[{}]}})" },
+        { "kind of another type", R"({"result":{"events":[{"kv":{},"type":7}]}})" },
+    };
+    return cr_make_param_array(StoreTextRow, rows, sizeof(rows) / sizeof(StoreTextRow));
+}
+
+ParameterizedTest(StoreTextRow* row, Store, oddTextsEndNoWatch, .timeout = 60)
+{
+    TextStore watched(std::string(row->text) + "\n");
+    std::vector<StoreChange> changes;
+    TextStore::placeOf([&] {
+        return watched.store->watch(
+            "a", [&](const StoreChange& change) { changes.push_back(change); }, [] { return false; });
+    });
+    cr_expect(changes.empty(), "%s", row->name);
+    TextStore::placeOf([&] { return watched.store->grantLease(std::chrono::seconds(1)); });
+    TextStore::placeOf([&] { return watched.store->renewLease(LeaseId(1)); });
+    TextStore::placeOf([&] { return watched.store->compareAndSwap("a", {}, {}); });
+}
