Names that are no text end no entry and hide no status

Cause: JSON holds UTF-8 only, and its writer throws for other bytes. An entry with such a name of its own threw on the thread that registers it, and the status of an entry that was linked to such an agent was an error 500.

Change: an overriding setting that isn't UTF-8 is refused with its key (files were refused by their reader already). The status replaces such bytes of agents' names, as does a registration.

Tests: OddValuesTest Settings valuesThatAreNoTextAreRejected, SystemTest agentNameThatIsNoTextDoesNotHideTheStatus and nameThatIsNoTextIsRefusedWithItsPlace (exit code 3, bad settings) failed before and pass now.

--- a/src/ConfigSynchronizer.cpp
+++ b/src/ConfigSynchronizer.cpp
@@ -47,7 +47,7 @@
     return Json {
         { "name", entry.name }, { "http", entry.http }, { "link", entry.link },
         { "incarnation", fmt::format("{:016x}", raw(entry.incarnation)) }
-    }.dump();
+    }.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<EntryRegistration> parseRegistration(const std::string& text)
--- a/src/EntryApi.cpp
+++ b/src/EntryApi.cpp
@@ -390,7 +390,7 @@
     out["storeUp"] = m_parts.config.isStoreUp();
     out["ready"] = m_parts.config.isReady() && !m_isStopping;
     out["stopping"] = m_isStopping.load();
-    return out.dump();
+    return out.dump(-1, ' ', false, Json::error_handler_t::replace); // Agents' names may be any bytes.
 }
 
 } // namespace sequoia
--- a/src/Settings.cpp
+++ b/src/Settings.cpp
@@ -5,6 +5,7 @@
 #include <boost/leaf/error.hpp>
 #include <charconv>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <numeric>
 #include <optional>
 #include <toml++/toml.h>
@@ -142,9 +143,21 @@
         }
     }
 
+    bool isUtf8(const std::string& text)
+    {
+        try {
+            nlohmann::json(text).dump();
+            return true;
+        } catch (const nlohmann::json::exception&) {
+            return false;
+        }
+    }
+
     template <typename T>
     std::optional<std::string> assignText(T& settings, const SettingRow<T>& row, const std::string& value)
     {
+        if (!isUtf8(value)) // Texts of settings go into JSON; the reader of files rejects other ones by itself.
+            return "expected text in UTF-8";
         if (std::holds_alternative<typename SettingRow<T>::Text>(row.field))
             return assign(settings, row, value);
         if (std::holds_alternative<typename SettingRow<T>::Number>(row.field)) {
--- a/tests/OddValuesTest.cpp
+++ b/tests/OddValuesTest.cpp
@@ -4,6 +4,7 @@
 #include <sequoia/EntryDirectory.h>
 #include <sequoia/HttpService.h>
 #include <sequoia/Learned.h>
+#include <sequoia/Settings.h>
 #include <sequoia/Store.h>
 
 #include <boost/leaf/handle_errors.hpp>
@@ -250,3 +251,19 @@
     TextStore::placeOf([&] { return watched.store->renewLease(LeaseId(1)); });
     TextStore::placeOf([&] { return watched.store->compareAndSwap("a", {}, {}); });
 }
+
+/** A name that is no text ended the entry when it registered itself, as JSON can't hold it. */
+Test(Settings, valuesThatAreNoTextAreRejected)
+{
+    boost::leaf::try_handle_all(
+        []() -> boost::leaf::result<void> {
+            BOOST_LEAF_CHECK(loadSettings(entrySettingRows(), "", { "name=\xff\xfe" }));
+            cr_expect_fail("the name was accepted");
+            return {};
+        },
+        [](const SettingsError& error) {
+            cr_assert_eq(error.problems.size(), 1U);
+            cr_expect_eq(error.problems.front().key, "name");
+        },
+        [] { cr_expect_fail("another error"); });
+}
--- a/tests/SystemTest.cpp
+++ b/tests/SystemTest.cpp
@@ -5,6 +5,7 @@
 #include <sequoia/Configuration.h>
 #include <sequoia/HttpService.h>
 #include <sequoia/Ids.h>
+#include <sequoia/Link.h>
 #include <sequoia/Store.h>
 
 #include <arpa/inet.h>
@@ -13,6 +14,7 @@
 #include <criterion/parameterized.h>
 #include <fmt/format.h>
 #include <fstream>
+#include <future>
 #include <random>
 #include <sys/socket.h>
 #include <thread>
@@ -267,6 +269,52 @@
     cr_expect(status.output().find("entry1") != std::string::npos);
 }
 
+/** The status of an entry with an agent whose name is no text was an error, as JSON can't hold the name. */
+Test(UntrustedPeers, agentNameThatIsNoTextDoesNotHideTheStatus, .timeout = 60)
+{
+    TestCluster cluster({ .entries = 1, .agents = 1 });
+    HybridClock clock;
+    std::promise<void> welcomed;
+    std::atomic<bool> isWelcomed { false };
+    LinkHub* hub = nullptr;
+    const auto sendHello = [&](LinkId link) {
+        wire::HelloT hello;
+        hello.version = 1;
+        hello.agent = "\xff\xfe";
+        hello.cluster = "sequoia";
+        hello.incarnation = 1;
+        hello.failure_domain = "\xc3";
+        hello.http_address = "\x80";
+        Frame frame;
+        frame.body.Set(std::move(hello));
+        hub->send(link, std::move(frame));
+    };
+    const auto received = [&](LinkId, const FramePtr&) {
+        if (!isWelcomed.exchange(true))
+            welcomed.set_value();
+    };
+    LinkHub links({ sendHello, received, [](LinkId, const std::string&) {} }, {}, clock);
+    hub = &links;
+    links.dial(cluster.process("entry1").waitListening("link"));
+    cr_assert(welcomed.get_future().wait_for(std::chrono::seconds(20)) == std::future_status::ready);
+    const auto status = cluster.get("entry1", "/v1/status");
+    cr_assert(status.is_object(), "%s", status.dump().c_str());
+    cr_expect_eq(status["agents"].size(), 2U);
+    links.shutdown();
+    cr_expect(cluster.process("entry1").isRunning());
+}
+
+/** An entry whose own name is no text ended when it registered itself, without telling why. */
+Test(UntrustedPeers, nameThatIsNoTextIsRefusedWithItsPlace, .timeout = 60)
+{
+    for (const std::string program : { "sequoia-entry", "sequoia-agent" }) {
+        Process process("odd", program, { "--set", "name=odd\xff" });
+        cr_expect_eq(process.wait(), 3, "%s: bad settings", program.c_str());
+        cr_expect(process.log().find("name: expected text in UTF-8") != std::string::npos, "%s: %s", program.c_str(),
+            process.log().c_str());
+    }
+}
+
 /** An announcement that is nested deeply overflowed the stack of the agent, which ended. */
 Test(UntrustedPeers, deepAnnouncementDoesNotEndAnAgent, .timeout = 60)
 {
