--- a/src/Sheet.cpp
+++ b/src/Sheet.cpp
@@ -388,7 +388,10 @@
             cells.at(4).get_to(row.team);
             cells.at(5).get_to(row.kind);
             cells.at(6).get_to(row.isRepeatable);
-            row.rule = static_cast<HolidayRule>(cells.at(7).get<int>());
+            const auto rule = cells.at(7).is_number_integer() ? cells.at(7).get<int64_t>() : -1;
+            if (rule < 0 || rule > static_cast<int64_t>(HolidayRule::Move))
+                return std::nullopt;
+            row.rule = static_cast<HolidayRule>(rule);
             row.target = parseDay(cells.at(8).get<std::string>()).value_or(Day());
             rows.push_back(std::move(row));
             at = end == std::string::npos ? packed.size() : end + 1;
--- a/tests/OddValuesTest.cpp
+++ b/tests/OddValuesTest.cpp
@@ -5,6 +5,7 @@
 #include <sequoia/HttpService.h>
 #include <sequoia/Learned.h>
 #include <sequoia/Settings.h>
+#include <sequoia/Sheet.h>
 #include <sequoia/Store.h>
 
 #include <boost/leaf/handle_errors.hpp>
@@ -267,3 +268,24 @@
         },
         [] { cr_expect_fail("another error"); });
 }
+
+struct PartRow {
+    char name[40];
+    char rule[24];
+    bool isRead;
+};
+
+ParameterizedTestParameters(Sheet, oddRulesOfPartsAreRejected)
+{
+    static PartRow rows[] = { { "rule", "1", true }, { "unknown rule", "3", false }, { "negative rule", "-1", false },
+        { "rule beyond 8 bits", "257", false }, { "rule beyond 32 bits", "4294967297", false } };
+    return cr_make_param_array(PartRow, rows, sizeof(rows) / sizeof(PartRow));
+}
+
+/** A rule that doesn't exist was cut to 8 bits, and so taken for another one. */
+ParameterizedTest(PartRow* row, Sheet, oddRulesOfPartsAreRejected)
+{
+    const auto part
+        = std::string(R"(["2026-12-08","crew","route","visit","team","kind",true,)") + row->rule + ",\"\"]\n";
+    cr_expect_eq(unpackRows(part).has_value(), row->isRead, "%s", row->name);
+}
