A value that isn't JSON hides no other items or rows

Cause: the reader of JSON rejects a whole text for bytes that aren't UTF-8, a control character, an escape that is no character or a number beyond any type. One such value in an odd item or row made the page of the store or the answer to a poll unreadable, with all others in it.

--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -287,6 +287,56 @@
     cr_expect_eq(listing.unreadableEnded, row->isEnded ? 1U : 0U, "%s", row->name);
 }
 
+struct OddTextRow {
+    char name[40];
+    char value[32]; ///< JSON text of a value that no reader of JSON accepts; a number of 1,000 digits if empty.
+};
+
+ParameterizedTestParameters(Codec, valuesThatAreNoJsonHideNoOthers)
+{
+    static OddTextRow rows[] = {
+        { "bytes that are no text", "\"odd\xff\xfe\"" },
+        { "cut character", "\"\xc3\"" },
+        { "control character", "\"odd\x01\"" },
+        { "line break", "\"odd\n\"" },
+        { "half of a pair", "\"\\ud800\"" },
+        { "unknown escape", "\"\\x41\"" },
+        { "quote beside bytes that are no text", "\"\xff\\\"],[\"" },
+        { "backslash beside bytes that are no text", "\"\xff\\\\\"" },
+        { "number beyond any type", "1e400" },
+        { "negative number beyond any type", "-1E+999" },
+        { "number of many digits", "" },
+    };
+    return cr_make_param_array(OddTextRow, rows, sizeof(rows) / sizeof(OddTextRow));
+}
+
+/** One such value made the whole listing, reply or page of the store unreadable. */
+ParameterizedTest(OddTextRow* row, Codec, valuesThatAreNoJsonHideNoOthers)
+{
+    const auto odd = *row->value == '\0' ? std::string(1000, '9') : std::string(row->value);
+    for (const auto* text : { R"(["5c0e7a21d94b36f8.0.1.17",%,"",41])", R"([%,2,"",41])" }) {
+        auto oddRow = std::string(text);
+        oddRow.replace(oddRow.find('%'), 1, odd);
+        const auto body = R"({"running":[["5c0e7a21d94b36f8.0.1.16",2,"",41],)" + oddRow
+            + R"(,["5c0e7a21d94b36f8.0.1.18",2,"",41]],"ended":[],"clock_ms":48,"born":17})";
+        const auto decoded = decodeListing(body);
+        cr_assert(std::holds_alternative<Listing>(decoded), "%s: %s", row->name, problemPlace(decoded).c_str());
+        cr_expect_eq(std::get<Listing>(decoded).running.size(), 2U, "%s", row->name);
+        cr_expect_eq(std::get<Listing>(decoded).unreadableRunning.size(), 1U, "%s", row->name);
+        cr_expect(decodeServerReply(body).clock.has_value(), "%s", row->name);
+    }
+    const auto page
+        = R"({"current_rev":9,"items":[{"key":"p/a","value":"eA==","revision":1},{"key":"p/odd","value":"",)"
+          R"("revision":1,"odd":)"
+        + odd + R"(},{"key":"p/z","value":"eQ==","revision":2}]})";
+    const auto decoded = decodeItems(page, nullptr);
+    cr_assert(std::holds_alternative<SharedItems>(decoded), "%s: %s", row->name, problemPlace(decoded).c_str());
+    const auto& items = std::get<SharedItems>(decoded).items;
+    cr_assert_eq(items.size(), 3U, "%s", row->name);
+    cr_expect_eq(items.front().key + items.back().key, "p/ap/z", "%s", row->name);
+    cr_expect_eq(items.front().value + items.back().value, "xy", "%s", row->name);
+}
+
 Test(Codec, oddRowsAreToldApartByTaskAndRun)
 {
     const auto rowOf = [](const std::string& row) {
