--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -131,7 +131,11 @@
     int64_t startedMs = 0; ///< Incarnation of the server that answered.
     std::optional<Milliseconds> clock; ///< Reading of the server's own clock, which is monotonic within an incarnation.
     std::vector<ListedRun> running;
+    /** Rows of runs in progress that can't be read, by the text of what they have of task and run. Such a row may be
+     * any run, so that a run that isn't in `running` may be there. */
+    std::vector<std::string> unreadableRunning;
     std::vector<ListedEnd> ended;
+    size_t unreadableEnded = 0; ///< Rows of ended runs that can't be read.
 };
 
 /** Result of a poll. */
@@ -139,6 +143,7 @@
     Listed,
     Refused, ///< Connection refused and no other open: the server's process has ended.
     StaleFence, ///< The server has seen a higher fence; its listing holds the clock only.
+    OtherInstance, ///< The server has another id than the one that the poll was meant for.
     NoAnswer
 };
 
@@ -167,6 +172,7 @@
     Milliseconds wait {}; ///< The server answers after this time, or earlier if a run ends.
     Milliseconds timeout {};
     uint64_t seenUpTo = 0; ///< The server may drop the ends up to this number.
+    std::string instance {}; ///< Id of the server that it is meant for; empty for any.
 };
 
 using GateEffect = std::variant<SendMessage, CloseLink, StartRun, StopRun, PollServer, RecordEvent>;
@@ -259,6 +265,7 @@
         std::string payload; ///< For another start call; empty once one was answered.
         int64_t serverStartedMs = 0; ///< Incarnation of the server that it was ordered for, or that has listed it.
         uint32_t startCalls = 0;
+        std::string instance; ///< The id that its start calls carry. A stop has to carry it, too: see callStart.
         std::string route;
         uint64_t startNumber = 0; ///< Counts the orders that were accepted.
         TimePoint suspectUntil {}; ///< Until then it is suspected to crash the server; see CrashRecords.h.
@@ -294,6 +301,14 @@
         int64_t endListedBy = 0; ///< Incarnation of the server that listed the end; zero if none did.
     };
 
+    /** A row of a run in progress that can't be read. */
+    struct UnreadableRun {
+        TimePoint overBy {}; ///< No lease is granted beyond.
+        /** First poll that was sent when all leases had ended: a row in its answer is no run of this agent. */
+        uint64_t firstPollWithoutLease = 0; ///< 0 until it was sent.
+        bool isDisproved = false; ///< It was listed without a lease: it is no run.
+    };
+
     struct EntryLink {
         Incarnation entry {};
         TimePoint lastHeard {};
@@ -374,6 +389,14 @@
     void processEnded(TimePoint now);
     void processEnds(const Listing& listing, TimePoint now);
     void processRunning(uint64_t number, const Listing& listing, TimePoint now);
+    /** Follows the rows that can't be read in a listing that wasn't overtaken. */
+    void processUnreadable(uint64_t number, const Listing& listing, TimePoint now);
+    /** Whether a run that isn't among the running ones of a listing isn't running. */
+    bool provesAbsence(const Listing& listing) const;
+    /** Whether a row that can't be read may be a run. */
+    bool hasUnreadableRuns() const;
+    /** Tells unreadable rows with the same text apart. */
+    static std::set<std::string> unreadableRows(const Listing& listing);
     /** Whether the server made a listing before one that was processed: replies on different connections may overtake
      * each other. */
     bool isOvertaken(const Listing& listing) const;
@@ -395,6 +418,11 @@
     bool acceptOtherProcess(const ServerReport& report);
     /** Uses the report of the process that answers polls, if another one is in use. */
     void selectReport(TimePoint now);
+    /** Whether both claim to be of the same process, under different ids. A listing doesn't tell the id. */
+    static bool isRival(const ServerReport& a, const ServerReport& b);
+    /** The server has another id than the report in use: uses the other one of the same process. */
+    void instanceRefused(const std::string& instance, TimePoint now);
+    void useOtherReport(TimePoint now);
     /** Another process of the server has answered with this listing; it may have runs that were ordered before. */
     void startIncarnation(const Listing& listing, TimePoint now);
     /** The earliest time by which a run has to be over; no lease may last longer, as a lease holds for all runs. */
@@ -406,7 +434,7 @@
     /** Until a new process of the server has seen the fence, calls that were meant for the one before, whose clock was
      * another one, may give it the longest lease. */
     void extendLease(uint64_t number, TimePoint now);
-    void poll(Milliseconds wait, TimePoint now);
+    void poll(Milliseconds wait, TimePoint now, std::string instance = {});
     /** Number of polls that should wait at the same time, from the share of lost calls. */
     size_t waitingPollsWanted() const;
     /** Sends polls until as many wait as are wanted. */
@@ -452,6 +480,12 @@
     LabelledHistograms m_startSeconds;
     std::optional<ServerReport> m_server;
     std::optional<ServerReport> m_otherServer; ///< Last report of another process; at most one is kept.
+    /** The last poll that was meant for one id. */
+    struct InstanceProbe {
+        uint64_t poll = 0;
+        std::string instance;
+    };
+    InstanceProbe m_probe;
     /** Reports of the process in use that came after one with a higher sequence number. */
     struct LowerReports {
         uint64_t sequence = 0; ///< Of the last one.
@@ -475,6 +509,9 @@
     uint64_t m_lastStartNumber = 0;
     /** Runs in the last listing that this process didn't start, or has taken for over: when they have to be over. */
     std::map<RunId, TimePoint> m_unknownRuns;
+    std::map<std::string, UnreadableRun> m_unreadableRuns; ///< Of the last listing.
+    size_t m_unreadableEnded = 0; ///< Rows of ended runs in the last listing that can't be read.
+    TimePoint m_unreadableEndListed {}; ///< When a listing last had one; zero if none did.
     Resources m_used; ///< Sum over `m_runs`.
     std::map<LinkId, EntryLink> m_links;
     std::map<Incarnation, LostOwner> m_lostOwners;
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -75,6 +75,8 @@
         return "server-changing";
     if (!m_unknownRuns.empty())
         return "unknown-runs";
+    if (hasUnreadableRuns())
+        return "unreadable-runs";
     if (grantableLease(leaseLimit(), now) < m_limits.minLease())
         return "stops-unanswered";
     if (m_health.health() == Health::Quarantined)
@@ -134,16 +136,32 @@
             m_otherServer = m_server;
         return true;
     }
-    if (isRepeated ? report.sequence > m_otherServer->sequence : !isOtherListed)
+    if (isRepeated ? report.sequence > m_otherServer->sequence : isListed || !isOtherListed)
         m_otherServer = report;
     return false;
 }
 
+bool RunGate::isRival(const ServerReport& a, const ServerReport& b)
+{
+    return a.startedMs == b.startedMs && a.instance != b.instance;
+}
+
+void RunGate::instanceRefused(const std::string& instance, TimePoint now)
+{
+    if (m_server && m_otherServer && m_server->instance == instance && isRival(*m_server, *m_otherServer))
+        useOtherReport(now);
+}
+
 void RunGate::selectReport(TimePoint now)
 {
     if (!m_server || !m_otherServer || m_server->startedMs == m_serverStartedMs
         || m_otherServer->startedMs != m_serverStartedMs)
         return;
+    useOtherReport(now);
+}
+
+void RunGate::useOtherReport(TimePoint now)
+{
     std::swap(m_server, m_otherServer);
     m_lowerReports = {};
     m_roomLimit.reset();
@@ -161,7 +179,9 @@
     if (isSame && isLate(report, now))
         return false;
     if (m_server && !isSame && !acceptOtherProcess(report)) {
-        poll(Milliseconds(0), now); // The listing decides which of the processes is there.
+        // The listing decides which of the processes is there; between two ids of one process, whether the server
+        // answers a poll that is meant for the one in use.
+        poll(Milliseconds(0), now, isRival(*m_server, report) ? m_server->instance : "");
         return false;
     }
     const bool isChanged = !isSame || report.total != m_server->total || report.service != m_server->service
@@ -216,6 +236,9 @@
     m_listedClock = {};
     m_roomLimit.reset();
     m_unknownRuns.clear();
+    m_unreadableRuns.clear();
+    m_unreadableEnded = 0;
+    m_unreadableEndListed = {};
     m_pendingPolls.clear(); // The process before doesn't answer them any more.
     m_speed.reset(); // The new incarnation may run on another kind of VM.
     if (isFirst)
@@ -409,10 +432,13 @@
 
 void RunGate::callStart(const RunId& id, Run& run, TimePoint now)
 {
-    ++run.startCalls;
+    // All calls for a run carry one id: a process with another one refuses them all. That it refuses a stop with an id
+    // of an odd report would not show that it refuses the start, too.
+    if (run.startCalls++ == 0)
+        run.instance = m_server->instance;
     run.startCalled = now;
     m_startFence = m_fence;
-    m_effects.add(StartRun { id, run.payload, m_server->instance, m_fence, grantLease(now), m_callTime.timeout(now) });
+    m_effects.add(StartRun { id, run.payload, run.instance, m_fence, grantLease(now), m_callTime.timeout(now) });
 }
 
 void RunGate::startAnswered(const RunId& id, StartOutcome outcome, TimePoint now)
@@ -480,7 +506,7 @@
         return;
     run.state = run.state == RunState::Starting ? RunState::Fencing : RunState::Stopping;
     run.nextStop = now + m_limits.stopTimeout;
-    m_effects.add(StopRun { id, m_server ? m_server->instance : "", m_fence, m_limits.stopTimeout });
+    m_effects.add(StopRun { id, run.instance, m_fence, m_limits.stopTimeout });
 }
 
 void RunGate::stopAnswered(const RunId& id, bool isAnswered, TimePoint now)
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -183,17 +183,20 @@
         for (auto& effect : gate.takeEffects()) {
             if (auto* run = std::get_if<StartRun>(&effect)) {
                 starts.push_back(run->id);
+                callInstances[run->id].insert(run->instance);
                 lastStartFence = run->fence;
                 noteLease(run->leaseEnd - now);
-            } else if (auto* run = std::get_if<StopRun>(&effect))
+            } else if (auto* run = std::get_if<StopRun>(&effect)) {
                 stops.push_back(run->id);
-            else if (auto* poll = std::get_if<PollServer>(&effect)) {
+                callInstances[run->id].insert(run->instance);
+            } else if (auto* poll = std::get_if<PollServer>(&effect)) {
                 lastPoll = poll->number;
                 polls.push_back(poll->number);
                 waitingPolls.push_back(poll->number);
                 lastLease = toMilliseconds(poll->leaseEnd.value_or(now) - now);
                 noteLease(lastLease);
                 lastSeenUpTo = poll->seenUpTo;
+                pollInstances[poll->number] = poll->instance;
                 shortestWait = std::min(shortestWait, poll->wait);
                 lastFence = poll->fence;
             } else if (auto* close = std::get_if<CloseLink>(&effect))
@@ -227,8 +230,10 @@
     TimePoint leaseEnds {}; ///< When the leases granted so far have ended, by a server clock that is 2% slow.
     std::vector<RunId> starts;
     std::vector<RunId> stops;
+    std::map<RunId, std::set<std::string>> callInstances; ///< The ids that start and stop calls of runs carry.
     std::vector<uint64_t> polls;
     std::vector<uint64_t> waitingPolls;
+    std::map<uint64_t, std::string> pollInstances; ///< The id of the server that each poll is meant for.
     std::vector<LinkId> closed;
     std::map<RunId, wire::RunOutcome> results;
     std::map<RunId, wire::Refusal> refusals;
@@ -237,6 +242,7 @@
     std::map<LinkId, std::vector<RunId>> orphans;
     std::map<LinkId, Resources> free;
     std::map<LinkId, Resources> total;
+    std::string service; ///< In the last report.
     std::map<LinkId, TimePoint> lastSent; ///< The agent time of the last message on each link.
     std::map<LinkId, TimePoint> mutedSince; ///< From then on nothing arrives at the entry, which goes on sending.
     std::map<std::string, std::vector<LogField>> events; ///< The last line of each kind.
@@ -263,6 +269,7 @@
         } else if (const auto* report = send.body.AsRoomReport()) {
             reportedState = report->state;
             total[send.link] = fromWire(report->total.get());
+            service = report->service;
             free[send.link] = fromWire(report->free.get());
         } else if (const auto* update = send.body.AsRoomUpdate())
             free[send.link] = fromWire(update->free.get());
@@ -1524,6 +1531,290 @@
     cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open);
 }
 
+/** A run that isn't among the rows that can be read, and how it would end if that were a proof. */
+struct UnreadableRunRow {
+    char name[40];
+    bool isStartAnswered;
+    int outcome; ///< wire::RunOutcome by a listing of which all rows can be read.
+};
+
+ParameterizedTestParameters(RunGate, unreadableRowProvesNoAbsence)
+{
+    static UnreadableRunRow rows[] = {
+        { "started", true, static_cast<int>(wire::RunOutcome::Lost) },
+        { "start unanswered, fenced", false, static_cast<int>(wire::RunOutcome::NotStarted) },
+    };
+    return cr_make_param_array(UnreadableRunRow, rows, sizeof(rows) / sizeof(UnreadableRunRow));
+}
+
+ParameterizedTest(UnreadableRunRow* row, RunGate, unreadableRowProvesNoAbsence)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.order(firstLink, runId(2));
+    fixture.answerStart(runId(2), StartOutcome::Started);
+    if (row->isStartAnswered) {
+        fixture.answerStart(runId(1), StartOutcome::Started);
+    } else {
+        for (uint32_t i = 0; i < fixture.limits.maxStartCalls; ++i)
+            fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+        fixture.gate.stopAnswered(runId(1), true, fixture.now);
+    }
+    auto listing = listingOf({}, { { 1, runId(2), EndKind::Done } });
+    listing.unreadableRunning = { "odd" };
+    fixture.advance(Milliseconds(200), listing);
+    cr_expect_not(fixture.outcome(runId(1)).has_value(), "%s: the row may be this run", row->name);
+    cr_expect(fixture.outcome(runId(2)) == wire::RunOutcome::Done, "%s: an end that can be read is one", row->name);
+    cr_expect_eq(fixture.lastSeenUpTo, 1U, "%s", row->name);
+    fixture.advance(Milliseconds(40), listingOf({}));
+    cr_expect_eq(
+        static_cast<int>(fixture.outcome(runId(1)).value_or(wire::RunOutcome::Running)), row->outcome, "%s", row->name);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open, "%s", row->name);
+}
+
+/** A row that stayed made each listing count as unanswered until the server's next process. */
+Test(RunGate, serverServesOnBesideARowThatIsNoRun)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    auto listing = listingOf({ runId(1) });
+    listing.unreadableRunning = { "odd" };
+    fixture.answerPoll(listing);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Closed, "the row may be a run that takes resources");
+    auto leaseEnds = fixture.leaseEnds;
+    while (fixture.gate.state(fixture.now) == wire::GateState::Closed && fixture.now < start + Milliseconds(5000)) {
+        if (fixture.lastLease.count() > 0)
+            leaseEnds = fixture.leaseEnds;
+        if (fixture.now > leaseEnds)
+            listing.running.clear(); // The server has ended it.
+        fixture.advance(Milliseconds(20), listing);
+    }
+    cr_assert(
+        fixture.gate.state(fixture.now) == wire::GateState::Open, "%s", fixture.gate.closedReason(fixture.now).c_str());
+    cr_expect_gt((fixture.now - leaseEnds).count(), 0, "all leases end first: what is listed then is no run");
+    cr_expect(fixture.outcome(runId(1)) == wire::RunOutcome::Lost);
+
+    fixture.order(firstLink, runId(2));
+    fixture.order(firstLink, runId(3));
+    fixture.answerStart(runId(2), StartOutcome::Started);
+    fixture.answerStart(runId(3), StartOutcome::Started);
+    listing.running = { { runId(2) } };
+    for (const auto until = fixture.now + Milliseconds(2000); fixture.now < until;) {
+        fixture.now += Milliseconds(20);
+        fixture.sendHeartbeats();
+        fixture.gate.tick(fixture.now);
+        fixture.answerPolls(listing);
+    }
+    cr_expect_eq(fixture.gate.runs(), 1U, "leases are renewed; a listing beside the row proves absence again");
+    cr_expect(fixture.outcome(runId(3)) == wire::RunOutcome::Lost);
+    listing.unreadableRunning = { "odd", "odd" };
+    fixture.advance(Milliseconds(20), listing);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Closed, "another row may be a run");
+    listing.unreadableRunning = { "odd" };
+    fixture.advance(Milliseconds(20), listing);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open);
+}
+
+/** Whether a run of an earlier process of the agent can be behind a row that can't be read. */
+Test(RunGate, restartedAgentRecoversBesideAnUnreadableRowOnceEarlierLeasesHaveEnded)
+{
+    RunGate gate(Incarnation(8), {});
+    ServerReport report;
+    report.instance = "i-1";
+    report.startedMs = 1;
+    report.service = "service";
+    gate.serverAnnounced(report, start);
+    auto listing = listingOf({});
+    listing.clock = Milliseconds(5000);
+    listing.unreadableRunning = { "odd" };
+    const RunGateLimits limits;
+    auto now = start;
+    while (!gate.isRecovered() && now < start + 2 * limits.maxLease) {
+        gate.tick(now);
+        for (const auto& effect : gate.takeEffects()) {
+            if (const auto* poll = std::get_if<PollServer>(&effect))
+                gate.pollAnswered(poll->number, PollOutcome::Listed, listing, now);
+        }
+        now += Milliseconds(20);
+    }
+    cr_expect(gate.isRecovered());
+    cr_expect_geq((now - start).count(), Microseconds(limits.maxLease).count());
+}
+
+/** The server lists an end that can't be read; the run may be the one whose start had no answer. */
+Test(RunGate, unreadableEndIsNoProofThatARunNeverStarted)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.order(firstLink, runId(2));
+    fixture.answerStart(runId(2), StartOutcome::Started);
+    for (uint32_t i = 0; i < fixture.limits.maxStartCalls; ++i)
+        fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+    auto listing = listingOf({ runId(2) });
+    listing.unreadableEnded = 1;
+    fixture.answerPoll(listing);
+    cr_expect_eq(fixture.lastSeenUpTo, 0U, "nothing that was read is there to be acknowledged");
+    listing.ended = { { 2, runId(2), EndKind::Done } };
+    listing.running.clear();
+    fixture.advance(Milliseconds(40), listing);
+    cr_expect(fixture.outcome(runId(2)) == wire::RunOutcome::Done, "it doesn't stall the ones behind");
+    cr_expect_eq(fixture.lastSeenUpTo, 2U);
+    fixture.gate.stopAnswered(runId(1), true, fixture.now);
+    fixture.answerPoll(listingOf({}));
+    cr_expect(fixture.outcome(runId(1)) == wire::RunOutcome::Lost, "it may have run");
+}
+
+Test(RunGate, unreadableEndCausesNoFloodOfPolls)
+{
+    Fixture fixture;
+    auto listing = listingOf({});
+    listing.unreadableEnded = 1;
+    const auto before = fixture.polls.size();
+    constexpr int rounds = 100;
+    for (int i = 0; i < rounds; ++i) {
+        fixture.now += Milliseconds(1);
+        fixture.gate.tick(fixture.now);
+        fixture.collectEffects();
+        fixture.answerPolls(listing); // The server answers at once, as an end waits to be acknowledged.
+    }
+    const auto most = static_cast<size_t>(rounds / fixture.limits.refusedPollInterval.count() + 2);
+    cr_expect_leq(fixture.polls.size() - before, most, "%zu polls", fixture.polls.size() - before);
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open);
+}
+
+struct CallInstanceRow {
+    char name[40];
+    bool isStopped; ///< An entry asks for its end; otherwise its start gets no answer.
+    bool isLate; ///< The report comes between two start calls.
+};
+
+ParameterizedTestParameters(RunGate, callsOfARunCarryOneId)
+{
+    static CallInstanceRow rows[] = {
+        { "stopped by its entry", true, false },
+        { "start unanswered", false, false },
+        { "start unanswered, repeated before", false, true },
+    };
+    return cr_make_param_array(CallInstanceRow, rows, sizeof(rows) / sizeof(CallInstanceRow));
+}
+
+/** A stop with the id of an odd report was refused by the server, which was taken for a proof that the start call,
+ * which had the right one, would be refused as well. */
+ParameterizedTest(CallInstanceRow* row, RunGate, callsOfARunCarryOneId)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    if (row->isLate)
+        fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+    ServerReport odd;
+    odd.instance = "i-odd";
+    odd.startedMs = 2;
+    odd.service = "service";
+    odd.total = fixture.capacity;
+    odd.sequence = 1000;
+    fixture.gate.serverAnnounced(odd, fixture.now);
+    fixture.collectEffects();
+    if (row->isStopped)
+        fixture.stop(firstLink, runId(1));
+    for (uint32_t i = 0; i < fixture.limits.maxStartCalls; ++i)
+        fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+    for (int i = 0; i < 10; ++i) {
+        fixture.now += fixture.limits.stopTimeout;
+        fixture.gate.tick(fixture.now);
+        fixture.collectEffects();
+    }
+    cr_expect_gt(fixture.stops.size(), 0U, "%s", row->name);
+    cr_expect_eq(fixture.callInstances[runId(1)].size(), 1U, "%s", row->name);
+    cr_expect(fixture.callInstances[runId(1)].contains("i-1"), "%s", row->name);
+}
+
+struct RivalRow {
+    char name[48];
+    char service[16]; ///< Of the odd reports.
+    bool isDraining;
+    int64_t cpu;
+    int oddIds; ///< How many ids report the start of the server's process before the server does, and go on to.
+};
+
+ParameterizedTestParameters(RunGate, firstReportUnderAWrongIdDoesNotSilenceTheServer)
+{
+    static RivalRow rows[] = {
+        { "the same service", "service", false, 9000, 1 },
+        { "another service", "other", false, 9000, 1 },
+        { "draining", "service", true, 9000, 1 },
+        { "without resources", "service", false, 0, 1 },
+        { "two wrong ids", "other", false, 9000, 2 },
+        { "three wrong ids", "other", true, 9000, 3 },
+    };
+    return cr_make_param_array(RivalRow, rows, sizeof(rows) / sizeof(RivalRow));
+}
+
+/** The listing doesn't tell the server's id: the first report of the start of its process was used for good. */
+ParameterizedTest(RivalRow* row, RunGate, firstReportUnderAWrongIdDoesNotSilenceTheServer)
+{
+    Fixture fixture;
+    const auto report = [&](const std::string& instance, bool isOdd) {
+        ServerReport report;
+        report.instance = instance;
+        report.startedMs = 5;
+        report.service = isOdd ? row->service : "service";
+        report.total = { isOdd ? row->cpu : 8000, 1000, 0 };
+        report.isDraining = isOdd && row->isDraining;
+        report.sequence = ++fixture.sequence;
+        fixture.gate.serverAnnounced(report, fixture.now);
+        fixture.collectEffects();
+    };
+    const auto answerAll = [&] {
+        auto listing = listingOf({});
+        listing.startedMs = 5;
+        for (const auto number : std::exchange(fixture.waitingPolls, {})) {
+            const auto& instance = fixture.pollInstances.at(number);
+            const bool isOther = !instance.empty() && instance != "i-true";
+            fixture.gate.pollAnswered(
+                number, isOther ? PollOutcome::OtherInstance : PollOutcome::Listed, listing, fixture.now);
+        }
+        fixture.collectEffects();
+    };
+    constexpr int rounds = 6;
+    for (int i = 0; i < rounds; ++i) {
+        for (int odd = 0; odd < row->oddIds; ++odd)
+            report("i-odd-" + std::to_string(odd), true);
+        answerAll();
+        report("i-true", false);
+        answerAll();
+        for (const auto until = fixture.now + Milliseconds(1000); fixture.now < until;
+             fixture.now += Milliseconds(20)) {
+            fixture.sendHeartbeats();
+            fixture.gate.tick(fixture.now);
+            fixture.collectEffects();
+            answerAll();
+        }
+    }
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Open, "%s: %s", row->name,
+        fixture.gate.closedReason(fixture.now).c_str());
+    cr_expect_eq(fixture.gate.total().cpu, 8000, "%s", row->name);
+    cr_expect_eq(fixture.service, "service", "%s", row->name);
+}
+
+/** A server that has the id in use keeps it, whatever others report. */
+Test(RunGate, reportUnderAnotherIdIsNotUsedWhileTheServerHasTheOneInUse)
+{
+    Fixture fixture;
+    ServerReport odd;
+    odd.instance = "i-odd";
+    odd.startedMs = 1;
+    odd.service = "other";
+    odd.sequence = 1000;
+    fixture.gate.serverAnnounced(odd, fixture.now);
+    fixture.collectEffects();
+    cr_expect_eq(fixture.pollInstances.at(fixture.lastPoll), "i-1", "the server is asked for the id in use");
+    fixture.answerPolls(listingOf({}));
+    cr_expect_eq(fixture.gate.total().cpu, 10000);
+    fixture.gate.pollAnswered(fixture.lastPoll, PollOutcome::OtherInstance, {}, fixture.now);
+    cr_expect_eq(fixture.gate.total().cpu, 10000, "the answer to a poll that was meant for no id refuses none");
+}
+
 struct OddReportRow {
     char name[40];
     char instance[8];
