The fence of an agent begins at the VM's time, not at its server's clock

Callers saw a task run twice, or a server over its capacity: a start that was held up arrived at the next process of its server and was obeyed, as the restarted agent's fence there was lower. The fence was the start of the server's process plus that process's clock. Clocks of processes may begin anywhere, so that the sum fell from one process to the next; and a late call of the agent before with such a fence made the new agent double its own, far above what the next one derived.

A gate gets the VM's time at its start and begins its fence there. If the server has seen a higher one (the VM's time was set back, or the agent of an earlier release took it from the server's clock), the distance from the VM's time at the start doubles, from 1 s on, until the server accepts it: at most 45 polls, and the VM's time passes the fence after at most twice the distance, so that the agent's next process begins above it again.

Failed before, pass now (run-gate 151 of 165 with the constructor's new parameter unused, 165 of 165 now): RunGateTest restartedAgentFencesOrdersOfItsPredecessor and fenceOfARestartedAgentRisesOverServerProcesses, which expect the fence in the first poll now, and recoversFromAFenceAheadOfTheClock, which takes the place of recoversFromAFenceAheadOfTheServerClock with five distances and bounds how far the fence may rise. ClusterSimulation lateStartsAtTheNextServerProcessNeverOverlapTheirReplacements, new row "agents restart, clocks begun far above 0": double runs on the code before, 0 now. dispatcher 53 of 53, room-policy 104 of 104.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -204,7 +204,8 @@
  */
 class RunGate {
 public:
-    RunGate(Incarnation self, RunGateLimits limits);
+    /** `startedAt` is the VM's time, from which the fence begins: higher than that of the agent's process before. */
+    RunGate(Incarnation self, RunGateLimits limits, std::chrono::system_clock::time_point startedAt);
 
     /** The server announced itself. Returns false if the report is older than one that was processed before. */
     bool serverAnnounced(const ServerReport& report, TimePoint now);
@@ -415,10 +416,8 @@
     void recordCall(bool isAnswered);
     /** All further calls carry this fence. */
     void setFence(int64_t fence);
-    /** The time at the server, from the start of its process and that process's clock. */
-    static int64_t minimumFence(int64_t startedMs, Milliseconds clock);
-    /** Uses a higher fence, at least `minimum`, for all further calls, and polls at once. */
-    void raiseFence(int64_t minimum, TimePoint now);
+    /** The server has seen a higher fence: tries the next one for all further calls, and polls at once. */
+    void raiseFence(TimePoint now);
     void tickLinks(TimePoint now);
     void tickOwners(TimePoint now);
     void tickStops(TimePoint now);
@@ -442,6 +441,8 @@
         ++m_counters.messagesSent;
     }
 
+    static constexpr int64_t maxFence = int64_t(1) << 52; // All JSON readers keep integers up to this exact.
+
     Incarnation m_self;
     RunGateLimits m_limits;
     Milliseconds m_stopBound; ///< RunGateLimits::stopBound with the shortest delay that an entry has told.
@@ -483,7 +484,8 @@
     std::array<WorkId, 8> m_sampledJobs {}; ///< Latest jobs of which a run was selected as a sample; a ring buffer.
     size_t m_nextSampled = 0;
     uint64_t m_pollNumber = 0;
-    int64_t m_fence = 0; ///< Higher than that of an earlier process of this agent; 0 until the server's time is known.
+    int64_t m_firstFence; ///< The VM's time at the start of this process, ms since 1970.
+    int64_t m_fence; ///< Fence of all calls.
     int64_t m_startFence = 0; ///< Fence of the last start call.
     uint64_t m_fencedFromPoll = 0; ///< First poll that carries the fence.
     std::set<uint64_t> m_pendingPolls; ///< Polls without an answer yet.
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -60,7 +60,7 @@
     , m_log(settings.name, parseLogLevel(settings.log_level), 0,
           [this](const std::string& line, LogLevel level) { m_output.write(line, level < LogLevel::Warning); })
     , m_incarnation(drawIncarnation())
-    , m_core(m_incarnation, gateLimits(settings))
+    , m_core(m_incarnation, gateLimits(settings), std::chrono::system_clock::now())
     , m_links(linkHooks(), linkLimits(), m_log.clock())
     , m_effects(m_links, m_log)
     , m_dialer(
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -38,12 +38,14 @@
 
 } // namespace
 
-RunGate::RunGate(Incarnation self, RunGateLimits limits)
+RunGate::RunGate(Incarnation self, RunGateLimits limits, std::chrono::system_clock::time_point startedAt)
     : m_self(self)
     , m_limits(limits)
     , m_stopBound(limits.stopBound())
     , m_health(limits.health)
     , m_callTime({ .min = limits.startTimeout / 2, .max = limits.startTimeout })
+    , m_firstFence(std::clamp<int64_t>(toMilliseconds(startedAt.time_since_epoch()).count(), 1, maxFence))
+    , m_fence(m_firstFence)
 {
 }
 
@@ -177,8 +179,6 @@
     m_isServerGone = false;
     if (!isSame)
         m_lowerReports = {};
-    if (m_fence == 0)
-        m_nextPoll = now;
     // The announcement doesn't show which runs have ended: the new process may have some, and the one before may go on.
     if (!isSame && m_serverStartedMs > 0 && report.startedMs != m_serverStartedMs)
         poll(Milliseconds(0), now);
@@ -224,8 +224,7 @@
     recordCrash(std::exchange(m_lapsedRuns, {}), now);
     m_isCrashRecorded = false;
     // The new process hasn't seen the fence; with a higher one it ignores the calls that were sent before.
-    if (m_fence > 0)
-        setFence(m_fence + 1);
+    setFence(m_fence + 1);
     m_mayHaveEarlierLease = true;
     for (auto& [id, run] : m_runs) {
         const bool isStopped = run.state == RunState::Fencing || run.state == RunState::Stopping;
@@ -544,7 +543,7 @@
     // A start that may still arrive could reach the server's next process, whose first poll has to outrank it.
     const bool isUnanswered
         = run.started == TimePoint() && (outcome == wire::RunOutcome::Lost || refusal == wire::Refusal::Unanswered);
-    if ((run.startCalls > 1 || isUnanswered) && m_fence > 0 && m_startFence >= m_fence)
+    if ((run.startCalls > 1 || isUnanswered) && m_startFence >= m_fence)
         setFence(m_fence + 1);
     if (!run.successors.empty())
         refusal = wire::Refusal::TakenOver;
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -251,8 +251,7 @@
         endAll("lease-ended", now);
         // The next poll renews the lease. Its higher fence makes the server ignore a start call that is still in
         // transit, whose run would otherwise live on under the renewed lease.
-        if (m_fence > 0)
-            setFence(m_fence + 1);
+        setFence(m_fence + 1);
     }
     tickLinks(now);
     tickOwners(now);
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -102,23 +102,17 @@
 
 void RunGate::setFence(int64_t fence)
 {
-    constexpr int64_t maxFence = int64_t(1) << 52; // All JSON readers keep integers up to this exact.
     m_fence = std::min(fence, maxFence);
     m_fencedFromPoll = m_pollNumber + 1;
 }
 
-int64_t RunGate::minimumFence(int64_t startedMs, Milliseconds clock)
+void RunGate::raiseFence(TimePoint now)
 {
-    constexpr int64_t maxTime = int64_t(1) << 42; // In the year 2109; a later start is an error of the sender.
-    return (startedMs <= maxTime ? startedMs : 0) + std::clamp<int64_t>(clock.count(), 0, maxTime) + 1;
-}
-
-void RunGate::raiseFence(int64_t minimum, TimePoint now)
-{
-    // Fences are derived from the time at the server, which rises over its processes, so that each process of an agent
-    // gets a higher one than the process before it. If the server's time was set back, doubling exceeds the fence that
-    // it has seen after a few polls.
-    setFence(std::max(m_fence * 2, minimum));
+    // The VM's time was set back, or an earlier release derived its fence from another clock. The distance from the
+    // start doubles, so that it takes a few polls, and the VM's time passes the fence soon: the next process of this
+    // agent has to begin above it, as the next one of the server refuses nothing.
+    constexpr int64_t minRise = 1000;
+    setFence(m_fence + std::max(minRise, m_fence - m_firstFence));
     m_nextPoll = now;
 }
 
@@ -149,11 +143,8 @@
             sendWaitingPolls(now); // The server has answered a later poll.
         }
     } else if (outcome == PollOutcome::StaleFence) {
-        const auto startedMs = m_serverStartedMs > 0 || !m_server ? m_serverStartedMs : m_server->startedMs;
-        if (startedMs == 0)
-            m_nextPoll = now + m_limits.pollTimeout; // The server's next report tells the start of its process.
-        else if (number >= m_fencedFromPoll)
-            raiseFence(minimumFence(startedMs, listing.clock.value_or(Milliseconds(0))), now);
+        if (number >= m_fencedFromPoll)
+            raiseFence(now);
         m_effects.record(LogLevel::Info, "look-outranked", { { "next_fence", m_fence } });
     } else if (listing.startedMs != m_serverStartedMs && number <= m_sentBeforeListing) {
         // The process before may have made it: its answers may arrive after those of the present one.
@@ -178,8 +169,6 @@
         extendLease(number, now);
         m_pollLostAt = {};
         m_lapsedRuns.clear();
-        if (m_fence == 0 && listing.clock)
-            raiseFence(minimumFence(listing.startedMs, *listing.clock), now);
         const auto seenBefore = m_seenUpTo;
         processEnds(listing, now);
         processRunning(number, listing, now);
@@ -198,7 +187,7 @@
 {
     m_isProcessEnded = true;
     // The first poll of the next process has to outrank the starts that are on their way.
-    if (m_fence > 0 && m_startFence >= m_fence)
+    if (m_startFence >= m_fence)
         setFence(m_fence + 1);
     std::vector<RunId> over;
     for (auto& [id, run] : m_runs) {
@@ -295,8 +284,7 @@
     }
     if (isNewest) {
         std::erase_if(m_unknownRuns, [&](const auto& unknown) { return !running.contains(unknown.first); });
-        const bool isFenced = m_fence == 0 || number >= m_fencedFromPoll;
-        if (m_unknownRuns.empty() && isFenced)
+        if (m_unknownRuns.empty() && number >= m_fencedFromPoll)
             m_isRecovered = true;
     }
     std::vector<RunId> missing;
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -88,6 +88,7 @@
         Listing listing(uint64_t seenUpTo);
         /** The server's own clock, which starts at zero when it restarts. */
         Milliseconds clock() const;
+        void setClockBegin(Milliseconds begin) { m_clockBegin = begin; }
         void renew(TimePoint leaseEnd);
         /** Changes the capacity to a part of the server's size. A smaller one is judged once it was announced. */
         void scale(double factor);
@@ -135,6 +136,7 @@
         Resources m_used;
         TimePoint m_leaseEnd {};
         TimePoint m_startedAt {};
+        Milliseconds m_clockBegin {};
         int64_t m_fence = 0; ///< Highest fence seen since the last restart.
         bool m_hasFencedPoll = false;
     };
@@ -160,8 +162,10 @@
                     0 };
                 m_servers.push_back(std::make_unique<SimulatedServer>(
                     *this, i, total, scenario.slowness[i % scenario.slowness.size()]));
-                m_gates.push_back(std::make_unique<RunGate>(Incarnation(++m_lastGateIncarnation), tuning.gate));
-                m_gateIncarnations.push_back(m_lastGateIncarnation);
+                m_servers.back()->setClockBegin(scenario.firstClockBegin);
+                m_gateIncarnations.push_back(0);
+                m_gates.emplace_back();
+                startGate(i);
             }
             m_entries.resize(scenario.entries);
             m_incarnations.resize(scenario.entries);
@@ -217,6 +221,7 @@
 
     private:
         void startEntry(size_t i);
+        void startGate(size_t i);
         void killEntry(size_t i, Milliseconds downTime);
         void killGate(size_t i, Milliseconds downTime);
         void losePower();
@@ -275,7 +280,10 @@
         SimulationReport m_report;
     };
 
-    Milliseconds SimulatedServer::clock() const { return toMilliseconds(m_simulation.events.now() - m_startedAt); }
+    Milliseconds SimulatedServer::clock() const
+    {
+        return m_clockBegin + toMilliseconds(m_simulation.events.now() - m_startedAt);
+    }
 
     bool SimulatedServer::acceptsFence(int64_t fence)
     {
@@ -407,12 +415,21 @@
         m_isUp = true;
         m_startedMs = std::max(m_startedMs + 1, toMilliseconds(m_simulation.events.now().time_since_epoch()).count());
         m_startedAt = m_simulation.events.now();
+        m_clockBegin = {};
         m_fence = 0;
         m_hasFencedPoll = false;
         m_leaseEnd = {};
         isUnreachable = false;
     }
 
+    void ClusterSimulation::startGate(size_t i)
+    {
+        m_gateIncarnations[i] = ++m_lastGateIncarnation;
+        const std::chrono::system_clock::time_point startedAt(
+            std::chrono::duration_cast<std::chrono::system_clock::duration>(events.now().time_since_epoch()));
+        m_gates[i] = std::make_unique<RunGate>(Incarnation(m_lastGateIncarnation), m_tuning.gate, startedAt);
+    }
+
     void ClusterSimulation::startEntry(size_t i)
     {
         m_incarnations[i] = 1000 * (i + 1) + (m_incarnations[i] % 1000) + 1;
@@ -490,8 +507,7 @@
         }
         m_gates[i].reset();
         events.add(events.now() + downTime, [this, i] {
-            m_gates[i] = std::make_unique<RunGate>(Incarnation(++m_lastGateIncarnation), m_tuning.gate);
-            m_gateIncarnations[i] = m_lastGateIncarnation;
+            startGate(i);
             announce(i);
         });
     }
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -79,6 +79,7 @@
     Milliseconds objective { 60 };
     Microseconds linkDelay { 1500 }; ///< One way, processing included.
     Microseconds serverDelay { 1000 }; ///< Round trip between agent and server.
+    Milliseconds firstClockBegin {}; ///< Where the clocks of the first process of each server begin; others begin at 0.
     /** Standard deviation of the logarithm of the ratio of estimate to work, as on the test days. */
     double estimateSpread = 0.4;
     double estimateFactor = 1; ///< Factor on all estimates.
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr TimePoint start { std::chrono::seconds(100) };
+constexpr std::chrono::system_clock::time_point wallStart { std::chrono::hours(500000) }; // In the year 2027.
 constexpr Incarnation self { 7 };
 constexpr LinkId firstLink { 1 };
 constexpr LinkId secondLink { 2 };
@@ -21,7 +22,7 @@
 public:
     explicit Fixture(RunGateLimits limits = {}, std::optional<Milliseconds> clock = {})
         : limits(limits)
-        , gate(self, limits)
+        , gate(self, limits, wallStart)
     {
         announce();
         gate.tick(now);
@@ -285,73 +286,83 @@
 
 } // namespace
 
-Test(RunGate, restartedAgentFencesOrdersOfItsPredecessor)
+/** The latest poll that a gate wants to send after a tick. */
+std::optional<PollServer> pollOf(RunGate& gate, TimePoint now)
 {
-    Fixture fixture(RunGateLimits {}, Milliseconds(5000));
-    cr_expect_gt(fixture.lastFence, 5000,
-        "the fence must be higher than any that an earlier process derived from the same clock");
-    cr_expect_not(fixture.gate.isRecovered(),
-        "recovery isn't complete: the first poll carries no fence, so that earlier start calls may still arrive");
-    cr_expect_eq(fixture.lastLease.count(), 0, "leases of earlier runs aren't renewed");
-    fixture.answerPoll({});
-    cr_expect(fixture.gate.isRecovered());
-    fixture.order(firstLink, runId(1));
-    cr_expect_eq(fixture.lastStartFence, fixture.lastFence, "start calls carry the fence");
+    gate.tick(now);
+    std::optional<PollServer> poll;
+    for (auto& effect : gate.takeEffects()) {
+        if (const auto* sent = std::get_if<PollServer>(&effect))
+            poll = *sent;
+    }
+    return poll;
 }
 
-/** What a restarted agent learns of the server's next process before it derives its fence. */
+Test(RunGate, restartedAgentFencesOrdersOfItsPredecessor)
+{
+    Fixture before(RunGateLimits {}, Milliseconds(5000));
+    before.answerPoll({});
+    before.order(firstLink, runId(1));
+    cr_expect_eq(before.lastStartFence, before.lastFence, "start calls carry the fence");
+    RunGate restarted(Incarnation(8), {}, wallStart + Milliseconds(150));
+    const auto poll = pollOf(restarted, start);
+    cr_assert(poll.has_value());
+    cr_expect_gt(poll->fence, before.lastStartFence, "the first poll outranks the start calls of before");
+    cr_expect_not(poll->leaseEnd.has_value(), "leases of earlier runs aren't renewed");
+    cr_expect_not(restarted.isRecovered());
+    restarted.pollAnswered(poll->number, PollOutcome::Listed, listingOf({}), start);
+    cr_expect(restarted.isRecovered(), "the listing shows that nothing of before is or will be there");
+}
+
+/** What a restarted agent meets at the server's next process, whose clock begins at 0. */
 struct NextFenceRow {
-    char name[48];
-    bool isRefused; ///< The first poll, which carries no fence, is refused, as the server has seen one.
+    char name[56];
+    int64_t clockBefore; ///< Reading of the clock of the server's process before, ms.
+    bool isRefused; ///< The first poll is refused, as the server has seen a higher fence.
     bool isAnnounced; ///< The server has announced itself before.
 };
 
 ParameterizedTestParameters(RunGate, fenceOfARestartedAgentRisesOverServerProcesses)
 {
     static NextFenceRow rows[] = {
-        { "first poll answered", false, true },
-        { "first poll answered, server not announced", false, false },
-        { "first poll refused", true, true },
-        { "first poll refused, server announced later", true, false },
+        { "first poll answered", 9000, false, true },
+        { "first poll answered, server not announced", 9000, false, false },
+        { "first poll refused", 9000, true, true },
+        { "first poll refused, server announced later", 9000, true, false },
+        { "clock began far above 0", 1'000'000, false, true },
+        { "clock began far above 0, not announced", 1'000'000, false, false },
+        { "clock began far above 0, first poll refused", 1'000'000, true, true },
+        { "clock began in the year 2270", 9'500'000'000'000, false, true },
     };
     return cr_make_param_array(NextFenceRow, rows, sizeof(rows) / sizeof(NextFenceRow));
 }
 
 ParameterizedTest(NextFenceRow* row, RunGate, fenceOfARestartedAgentRisesOverServerProcesses)
 {
-    Fixture before(RunGateLimits {}, Milliseconds(9000)); // Its server has run for 9 s, since 1 ms.
+    Fixture before(RunGateLimits {}, Milliseconds(row->clockBefore));
     before.answerPoll({});
     before.order(firstLink, runId(1));
-    RunGate restarted(Incarnation(8), {});
+    RunGate restarted(Incarnation(8), {}, wallStart + Milliseconds(150));
     ServerReport report;
     report.instance = "i-1";
     report.startedMs = 9100;
     report.sequence = 1;
     if (row->isAnnounced)
         restarted.serverAnnounced(report, start);
-    PollServer poll;
-    const auto nextPoll = [&](TimePoint now) {
-        restarted.tick(now);
-        for (auto& effect : restarted.takeEffects()) {
-            if (const auto* sent = std::get_if<PollServer>(&effect))
-                poll = *sent;
-        }
-    };
-    nextPoll(start);
+    auto poll = pollOf(restarted, start).value();
+    cr_expect_gt(poll.fence, before.lastStartFence, "%s: starts of before are on their way", row->name);
+    const auto firstFence = poll.fence;
     Listing listing;
     listing.clock = Milliseconds(10);
     if (!row->isRefused)
         listing.startedMs = report.startedMs;
-    const auto outcome = row->isRefused ? PollOutcome::StaleFence : PollOutcome::Listed;
-    restarted.pollAnswered(poll.number, outcome, listing, start);
+    restarted.pollAnswered(poll.number, row->isRefused ? PollOutcome::StaleFence : PollOutcome::Listed, listing, start);
     if (!row->isAnnounced)
         restarted.serverAnnounced(report, start);
-    nextPoll(start);
-    if (poll.fence == 0) {
-        restarted.pollAnswered(poll.number, outcome, listing, start);
-        nextPoll(start);
-    }
+    poll = pollOf(restarted, start).value_or(poll);
     cr_expect_gt(poll.fence, before.lastStartFence, "%s: starts of before are on their way", row->name);
+    if (row->isRefused)
+        cr_expect_gt(poll.fence, firstFence, "%s: the next poll follows at once with a higher fence", row->name);
 }
 
 Test(RunGate, startsInFlightAreFencedWhenTheLeaseHasEnded)
@@ -372,23 +383,46 @@
     cr_expect_gt(fixture.lastFence, fence, "a poll that renews the lease carries a higher fence than the start call");
 }
 
-Test(RunGate, recoversFromAFenceAheadOfTheServerClock)
+/** The server has seen a fence above the time at which the agent's process started. */
+struct HigherFenceRow {
+    char name[56];
+    int64_t distance; ///< Of that fence from the start, ms.
+    int maxPolls;
+};
+
+ParameterizedTestParameters(RunGate, recoversFromAFenceAheadOfTheClock)
 {
-    Fixture fixture(RunGateLimits {}, Milliseconds(5000));
-    constexpr int64_t seenFence = int64_t(1) << 40; // From an earlier process and the clock of another incarnation.
-    int polls = 0;
-    for (; fixture.lastFence < seenFence && polls < 60; ++polls) {
+    static HigherFenceRow rows[] = {
+        { "clock set back by 1 s", 1000, 3 },
+        { "clock set back by an hour", 3'600'000, 15 },
+        { "earlier release, server clock began far above 0", 1'000'000, 15 },
+        { "earlier release, fence doubled a few times", int64_t(1) << 45, 40 },
+        { "highest fence of an earlier release", (int64_t(1) << 52) - 1'800'000'000'000, 45 },
+    };
+    return cr_make_param_array(HigherFenceRow, rows, sizeof(rows) / sizeof(HigherFenceRow));
+}
+
+ParameterizedTest(HigherFenceRow* row, RunGate, recoversFromAFenceAheadOfTheClock)
+{
+    RunGate gate(self, {}, wallStart);
+    auto now = start;
+    auto poll = pollOf(gate, now).value();
+    const auto first = poll.fence;
+    const auto seen = first + row->distance;
+    int polls = 1;
+    for (; poll.fence < seen && polls <= 60; ++polls) {
         Listing refused;
         refused.clock = Milliseconds(5000 + polls);
-        fixture.answerPoll(refused, PollOutcome::StaleFence);
-        fixture.now += Milliseconds(1);
-        fixture.gate.tick(fixture.now);
-        fixture.collectEffects();
+        gate.pollAnswered(poll.number, PollOutcome::StaleFence, refused, now);
+        now += Milliseconds(1);
+        poll = pollOf(gate, now).value_or(poll);
     }
-    cr_expect_lt(polls, 40, "the fence must exceed the one that the server has seen after a few polls; took %d", polls);
-    cr_expect_not(fixture.gate.isRecovered());
-    fixture.answerPoll({});
-    cr_expect(fixture.gate.isRecovered());
+    cr_expect_leq(polls, row->maxPolls, "%s: took %d polls to exceed the fence", row->name, polls);
+    cr_expect_leq(poll.fence - first, 2 * row->distance + 2000,
+        "%s: the clock passes the fence soon, so that the agent's next process begins above it", row->name);
+    cr_expect_not(gate.isRecovered());
+    gate.pollAnswered(poll.number, PollOutcome::Listed, listingOf({}), now);
+    cr_expect(gate.isRecovered());
 }
 
 Test(RunGate, neverExceedsTheServersResources)
@@ -1475,7 +1509,7 @@
 Test(RunGate, refusedFirstPollDoesNotCompleteRecovery)
 {
     Fixture fixture;
-    RunGate restarted(Incarnation(8), fixture.limits);
+    RunGate restarted(Incarnation(8), fixture.limits, wallStart + Milliseconds(150));
     restarted.tick(fixture.now);
     restarted.pollAnswered(1, PollOutcome::Refused, {}, fixture.now);
     cr_expect_not(restarted.isRecovered(), "the leases of an earlier process may keep runs alive behind a closed port");
@@ -1608,7 +1642,7 @@
 
 Test(RunGate, unknownRunsAreStoppedBeforeRecoveryCompletes)
 {
-    RunGate gate(self, {});
+    RunGate gate(self, {}, wallStart);
     gate.tick(start);
     gate.pollAnswered(1, PollOutcome::Listed, listingOf({ runId(5) }), start);
     cr_expect_not(gate.isRecovered());
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -591,6 +591,7 @@
     Milliseconds downTime;
     bool killsAgents; ///< The agent restarts while its server is down.
     double lostPolls;
+    Milliseconds firstClockBegin {}; ///< The clock of a server's first process begins there.
 };
 
 ParameterizedTestParameters(ClusterSimulation, lateStartsAtTheNextServerProcessNeverOverlapTheirReplacements)
@@ -600,6 +601,7 @@
         { "down for 30 ms", Milliseconds(30), false, 0 },
         { "down for 300 ms", Milliseconds(300), false, 0 },
         { "down for 300 ms, agents restart", Milliseconds(300), true, 0 },
+        { "agents restart, clocks begun far above 0", Milliseconds(300), true, 0, Milliseconds(1'000'000) },
         { "down for 900 ms", Milliseconds(900), false, 0 },
         { "down for 900 ms, polls get lost", Milliseconds(900), false, 0.3 },
     };
@@ -617,6 +619,7 @@
         scenario.minLateness = Milliseconds(0);
         scenario.maxLateness = Milliseconds(1500);
         scenario.lostPolls = row->lostPolls;
+        scenario.firstClockBegin = row->firstClockBegin;
         for (size_t i = 0; i < 3 * scenario.servers; ++i) {
             const Milliseconds when(1000 + 500 * i);
             scenario.faults.push_back({ ServerFaultKind::Crash, { i % scenario.servers }, when, row->downTime });
