--- a/src/Learned.cpp
+++ b/src/Learned.cpp
@@ -3,6 +3,7 @@
 
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <sequoia/InputBounds.h>
 #include <sequoia/JsonNesting.h>
 
 namespace sequoia {
@@ -53,7 +54,6 @@
     bool isValid(const LearnedSpeed& speed)
     {
         constexpr double maxSlowness = 1000;
-        constexpr int64_t maxTimeMs = 64'060'588'800'000; // The year 4000.
         return speed.life >= 0 && speed.life <= maxTimeMs && speed.slowness > 0 && speed.slowness <= maxSlowness;
     }
 
