A listing for a refused fence doesn't complete a gate's recovery: test and mutant

The condition stood untested: the server's next process obeys a poll with the fence that the one before has refused, while calls of the agent before may carry a higher one.

--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -425,6 +425,28 @@
     cr_expect(gate.isRecovered());
 }
 
+/** The next process of the server obeys a poll whose fence the process before has refused. */
+Test(RunGate, listingForARefusedFenceDoesNotCompleteRecovery)
+{
+    RunGate gate(self, {}, wallStart);
+    ServerReport report;
+    report.instance = "i-1";
+    report.startedMs = 1;
+    report.sequence = 1;
+    gate.serverAnnounced(report, start);
+    const auto first = pollOf(gate, start).value();
+    gate.serverLeft(report.instance, start);
+    const auto second = pollOf(gate, start).value();
+    cr_assert_eq(second.fence, first.fence);
+    gate.pollAnswered(first.number, PollOutcome::StaleFence, {}, start);
+    gate.pollAnswered(second.number, PollOutcome::Listed, listingOf({}), start);
+    cr_expect_not(gate.isRecovered(), "calls of the agent before may carry a higher fence");
+    const auto third = pollOf(gate, start).value();
+    cr_expect_gt(third.fence, second.fence);
+    gate.pollAnswered(third.number, PollOutcome::Listed, listingOf({}), start);
+    cr_expect(gate.isRecovered());
+}
+
 Test(RunGate, neverExceedsTheServersResources)
 {
     Fixture fixture;
