--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -1675,7 +1675,7 @@
 /** Whether a run of an earlier process of the agent can be behind a row that can't be read. */
 Test(RunGate, restartedAgentRecoversBesideAnUnreadableRowOnceEarlierLeasesHaveEnded)
 {
-    RunGate gate(Incarnation(8), {});
+    RunGate gate(Incarnation(8), {}, wallStart + Milliseconds(150));
     ServerReport report;
     report.instance = "i-1";
     report.startedMs = 1;
