An entry whose caller leaves tells the others of its runs itself

Callers saw a task run twice at the same time: a caller's connection to entry A breaks while runs of its job are open, and 10 ms later the job arrives at entry B. Agents tell B of such runs, but only those that get A's stop and reach B. One that was suspended, cut off from A, or behind a link that holds messages up told nobody, so that B started the task beside a run that lapsed up to 1,150 ms later.

A knows which runs are open on which agents. When a caller leaves it now sends their list, by agent and incarnation, through up to three linked agents (those whose messages arrived last, of different failure domains where possible), which pass it on to all other entries (RelayedOrphans). B treats them as runs that their agent told of: it stops them and waits for their results. If it has no link to the agent, it holds the task until the run must have lapsed, by the time that A counts itself: the run_lapse of a linked agent, what is left of it for one that A lost before. That covers the agent's bound: A's messages can confirm nothing later than what A had received, the stop precedes later ones on the link, and a new link makes A tell the others again. An agent that links meanwhile is asked; another incarnation than the one with the run ends it. A copy that arrives after the result of a run is ignored, and job-elsewhere is logged once a run. A run that is adopted no longer takes the numbers of a task's later runs back.

Cost: up to three messages a caller that leaves with runs, each passed on once to every other entry; new jobs and other stops cost none.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -90,6 +90,12 @@
     uint64_t refusedOrders() const;
 };
 
+/** A run of another entry. */
+struct ForeignRun {
+    Incarnation incarnation {}; ///< Of the agent that has it.
+    TimePoint lapse {}; ///< It may be there until then if the agent isn't linked; zero if only the agent told of it.
+};
+
 /** What this entry knows of an agent and its backend server. */
 struct AgentView {
     std::string name;
@@ -112,7 +118,8 @@
     int64_t serverStartedMs = 0; ///< Start time of the backend server's process, ms since 1970.
     uint32_t slownessSamples = 0; ///< Number of jobs that the slowness was learned from.
     TimePoint freeReportedAt {}; ///< When `free` was last reported.
-    TimePoint lastHeard {};
+    TimePoint lastReceived {}; ///< When its last message arrived.
+    TimePoint lastHeard {}; ///< The same, or when it got its first run, if that was later.
     TimePoint
         agentTime {}; ///< The latest received on this link, by the agent's clock; goes back to it with each message.
     TimePoint lastSent {};
@@ -121,6 +128,7 @@
     TimePoint lastSuccess {}; ///< When a run there last ended successfully.
     TimePoint nextDemand {};
     std::unordered_set<RunId> runs; ///< Ordered runs whose result has not arrived.
+    std::map<RunId, ForeignRun> foreignRuns; ///< Those of `runs` that other entries ordered.
     std::map<RunId, TimePoint> suspects; ///< Suspects of `runs`, and until when they are; see CrashRecords.h.
 
     /** Whether runs of a service can be ordered from it now. */
@@ -264,7 +272,7 @@
     /** The task of a run, which was ordered before its job was submitted here, waits for the end of this run. */
     void adoptRun(Job& job, const RunId& id, size_t agent, TimePoint now);
     /** The same for a run of another entry, which is stopped. */
-    void adoptForeignRun(Job& job, const RunId& id, size_t agent, TimePoint now);
+    void adoptForeignRun(Job& job, const RunId& id, size_t agent, const ForeignRun& run, TimePoint now);
     /** Reason for which a new job is refused; empty if it can be accepted. */
     std::string_view rejectionReason(const Job& job, TimePoint now) const;
     /** Admission of a job: by the load, or for an isolated route by the servers that are open to it. */
@@ -343,6 +351,17 @@
     void onResult(size_t agent, const wire::RunResultT& result, TimePoint now);
     /** Runs of another entry have lost their caller or their entry: their jobs may be submitted here. */
     void onOrphanedRuns(size_t agent, const wire::OrphanedRunsT& message, TimePoint now);
+    /** The same, told by their entry; the agents that have the runs may be out of reach. */
+    void onRelayedOrphans(const wire::RelayedOrphansT& message, TimePoint now);
+    void onOrphan(size_t agent, const RunId& id, const ForeignRun& run, TimePoint now);
+    /** False if the run was known. */
+    bool rememberOrphan(size_t agent, const RunId& id, const ForeignRun& run, TimePoint now);
+    /** Tells the other entries of runs, by agent, whose caller has left; a few linked agents pass the message on. */
+    void relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now);
+    /** Agents for this: those heard of most recently, of different failure domains if there are such. */
+    std::vector<size_t> chooseRelays() const;
+    /** Position of an agent; one that has not linked yet is added. */
+    size_t agentNamed(const std::string& name);
     void runEnded(Job& job, const RunId& id, size_t agent, const wire::RunResultT& result, TimePoint now);
     void taskDone(Job& job, size_t step, Task& task, Microseconds ran, TimePoint now);
     /** Feeds the run times of a job's tasks to the estimate model. */
@@ -362,8 +381,10 @@
     void sendStop(size_t agent, const std::vector<RunId>& ids, bool isCallerGone, TimePoint now);
     /** Whether a link was lost a moment ago, so that orphaned runs there may not be known. */
     bool isRelinking(TimePoint now) const;
-    /** Ends all runs at an agent as lost. */
-    void markRunsLost(size_t agent, std::string_view cause, TimePoint now);
+    /** Until when a run at an agent may be there if nothing is heard of it. */
+    TimePoint lapseOf(const AgentView& agent, const RunId& id, TimePoint now) const;
+    /** Ends runs at an agent as lost. */
+    void markRunsLost(size_t agent, const std::vector<RunId>& ids, std::string_view cause, TimePoint now);
     void tickLinks(TimePoint now);
     void tickQueue(TimePoint now);
     void tickStragglers(TimePoint now);
@@ -407,8 +428,13 @@
         TimePoint expires {};
     };
     std::unordered_map<WorkId, EndedJob> m_endedJobs;
-    /** Orphaned runs of other entries, by agent, and until when they may be there. */
-    std::map<std::pair<RunId, size_t>, TimePoint> m_orphanedRuns;
+    struct OrphanedRun {
+        ForeignRun run;
+        TimePoint expires {};
+        bool isOver = false; ///< Its agent has told so; messages that arrive later are ignored.
+    };
+    /** Orphaned runs of other entries, by agent. */
+    std::map<std::pair<RunId, size_t>, OrphanedRun> m_orphanedRuns;
     TimePoint m_nextSummary {};
     TimePoint m_lastTick {};
     TimePoint m_settledAt {}; ///< When the discovery of agents counts as complete.
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -350,6 +350,8 @@
     void addSuccessor(Run& run, EntryLink& link, TimePoint now);
     /** Tells all entries but the one on `except` of runs that are orphaned now. */
     void sendOrphans(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now);
+    /** Passes on what an entry tells the other ones of its runs. */
+    void relayOrphans(LinkId from, const wire::RelayedOrphansT& message, TimePoint now);
     /** Stops a run that a start call may have started; it is over once a stop was answered and a poll shows no run. */
     void fenceRun(const RunId& id, Run& run, TimePoint now);
     void endRun(
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -147,14 +147,16 @@
         }
     }
     // Of the runs of one task, only the one with the highest number may still be there.
-    std::map<TaskId, std::pair<RunId, size_t>> latest;
+    std::map<TaskId, std::pair<std::pair<RunId, size_t>, ForeignRun>> latest;
     for (auto it = m_orphanedRuns.lower_bound({ { { jobId, StepIndex(0), TaskIndex(0) }, RunNumber(0) }, 0 });
-         it != m_orphanedRuns.end() && it->first.first.task.job == jobId; it = m_orphanedRuns.erase(it)) {
-        if (it->second > now)
-            latest[it->first.first.task] = it->first;
+         it != m_orphanedRuns.end() && it->first.first.task.job == jobId;) {
+        const auto& [key, orphan] = *it;
+        if (orphan.expires > now && !orphan.isOver)
+            latest[key.first.task] = { key, orphan.run };
+        it = orphan.isOver ? std::next(it) : m_orphanedRuns.erase(it);
     }
-    for (const auto& [task, run] : latest)
-        adoptForeignRun(job, run.first, run.second, now);
+    for (const auto& [task, orphan] : latest)
+        adoptForeignRun(job, orphan.first.first, orphan.first.second, orphan.second, now);
 }
 
 void Dispatcher::adoptRun(Job& job, const RunId& id, size_t agentIndex, TimePoint now)
@@ -164,6 +166,7 @@
     auto& step = job.steps[raw(id.task.step)];
     auto& task = step.tasks[raw(id.task.index)];
     std::erase(step.ready, raw(id.task.index));
+    const auto highest = raw(task.run);
     task.state = TaskState::Ordered;
     task.run = id.run;
     task.agent = agentIndex;
@@ -171,11 +174,11 @@
     task.isStopping = true;
     ++job.orders;
     job.firstOrderAt = now;
-    job.firstRun = std::max(job.firstRun, RunNumber(raw(id.run) + 1));
+    job.firstRun = std::max(job.firstRun, RunNumber(std::max(raw(id.run), highest) + 1));
     traceRun("run-adopted", job, id, m_agents[agentIndex], "", now);
 }
 
-void Dispatcher::adoptForeignRun(Job& job, const RunId& id, size_t agentIndex, TimePoint now)
+void Dispatcher::adoptForeignRun(Job& job, const RunId& id, size_t agentIndex, const ForeignRun& run, TimePoint now)
 {
     const auto* task = findTask(id.task);
     if (task == nullptr || (task->state == TaskState::Ordered && task->run >= id.run))
@@ -185,6 +188,7 @@
     if (agent.runs.empty())
         agent.lastHeard = now; // The shorter silence limit of links with runs counts from here.
     agent.runs.insert(id);
+    agent.foreignRuns[id] = run;
     adoptRun(job, id, agentIndex, now);
     m_effects.record(LogLevel::Info, "run-adopted",
         { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
@@ -659,6 +663,8 @@
     }
     for (const auto& [agent, ids] : byAgent)
         sendStop(agent, ids, isCallerGone, now);
+    if (isCallerGone)
+        relayOrphans(byAgent, now);
 }
 
 void Dispatcher::sendStop(size_t agentIndex, const std::vector<RunId>& ids, bool isCallerGone, TimePoint now)
@@ -685,7 +691,7 @@
     tickStragglers(now);
     tickQueue(now);
     std::erase_if(m_endedJobs, [&](const auto& ended) { return ended.second.expires <= now; });
-    std::erase_if(m_orphanedRuns, [&](const auto& orphan) { return orphan.second <= now; });
+    std::erase_if(m_orphanedRuns, [&](const auto& orphan) { return orphan.second.expires <= now; });
     std::erase_if(
         m_lastArrivals, [&](const auto& arrival) { return now - arrival.second > m_limits.crashes.retention; });
     dispatchQueued(now);
@@ -930,7 +936,7 @@
         traceRun("run-refused", job, id, agent, wire::EnumNameRefusal(result.refusal), now);
         if (result.refusal == wire::Refusal::Occupied && result.active_run > 0) {
             retryTask(job, id, task, now);
-            adoptForeignRun(job, { id.task, RunNumber(result.active_run) }, agentIndex, now);
+            adoptForeignRun(job, { id.task, RunNumber(result.active_run) }, agentIndex, { agent.incarnation, {} }, now);
             return requeue(job, now);
         }
         if (result.refusal == wire::Refusal::RunTooLow)
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -89,21 +89,17 @@
 
 void Dispatcher::agentLinked(LinkId link, const wire::HelloT& hello, TimePoint agentTime, TimePoint now)
 {
-    const auto [it, isNew] = m_agentByName.try_emplace(hello.agent, m_agents.size());
-    if (isNew)
-        m_agents.push_back({});
-    const auto index = it->second;
+    const auto index = agentNamed(hello.agent);
     auto& agent = m_agents[index];
     if (agent.isLinked) {
         m_agentByLink.erase(agent.link);
         m_effects.add(CloseLink { agent.link, "replaced by a new link" });
     }
-    agent.name = hello.agent;
     agent.failureDomain = hello.failure_domain;
     m_isPreferenceStale = true;
     agent.link = link;
     agent.isLinked = true;
-    agent.lastHeard = now;
+    agent.lastHeard = agent.lastReceived = now;
     agent.agentTime = agentTime;
     agent.lastSent = now;
     agent.state = wire::GateState::Closed; // Until its first report.
@@ -111,23 +107,38 @@
     agent.unacknowledgedOrders.clear();
     agent.nextDemand = now;
     m_agentByLink[link] = index;
-    const bool isRestarted = agent.incarnation != Incarnation(hello.incarnation);
-    agent.incarnation = Incarnation(hello.incarnation);
+    const auto previous = std::exchange(agent.incarnation, Incarnation(hello.incarnation));
+    const bool isRestarted = agent.incarnation != previous;
     m_effects.record(LogLevel::Info, "agent-linked",
         { { "agent", agent.name }, { "new_life", isRestarted ? "true" : "false" },
             { "runs", static_cast<int64_t>(agent.runs.size()) } });
-    if (isRestarted) {
-        // A restarted agent links only after all runs of its previous incarnation are over.
-        markRunsLost(index, "agent-restarted", now);
-        dispatchQueued(now);
-        return;
+    // A restarted agent links only after all runs of its previous incarnation are over.
+    std::vector<RunId> ended;
+    for (const auto& id : agent.runs) {
+        const auto foreign = agent.foreignRuns.find(id);
+        if ((foreign == agent.foreignRuns.end() ? previous : foreign->second.incarnation) != agent.incarnation)
+            ended.push_back(id);
     }
+    std::erase_if(m_orphanedRuns, [&](const auto& orphan) {
+        return orphan.first.second == index && !orphan.second.isOver
+            && orphan.second.run.incarnation != agent.incarnation;
+    });
+    markRunsLost(index, ended, "agent-restarted", now);
+    if (isRestarted)
+        dispatchQueued(now);
     if (agent.runs.empty())
         return;
     wire::RunQueryT query;
-    for (const auto& id : agent.runs)
+    std::vector<RunId> ownerless;
+    for (const auto& id : agent.runs) {
         query.ids.push_back(toWire(id));
+        if (!m_jobs.contains(id.task.job))
+            ownerless.push_back(id);
+    }
     send(agent, std::move(query), now);
+    // On the new link the agent goes on with these runs until it is told to stop them.
+    if (!ownerless.empty())
+        relayOrphans({ { index, ownerless } }, now);
 }
 
 void Dispatcher::linkClosed(LinkId link, TimePoint now)
@@ -146,11 +157,28 @@
             { "heard_ms_ago", toMilliseconds(now - agent.lastHeard).count() } });
 }
 
-void Dispatcher::markRunsLost(size_t index, std::string_view cause, TimePoint now)
+size_t Dispatcher::agentNamed(const std::string& name)
+{
+    const auto [it, isNew] = m_agentByName.try_emplace(name, m_agents.size());
+    if (isNew)
+        m_agents.emplace_back().name = name;
+    return it->second;
+}
+
+TimePoint Dispatcher::lapseOf(const AgentView& agent, const RunId& id, TimePoint now) const
+{
+    const auto lapse = (agent.isLinked ? now : agent.unlinkedAt) + m_limits.runLapse;
+    const auto foreign = agent.foreignRuns.find(id);
+    return foreign == agent.foreignRuns.end() ? lapse : std::max(lapse, foreign->second.lapse);
+}
+
+void Dispatcher::markRunsLost(size_t index, const std::vector<RunId>& ids, std::string_view cause, TimePoint now)
 {
-    m_agents[index].suspects.clear();
-    std::erase_if(m_orphanedRuns, [&](const auto& orphan) { return orphan.first.second == index; });
-    for (const auto& id : std::exchange(m_agents[index].runs, {})) {
+    for (const auto& id : ids) {
+        auto& agent = m_agents[index];
+        agent.runs.erase(id);
+        agent.foreignRuns.erase(id);
+        agent.suspects.erase(id);
         auto* job = findJob(id.task.job);
         if (job == nullptr)
             continue;
@@ -167,8 +195,10 @@
     for (size_t i = 0; i < m_agents.size(); ++i) {
         auto& agent = m_agents[i];
         if (!agent.isLinked) {
-            if (!agent.runs.empty() && now - agent.unlinkedAt > m_limits.runLapse)
-                markRunsLost(i, "agent-out-of-reach", now);
+            std::vector<RunId> lost;
+            std::copy_if(agent.runs.begin(), agent.runs.end(), std::back_inserter(lost),
+                [&](const RunId& id) { return now > lapseOf(agent, id, now); });
+            markRunsLost(i, lost, "agent-out-of-reach", now);
             continue;
         }
         const bool isBusy = !agent.runs.empty();
@@ -217,7 +247,7 @@
     if (!index)
         return;
     ++m_counters.messagesReceived;
-    m_agents[*index].lastHeard = now;
+    m_agents[*index].lastHeard = m_agents[*index].lastReceived = now;
     m_agents[*index].agentTime = agentTime;
     switch (body.type) {
     case wire::Body::RoomReport:
@@ -234,6 +264,8 @@
         break;
     case wire::Body::OrphanedRuns:
         return onOrphanedRuns(*index, *body.AsOrphanedRuns(), now);
+    case wire::Body::RelayedOrphans:
+        return onRelayedOrphans(*body.AsRelayedOrphans(), now);
     case wire::Body::RunResult:
         onResult(*index, *body.AsRunResult(), now);
         break;
@@ -275,30 +307,112 @@
 
 void Dispatcher::onOrphanedRuns(size_t index, const wire::OrphanedRunsT& message, TimePoint now)
 {
-    for (const auto& wireId : message.ids) {
-        const auto id = fromWire(wireId);
-        if (m_agents[index].runs.contains(id))
-            continue;
-        auto* job = findJob(id.task.job);
-        if (job == nullptr) {
-            if (m_orphanedRuns.size() < m_limits.maxOrphanedRuns)
-                m_orphanedRuns[{ id, index }] = now + m_limits.orphanRetention;
-            continue;
-        }
-        const auto* task = findTask(id.task);
-        if (task == nullptr)
-            continue;
-        if (task->state == TaskState::Ready || task->state == TaskState::Blocked) {
-            adoptForeignRun(*job, id, index, now);
-            requeue(*job, now);
-            continue;
+    for (const auto& id : message.ids)
+        onOrphan(index, fromWire(id), { m_agents[index].incarnation, {} }, now);
+}
+
+void Dispatcher::onRelayedOrphans(const wire::RelayedOrphansT& message, TimePoint now)
+{
+    for (const auto& runs : message.agents) {
+        const auto index = agentNamed(runs->agent);
+        for (const auto& id : runs->ids)
+            onOrphan(
+                index, fromWire(id), { Incarnation(runs->agent_incarnation), now + Milliseconds(runs->lapse_ms) }, now);
+    }
+}
+
+bool Dispatcher::rememberOrphan(size_t index, const RunId& id, const ForeignRun& run, TimePoint now)
+{
+    const auto known = m_orphanedRuns.find({ id, index });
+    if (known == m_orphanedRuns.end()) {
+        if (m_orphanedRuns.size() < m_limits.maxOrphanedRuns)
+            m_orphanedRuns[{ id, index }] = { run, now + m_limits.orphanRetention, false };
+        return true;
+    }
+    auto& orphan = known->second;
+    orphan.run.lapse = std::max(orphan.run.lapse, run.lapse);
+    if (!orphan.isOver)
+        orphan.expires = now + m_limits.orphanRetention;
+    return false;
+}
+
+void Dispatcher::onOrphan(size_t index, const RunId& id, const ForeignRun& run, TimePoint now)
+{
+    auto& agent = m_agents[index];
+    if (agent.runs.contains(id)) {
+        if (const auto known = agent.foreignRuns.find(id); known != agent.foreignRuns.end())
+            known->second.lapse = std::max(known->second.lapse, run.lapse);
+        return;
+    }
+    auto* job = findJob(id.task.job);
+    if (job == nullptr) {
+        rememberOrphan(index, id, run, now);
+        return;
+    }
+    const auto* task = findTask(id.task);
+    const auto known = m_orphanedRuns.find({ id, index });
+    if (task == nullptr || (known != m_orphanedRuns.end() && known->second.isOver))
+        return;
+    if (task->state == TaskState::Ready || task->state == TaskState::Blocked) {
+        adoptForeignRun(*job, id, index, run, now);
+        requeue(*job, now);
+        return;
+    }
+    if (!rememberOrphan(index, id, run, now))
+        return;
+    ++m_counters.jobsElsewhere;
+    m_effects.record(LogLevel::Warning, "job-elsewhere",
+        { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
+            { "agent", agent.name } });
+    sendStop(index, { id }, false, now);
+}
+
+std::vector<size_t> Dispatcher::chooseRelays() const
+{
+    constexpr size_t maxRelays = 3;
+    std::vector<size_t> linked;
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        if (m_agents[i].isLinked && m_agents[i].agentTime != TimePoint()) // Earlier releases don't know the message.
+            linked.push_back(i);
+    }
+    std::stable_sort(linked.begin(), linked.end(),
+        [&](size_t a, size_t b) { return m_agents[a].lastReceived > m_agents[b].lastReceived; });
+    std::set<std::string> failureDomains;
+    std::vector<size_t> chosen;
+    std::vector<size_t> others;
+    for (const auto i : linked) {
+        const bool isFirstOfDomain = failureDomains.insert(m_agents[i].failureDomain).second;
+        (isFirstOfDomain ? chosen : others).push_back(i);
+    }
+    chosen.insert(chosen.end(), others.begin(), others.end());
+    chosen.resize(std::min(chosen.size(), maxRelays));
+    return chosen;
+}
+
+void Dispatcher::relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now)
+{
+    std::map<std::pair<size_t, Incarnation>, wire::AgentRunsT> byIncarnation;
+    for (const auto& [index, ids] : runs) {
+        const auto& agent = m_agents[index];
+        for (const auto& id : ids) {
+            const auto foreign = agent.foreignRuns.find(id);
+            const auto incarnation
+                = foreign == agent.foreignRuns.end() ? agent.incarnation : foreign->second.incarnation;
+            auto& entry = byIncarnation[{ index, incarnation }];
+            entry.agent = agent.name;
+            entry.agent_incarnation = raw(incarnation);
+            const auto lapse = std::max<int64_t>(toMilliseconds(lapseOf(agent, id, now) - now).count(), 0);
+            entry.lapse_ms = std::max(entry.lapse_ms, static_cast<uint32_t>(lapse));
+            entry.ids.push_back(toWire(id));
         }
-        ++m_counters.jobsElsewhere;
-        m_effects.record(LogLevel::Warning, "job-elsewhere",
-            { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
-                { "agent", m_agents[index].name } });
-        sendStop(index, { id }, false, now);
     }
+    if (byIncarnation.empty())
+        return;
+    wire::RelayedOrphansT message;
+    for (auto& [key, entry] : byIncarnation)
+        message.agents.push_back(std::make_unique<wire::AgentRunsT>(std::move(entry)));
+    for (const auto relay : chooseRelays())
+        send(m_agents[relay], message, now);
 }
 
 void Dispatcher::onResult(size_t index, const wire::RunResultT& result, TimePoint now)
@@ -321,6 +435,8 @@
     }
     if (agent.runs.erase(id) == 0)
         return;
+    if (agent.foreignRuns.erase(id) > 0 && result.refusal != wire::Refusal::Occupied)
+        m_orphanedRuns[{ id, index }] = { {}, now + m_limits.orphanRetention, true };
     agent.suspects.erase(id);
     if (findTask(id.task) != nullptr)
         runEnded(*findJob(id.task.job), id, index, result, now);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -291,6 +291,9 @@
     case wire::Body::RunStop:
         onStops(link, *body.AsRunStop(), now);
         break;
+    case wire::Body::RelayedOrphans:
+        relayOrphans(link, *body.AsRelayedOrphans(), now);
+        break;
     case wire::Body::RunQuery:
         onQuery(link, body.AsRunQuery()->ids, now);
         break;
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -55,6 +55,14 @@
     }
 }
 
+void RunGate::relayOrphans(LinkId from, const wire::RelayedOrphansT& message, TimePoint now)
+{
+    for (const auto& [id, link] : m_links) {
+        if (id != from && link.hasAgentTimes)
+            send(id, message, now);
+    }
+}
+
 void RunGate::entryLinked(LinkId id, const wire::WelcomeT& welcome, TimePoint agentTime, TimePoint now)
 {
     detectSuspension(now);
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -166,6 +166,7 @@
             m_entries.resize(scenario.entries);
             m_incarnations.resize(scenario.entries);
             m_isPartitioned.resize(scenario.entries);
+            m_suspendedUntil.resize(scenario.servers);
             for (size_t i = 0; i < scenario.entries; ++i)
                 startEntry(i);
             const auto seconds = static_cast<size_t>(scenario.length.count() / 1000 + 5);
@@ -223,6 +224,10 @@
         void resetConnections(size_t entry);
         void resubmit(WorkId id, size_t entry, Milliseconds delay = resendDelay);
         void announce(size_t i);
+        /** Calls `action` for the gate of an agent, after the suspension of its process, unless the process has ended.
+         */
+        void withGate(size_t agent, std::function<void(RunGate&)> action);
+        bool isSuspended(size_t agent) const { return m_suspendedUntil[agent] > events.now(); }
         void link(size_t entry, size_t agent);
         void closeLink(LinkId id, bool byEntry);
         /** When a message that is sent now on a connection arrives. */
@@ -258,6 +263,7 @@
         std::vector<uint64_t> m_gateIncarnations;
         uint64_t m_lastGateIncarnation = 100;
         std::vector<bool> m_isPartitioned;
+        std::vector<TimePoint> m_suspendedUntil; ///< By agent.
         std::map<std::pair<size_t, size_t>, TimePoint> m_stalledUntil; ///< By entry and agent.
         std::map<std::pair<size_t, size_t>, TimePoint> m_slowUntil; ///< By entry and agent; cut for 3 s from then on.
         std::map<LinkId, Connection> m_connections;
@@ -446,12 +452,12 @@
     void ClusterSimulation::resetConnections(size_t entry)
     {
         for (auto& [id, connection] : m_connections) {
-            if (connection.entry != entry || !connection.isOpen || !chance(m_scenario.resetShare))
+            if (!m_scenario.resetsLinks || connection.entry != entry || !connection.isOpen
+                || !chance(m_scenario.resetShare))
                 continue;
             connection.isOpen = false;
             m_entries[entry]->linkClosed(id, events.now());
-            if (m_gates[connection.agent])
-                m_gates[connection.agent]->linkClosed(id, events.now());
+            withGate(connection.agent, [this, id = id](RunGate& gate) { gate.linkClosed(id, events.now()); });
         }
         std::vector<WaiterId> gone;
         for (const auto& [waiter, itsEntry] : m_waiters) {
@@ -506,6 +512,22 @@
             killGate(i, m_scenario.powerLossLength + Milliseconds(delay(m_generator)));
     }
 
+    void ClusterSimulation::withGate(size_t agent, std::function<void(RunGate&)> action)
+    {
+        if (isSuspended(agent)) {
+            events.add(m_suspendedUntil[agent],
+                [this, agent, action = std::move(action), incarnation = m_gateIncarnations[agent]] {
+                    if (m_gateIncarnations[agent] == incarnation)
+                        withGate(agent, action);
+                });
+            return;
+        }
+        if (!m_gates[agent])
+            return;
+        action(*m_gates[agent]);
+        applyGateEffects(agent);
+    }
+
     void ClusterSimulation::link(size_t entry, size_t agent)
     {
         const LinkId id { ++m_lastLink };
@@ -531,11 +553,7 @@
             return; // The agent closes the silent link itself.
         if (byEntry)
             events.add(arrival + connection.delay, [this, id] {
-                const auto agent = m_connections.at(id).agent;
-                if (!m_gates[agent])
-                    return;
-                m_gates[agent]->linkClosed(id, events.now());
-                applyGateEffects(agent);
+                withGate(m_connections.at(id).agent, [this, id](RunGate& gate) { gate.linkClosed(id, events.now()); });
             });
         else if (!isCut(connection)) {
             events.add(arrival, [this, id] {
@@ -589,12 +607,10 @@
             connection.delay = std::min(connection.delay + m_scenario.slowLinkGrowth, m_scenario.slowLinkDelay);
         events.add(arrivalOn(connection) + connection.delay,
             [this, id, message = std::make_shared<SendMessage>(std::move(message))] {
-                const auto agent = m_connections.at(id).agent;
                 // What was sent before the entry closed the connection arrives before the agent hears of the closing.
-                if (!m_gates[agent])
-                    return;
-                m_gates[agent]->receive(id, message->body, message->agentTime, events.now());
-                applyGateEffects(agent);
+                withGate(m_connections.at(id).agent, [this, id, message](RunGate& gate) {
+                    gate.receive(id, message->body, message->agentTime, events.now());
+                });
             });
     }
 
@@ -668,8 +684,7 @@
             events.add(events.now() + delay, [this, i, id, outcome, incarnation = m_gateIncarnations[i]] {
                 if (!m_gates[i] || m_gateIncarnations[i] != incarnation)
                     return;
-                m_gates[i]->startAnswered(id, outcome, events.now());
-                applyGateEffects(i);
+                withGate(i, [this, id, outcome](RunGate& gate) { gate.startAnswered(id, outcome, events.now()); });
             });
         };
         auto& server = *m_servers[i];
@@ -717,8 +732,7 @@
             events.add(events.now() + delay, [this, i, id, isAnswered, incarnation = m_gateIncarnations[i]] {
                 if (!m_gates[i] || m_gateIncarnations[i] != incarnation)
                     return;
-                m_gates[i]->stopAnswered(id, isAnswered, events.now());
-                applyGateEffects(i);
+                withGate(i, [this, id, isAnswered](RunGate& gate) { gate.stopAnswered(id, isAnswered, events.now()); });
             });
         };
         if (!m_servers[i]->isUp() || chance(m_scenario.lostStops))
@@ -745,8 +759,9 @@
             events.add(events.now() + delay, [this, i, number, outcome, listing, incarnation] {
                 if (!m_gates[i] || m_gateIncarnations[i] != incarnation)
                     return;
-                m_gates[i]->pollAnswered(number, outcome, listing, events.now());
-                applyGateEffects(i);
+                withGate(i, [this, number, outcome, listing](RunGate& gate) {
+                    gate.pollAnswered(number, outcome, listing, events.now());
+                });
             });
         };
         auto& server = *m_servers[i];
@@ -791,8 +806,7 @@
             report.service = "service";
             report.total = server.total();
             report.sequence = ++m_pings;
-            m_gates[i]->serverAnnounced(report, events.now());
-            applyGateEffects(i);
+            withGate(i, [this, report](RunGate& gate) { gate.serverAnnounced(report, events.now()); });
             // Calls that were sent before the report arrive within this time.
             events.add(events.now() + m_scenario.serverDelay, [this, i, total = report.total] {
                 if (m_servers[i]->total() == total)
@@ -979,10 +993,8 @@
             events.add(simulationStart + Milliseconds(i), [this, i] { ping(i); });
             auto onTick = std::make_shared<std::function<void()>>();
             *onTick = [this, i, onTick, tick] {
-                if (m_gates[i]) {
-                    m_gates[i]->tick(events.now());
-                    applyGateEffects(i);
-                }
+                if (!isSuspended(i))
+                    withGate(i, [this](RunGate& gate) { gate.tick(events.now()); });
                 events.add(events.now() + tick, *onTick);
             };
             events.add(simulationStart + Milliseconds(i % 20), *onTick);
@@ -1009,7 +1021,7 @@
             for (size_t e = 0; e < m_entries.size(); ++e) {
                 for (size_t a = 0; a < m_gates.size(); ++a) {
                     const bool isLinked = open.contains({ e, a });
-                    const bool isReady = m_entries[e] && m_gates[a] && m_gates[a]->isRecovered();
+                    const bool isReady = m_entries[e] && m_gates[a] && m_gates[a]->isRecovered() && !isSuspended(a);
                     const auto stall = m_stalledUntil.find({ e, a });
                     const bool isStalled = stall != m_stalledUntil.end() && stall->second > events.now();
                     if (!isLinked && isReady && !isStalled && !isCut({ e, a }))
@@ -1069,6 +1081,10 @@
                     resetConnections(entry);
             });
         }
+        for (const auto& [agent, when] : m_scenario.agentSuspensions) {
+            events.add(at(when),
+                [this, agent = agent] { m_suspendedUntil[agent] = events.now() + m_scenario.suspensionLength; });
+        }
         for (const auto& [entry, when] : m_scenario.linkStalls)
             events.add(at(when), [this, entry = entry] { stallLinks(entry); });
         for (const auto& [entry, when] : m_scenario.slowLinks)
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -110,6 +110,10 @@
      * those of reset connections to the same entry. */
     std::optional<Milliseconds> quickResend;
     bool resendsElsewhere = false; ///< Callers whose connection was reset resubmit to the next entry.
+    bool resetsLinks = true; ///< Connections to agents are reset as well as those to callers.
+    /** Agent and time; the process is suspended for `suspensionLength`, and what arrives meanwhile waits. */
+    std::vector<std::pair<size_t, Milliseconds>> agentSuspensions;
+    Milliseconds suspensionLength { 2300 };
     std::vector<std::pair<size_t, Milliseconds>> entryPartitions; ///< Entry and time; it can't reach any agent for 3 s.
     /** Entry and time; for `stallLength` messages between it and half of the agents are held up, in their order. */
     std::vector<std::pair<size_t, Milliseconds>> linkStalls;
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -29,9 +29,10 @@
     }
 
     /** Links an agent; `restart` counts its restarts, each of which is another incarnation. */
-    void link(size_t i, uint64_t restart = 0)
+    void link(size_t i, uint64_t restart = 0, const std::string& failureDomain = "")
     {
         wire::HelloT hello;
+        hello.failure_domain = failureDomain;
         hello.agent = "agent" + std::to_string(i);
         hello.incarnation = 100 + i + 1000 * restart;
         dispatcher.agentLinked(LinkId(i), hello, now, now);
@@ -152,6 +153,9 @@
             } else if (const auto* stop = send->body.AsRunStop()) {
                 for (const auto& id : stop->ids)
                     stops.push_back(fromWire(id));
+            } else if (const auto* relayed = send->body.AsRelayedOrphans()) {
+                relays.push_back(raw(send->link));
+                lastRelayed = *relayed;
             }
         }
     }
@@ -163,6 +167,8 @@
     std::vector<RunId> orders;
     std::map<RunId, size_t> agentByRun;
     std::vector<RunId> stops;
+    std::vector<size_t> relays; ///< Agents that were told of orphaned runs.
+    wire::RelayedOrphansT lastRelayed; ///< What they were told.
     std::map<size_t, TimePoint> agentTimes; ///< The agent time of the last message to each agent.
 };
 
@@ -618,6 +624,210 @@
     cr_expect_eq(fixture.orders.size(), 1U);
 }
 
+/** How the agent that has a relayed run stands to the entry that is told of it. */
+enum class AgentIs : uint8_t {
+    Linked,
+    Unlinked, ///< Its link was lost long ago.
+    Unknown, ///< It has never linked.
+};
+
+/** What the entry hears of the agent afterwards. */
+enum class Hears : uint8_t {
+    Nothing,
+    TheEnd, ///< The result of the run, on the link.
+    LinkLost, ///< The link breaks.
+    LinkedWithRun, ///< It links and has the run.
+    LinkedWithoutRun, ///< It links and the run is over, or never arrived.
+    Restarted, ///< Another incarnation of it links.
+};
+
+struct RelayedRow {
+    char name[40];
+    AgentIs agent;
+    Hears hears;
+    bool isJobFirst; ///< The job waits here before the entry is told.
+    bool isOtherIncarnation; ///< This entry knew another incarnation of the agent than the one that has the run.
+    bool isHeld; ///< The task isn't ordered before the run must have lapsed.
+};
+
+ParameterizedTestParameters(Dispatcher, jobWaitsForTheRunsThatAnotherEntryTellsOf)
+{
+    static RelayedRow rows[] = {
+        { "linked, ends", AgentIs::Linked, Hears::TheEnd, false, false, false },
+        { "linked, ends, job first", AgentIs::Linked, Hears::TheEnd, true, false, false },
+        { "linked, link lost", AgentIs::Linked, Hears::LinkLost, false, false, true },
+        { "unlinked, unheard of", AgentIs::Unlinked, Hears::Nothing, false, false, true },
+        { "unlinked, unheard of, job first", AgentIs::Unlinked, Hears::Nothing, true, false, true },
+        { "unlinked, links with it", AgentIs::Unlinked, Hears::LinkedWithRun, false, false, true },
+        { "unlinked, links without it", AgentIs::Unlinked, Hears::LinkedWithoutRun, false, false, false },
+        { "unlinked, restarted", AgentIs::Unlinked, Hears::Restarted, false, false, false },
+        { "other life, unheard of", AgentIs::Unlinked, Hears::Nothing, false, true, true },
+        { "other life, links with it", AgentIs::Unlinked, Hears::LinkedWithRun, false, true, true },
+        { "other life, restarted", AgentIs::Unlinked, Hears::Restarted, false, true, false },
+        { "unknown, unheard of", AgentIs::Unknown, Hears::Nothing, false, false, true },
+        { "unknown, unheard of, job first", AgentIs::Unknown, Hears::Nothing, true, false, true },
+        { "unknown, links with it", AgentIs::Unknown, Hears::LinkedWithRun, false, false, true },
+        { "unknown, links without it", AgentIs::Unknown, Hears::LinkedWithoutRun, false, false, false },
+    };
+    return cr_make_param_array(RelayedRow, rows, sizeof(rows) / sizeof(RelayedRow));
+}
+
+ParameterizedTest(RelayedRow* row, Dispatcher, jobWaitsForTheRunsThatAnotherEntryTellsOf)
+{
+    constexpr size_t agent = 2;
+    constexpr uint64_t restarts = 1; // Of the incarnation that has the run.
+    const Milliseconds lapse = DispatcherLimits().runLapse;
+    DispatcherFixture fixture(2);
+    if (row->agent != AgentIs::Unknown)
+        fixture.link(agent, row->isOtherIncarnation ? restarts - 1 : restarts);
+    if (row->agent == AgentIs::Unlinked) {
+        fixture.dispatcher.linkClosed(LinkId(agent), fixture.now);
+        fixture.advance(2 * lapse);
+    }
+    const RunId run { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(5) };
+    const auto tell = [&] {
+        wire::RelayedOrphansT message;
+        auto& runs = *message.agents.emplace_back(std::make_unique<wire::AgentRunsT>());
+        runs.agent = "agent" + std::to_string(agent);
+        runs.agent_incarnation = 100 + agent + 1000 * restarts;
+        runs.lapse_ms = static_cast<uint32_t>(lapse.count());
+        runs.ids.push_back(toWire(run));
+        fixture.deliver(0, std::move(message));
+    };
+    if (!row->isJobFirst) {
+        tell();
+        tell(); // By another agent.
+    } else {
+        for (const size_t i : { 0, 1, 2 })
+            fixture.reportCapacity(i, agentCpu, 0);
+    }
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    if (row->isJobFirst) {
+        tell();
+        tell();
+        for (const size_t i : { 0, 1 })
+            fixture.reportCapacity(i, agentCpu, agentCpu);
+    }
+    fixture.advance(Milliseconds(100));
+    cr_assert(fixture.orders.empty(), "%s: the run may be there", row->name);
+    cr_expect_eq(fixture.stops.size(), row->agent == AgentIs::Linked ? 1U : 0U, "%s", row->name);
+    fixture.agentByRun[run] = agent;
+    switch (row->hears) {
+    case Hears::Nothing:
+        break;
+    case Hears::TheEnd:
+        fixture.end(run, wire::RunOutcome::Stopped);
+        break;
+    case Hears::LinkLost:
+        fixture.dispatcher.linkClosed(LinkId(agent), fixture.now);
+        break;
+    case Hears::LinkedWithRun:
+        fixture.link(agent, restarts);
+        cr_expect(fixture.orders.empty(), "%s: the agent has not answered the query", row->name);
+        fixture.end(run, wire::RunOutcome::NotStarted, Milliseconds(0), wire::Refusal::Occupied, raw(run.run));
+        cr_expect_eq(fixture.stops.size(), 1U, "%s", row->name);
+        break;
+    case Hears::LinkedWithoutRun:
+        fixture.link(agent, restarts);
+        cr_expect(fixture.orders.empty(), "%s: the agent has not answered the query", row->name);
+        fixture.end(run, wire::RunOutcome::NotStarted);
+        break;
+    case Hears::Restarted:
+        fixture.link(agent, restarts + 1);
+        break;
+    }
+    if (row->isHeld) {
+        fixture.advance(lapse - Milliseconds(140));
+        cr_expect(fixture.orders.empty(), "%s: the run has not lapsed", row->name);
+        if (row->hears == Hears::LinkedWithRun)
+            fixture.end(run, wire::RunOutcome::Stopped);
+        fixture.advance(Milliseconds(200));
+    }
+    cr_assert_eq(fixture.orders.size(), 1U, "%s: %zu orders", row->name, fixture.orders.size());
+    cr_expect_gt(raw(fixture.orders.back().run), raw(run.run), "%s", row->name);
+    if (row->hears == Hears::TheEnd) {
+        tell(); // What arrives late tells of a run that is over.
+        cr_expect_eq(fixture.dispatcher.counters().jobsElsewhere, 0U, "%s", row->name);
+    }
+}
+
+struct RelaysRow {
+    char name[40];
+    char failureDomains[8]; ///< One letter an agent, those heard of most recently first.
+    bool isCallerGone; ///< Otherwise the job is cancelled.
+    char relays[8]; ///< Positions of the agents that are expected to be told.
+};
+
+ParameterizedTestParameters(Dispatcher, entryRelaysTheRunsOfACallerThatLeft)
+{
+    static RelaysRow rows[] = {
+        { "one agent", "a", true, "0" },
+        { "one failure domain", "aaaa", true, "012" },
+        { "two failure domains", "aaab", true, "031" },
+        { "three failure domains", "aabbc", true, "024" },
+        { "cancelled", "aaaa", false, "" },
+    };
+    return cr_make_param_array(RelaysRow, rows, sizeof(rows) / sizeof(RelaysRow));
+}
+
+ParameterizedTest(RelaysRow* row, Dispatcher, entryRelaysTheRunsOfACallerThatLeft)
+{
+    DispatcherFixture fixture(0);
+    const std::string domains = row->failureDomains;
+    for (size_t i = domains.size(); i-- > 0;) {
+        fixture.now += Milliseconds(1);
+        fixture.link(i, 0, std::string(1, domains[i]));
+    }
+    fixture.submit(1, stepOf(2, 1000));
+    cr_assert_eq(fixture.orders.size(), 2U, "%s", row->name);
+    if (row->isCallerGone)
+        fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    else
+        fixture.dispatcher.cancel(WorkId(1), fixture.now);
+    fixture.collectEffects();
+    std::string relays;
+    for (const auto relay : fixture.relays)
+        relays += std::to_string(relay);
+    cr_expect(relays == row->relays, "%s: told %s", row->name, relays.c_str());
+    size_t told = 0;
+    for (const auto& runs : fixture.lastRelayed.agents) {
+        for (const auto& id : runs->ids) {
+            ++told;
+            const auto agent = fixture.agentByRun.at(fromWire(id));
+            cr_expect(runs->agent == "agent" + std::to_string(agent), "%s", row->name);
+            cr_expect_eq(runs->agent_incarnation, 100 + agent, "%s", row->name);
+        }
+    }
+    cr_expect_eq(told, row->isCallerGone ? 2U : 0U, "%s", row->name);
+}
+
+Test(Dispatcher, relayedRunsOfAnAgentWithoutALinkAreToldAgainWhenItLinks)
+{
+    DispatcherFixture fixture(2);
+    constexpr Milliseconds unlinked { 300 };
+    const auto lapse = static_cast<uint32_t>(DispatcherLimits().runLapse.count());
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    const auto run = fixture.orders.back();
+    const auto agent = fixture.agentByRun.at(run);
+    fixture.dispatcher.linkClosed(LinkId(agent), fixture.now);
+    fixture.now += unlinked;
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    cr_assert_eq(fixture.relays.size(), 1U);
+    cr_expect_eq(fixture.relays.front(), 1 - agent);
+    cr_assert_eq(fixture.lastRelayed.agents.size(), 1U);
+    cr_expect_eq(fixture.lastRelayed.agents.front()->lapse_ms, lapse - unlinked.count());
+    fixture.link(agent);
+    cr_expect_eq(fixture.relays.size(), 3U);
+    cr_assert_eq(fixture.lastRelayed.agents.size(), 1U);
+    cr_expect_eq(fixture.lastRelayed.agents.front()->lapse_ms, lapse);
+    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front()) == run);
+    fixture.end(run, wire::RunOutcome::Stopped);
+    fixture.dispatcher.linkClosed(LinkId(agent), fixture.now);
+    fixture.link(agent);
+    cr_expect_eq(fixture.relays.size(), 3U, "the run is over");
+}
+
 struct TakenOverRow {
     char name[16];
     wire::RunOutcome outcome;
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -235,6 +235,7 @@
     std::map<LinkId, wire::Refusal> lastRefusal; ///< In the last result on each link.
     uint32_t activeRun = 0; ///< In the last result.
     std::map<LinkId, std::vector<RunId>> orphans;
+    std::map<LinkId, wire::RelayedOrphansT> relayed; ///< The last message of the kind on each link.
     std::map<LinkId, Resources> free;
     std::map<LinkId, Resources> total;
     std::map<LinkId, TimePoint> lastSent; ///< The agent time of the last message on each link.
@@ -269,7 +270,8 @@
         else if (const auto* message = send.body.AsOrphanedRuns()) {
             for (const auto& id : message->ids)
                 orphans[send.link].push_back(fromWire(id));
-        }
+        } else if (const auto* message = send.body.AsRelayedOrphans())
+            relayed[send.link] = *message;
     }
 };
 
@@ -595,6 +597,36 @@
     cr_expect(fixture.orphans[firstLink].empty(), "%s", row->name);
 }
 
+Test(RunGate, runsThatAnEntryTellsOfArePassedOnToAllOtherEntries)
+{
+    Fixture fixture;
+    const LinkId earlierRelease { 77 };
+    wire::WelcomeT welcome;
+    welcome.entry = "earlier";
+    welcome.incarnation = 77;
+    fixture.gate.entryLinked(earlierRelease, welcome, TimePoint(), fixture.now);
+    wire::RelayedOrphansT message;
+    auto& runs = *message.agents.emplace_back(std::make_unique<wire::AgentRunsT>());
+    runs.agent = "another agent";
+    runs.agent_incarnation = 5;
+    runs.lapse_ms = 1250;
+    runs.ids = { toWire(runId(1)), toWire(runId(2)) };
+    wire::BodyUnion body;
+    body.Set(std::move(message));
+    fixture.deliver(firstLink, body);
+    fixture.collectEffects();
+    cr_expect_not(fixture.relayed.contains(firstLink));
+    cr_expect_not(fixture.relayed.contains(earlierRelease), "it doesn't know the message");
+    cr_assert(fixture.relayed.contains(secondLink));
+    const auto& told = fixture.relayed.at(secondLink).agents;
+    cr_assert_eq(told.size(), 1U);
+    cr_expect_str_eq(told.front()->agent.c_str(), "another agent");
+    cr_expect_eq(told.front()->agent_incarnation, 5U);
+    cr_expect_eq(told.front()->lapse_ms, 1250U);
+    cr_expect_eq(told.front()->ids.size(), 2U);
+    cr_expect(fixture.stops.empty());
+}
+
 struct SuccessorRow {
     char name[40];
     bool ownerStops; ///< The owner stops the run before the other entry does.
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -547,6 +547,68 @@
     }
 }
 
+/** Why the agents of runs can't tell other entries that their caller has gone. */
+enum class Unreachable : uint8_t {
+    Suspended, ///< Their processes are suspended.
+    CutOff, ///< They are cut off from the entry whose callers leave.
+    HeldUp ///< Messages between them and this entry are held up.
+};
+
+struct UnreachableRow {
+    char name[32];
+    Unreachable kind;
+    double lostStops;
+};
+
+ParameterizedTestParameters(ClusterSimulation, runsThatTheirAgentsCannotTellOfNeverOverlapTheirResubmission)
+{
+    static UnreachableRow rows[] = {
+        { "suspended", Unreachable::Suspended, 0 },
+        { "cut off", Unreachable::CutOff, 0 },
+        { "cut off, stops get lost", Unreachable::CutOff, 0.5 },
+        { "held up", Unreachable::HeldUp, 0 },
+    };
+    return cr_make_param_array(UnreachableRow, rows, sizeof(rows) / sizeof(UnreachableRow));
+}
+
+ParameterizedTest(UnreachableRow* row, ClusterSimulation, runsThatTheirAgentsCannotTellOfNeverOverlapTheirResubmission,
+    .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        auto scenario = mingaScenario("callers turn to another entry, beside agents that are out of reach");
+        scenario.seed = seed;
+        scenario.load = 0.4;
+        scenario.lostStops = row->lostStops;
+        scenario.quickResend = Milliseconds(10);
+        scenario.resendsElsewhere = true;
+        scenario.resetsLinks = false;
+        scenario.resetShare = 0.8;
+        scenario.slowLinkLength = Milliseconds(0);
+        std::vector<size_t> servers(scenario.servers);
+        std::iota(servers.begin(), servers.end(), size_t(0));
+        scenario.faults = { { ServerFaultKind::Slow, servers, Milliseconds(2000), scenario.length, 2 } };
+        for (size_t i = 0; i < 4; ++i) {
+            const auto entry = i % scenario.entries;
+            const Milliseconds when { 3000 + 4500 * i };
+            if (row->kind == Unreachable::Suspended) {
+                for (size_t agent = i; agent < scenario.servers; agent += 3)
+                    scenario.agentSuspensions.emplace_back(agent, when);
+            } else {
+                auto& faults = row->kind == Unreachable::CutOff ? scenario.slowLinks : scenario.linkStalls;
+                faults.emplace_back(entry, when);
+            }
+            for (const int64_t delay : { 50, 150, 300 })
+                scenario.connectionResets.emplace_back(entry, when + Milliseconds(delay));
+        }
+        const auto report = simulate(scenario);
+        cr_expect(report.violations.empty(), "%s, seed %d: %zu violations, the first one: %s", row->name,
+            static_cast<int>(seed), report.violations.size(),
+            report.violations.empty() ? "" : report.violations.front().c_str());
+        cr_expect_geq(report.servedShare(), 0.5, "%s, seed %d: served %f", row->name, static_cast<int>(seed),
+            report.servedShare());
+    }
+}
+
 /** Callers of a killed entry send their jobs again, while servers answer polls but hardly any stop gets through. */
 Test(ClusterSimulation, runsOfLostEntriesNeverOverlapTheirReplacementsWhileStopsGetLost, .timeout = 120)
 {
