An entry that was suspended reads what waits before it starts jobs

A job that reaches an entry while it is suspended is read when it goes on, often before what arrived on its links meanwhile: the entry started tasks whose runs at another entry its links were about to tell of.

An entry that did nothing for over 100 ms, five ticks, now counts the silence of its links from then on, and starts no new job for relinkWait (60 ms), as after the loss of a link. That its own runs lapse later for it is on the safe side.

The fixture of DispatcherTest and two of its rows moved the clock by over a second in one step, which now is a suspension; they tick every 20 ms instead, as the process does, and check the same. Suites dispatcher (78) and room-policy (107) pass.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -41,6 +41,7 @@
     /** After the loss of a link, jobs wait this long at most for a new one before their first run: the agent tells of
      * orphaned runs on it. */
     Milliseconds relinkWait { 60 };
+    Milliseconds suspensionThreshold { 100 }; ///< A process that did nothing for this long was suspended.
     size_t maxOrphanedRuns = 16384; ///< Orphaned runs of other entries beyond this many are not remembered.
     uint64_t traceSampleInterval = 64; ///< The trace of one in this many jobs answered in time is logged.
     size_t backfillDepth = 24; ///< Queued jobs that may fail to be placed before a pass over the queue ends.
@@ -379,7 +380,9 @@
     static void traceRun(
         std::string_view kind, Job& job, const RunId& id, const AgentView& agent, std::string reason, TimePoint now);
     void sendStop(size_t agent, const std::vector<RunId>& ids, bool isCallerGone, TimePoint now);
-    /** Whether a link was lost a moment ago, so that orphaned runs there may not be known. */
+    /** After a suspension, messages that arrived meanwhile are read before links count as silent and jobs start. */
+    void detectSuspension(TimePoint now);
+    /** Whether a link was lost a moment ago, or messages may wait, so that orphaned runs may not be known. */
     bool isRelinking(TimePoint now) const;
     /** Until when a run at an agent may be there if nothing is heard of it. */
     TimePoint lapseOf(const AgentView& agent, const RunId& id, TimePoint now) const;
@@ -437,6 +440,7 @@
     std::map<std::pair<RunId, size_t>, OrphanedRun> m_orphanedRuns;
     TimePoint m_nextSummary {};
     TimePoint m_lastTick {};
+    TimePoint m_catchUpUntil {}; ///< Until then messages that arrived during a suspension may wait.
     TimePoint m_settledAt {}; ///< When the discovery of agents counts as complete.
     size_t m_entryCount = 1;
     size_t m_entryPosition = 0; ///< Position of this entry in the order of all entries.
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -71,6 +71,7 @@
 
 void Dispatcher::submit(WorkSpec spec, RoutePolicy route, Milliseconds budget, WaiterId waiter, TimePoint now)
 {
+    detectSuspension(now);
     const auto id = spec.id;
     if (auto* openJob = findJob(id)) {
         openJob->waiters.push_back(waiter);
@@ -681,6 +682,7 @@
 
 void Dispatcher::tick(TimePoint now)
 {
+    detectSuspension(now);
     m_lastTick = now;
     if (m_settledAt == TimePoint())
         m_settledAt = now + m_limits.settleTime;
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -219,10 +219,23 @@
     }
 }
 
+void Dispatcher::detectSuspension(TimePoint now)
+{
+    const auto pause = now - m_lastTick;
+    if (m_lastTick == TimePoint() || pause <= m_limits.suspensionThreshold)
+        return;
+    m_effects.record(LogLevel::Warning, "suspended", { { "ms", toMilliseconds(pause).count() } });
+    m_lastTick = now;
+    m_catchUpUntil = now + m_limits.relinkWait;
+    for (auto& agent : m_agents)
+        agent.lastHeard = now;
+}
+
 bool Dispatcher::isRelinking(TimePoint now) const
 {
-    return std::any_of(
-        m_agents.begin(), m_agents.end(), [&](const AgentView& agent) { return agent.relinkUntil > now; });
+    return m_catchUpUntil > now || std::any_of(m_agents.begin(), m_agents.end(), [&](const AgentView& agent) {
+        return agent.relinkUntil > now;
+    });
 }
 
 template <typename Message> void Dispatcher::updateResources(AgentView& agent, const Message& message, TimePoint now)
@@ -247,6 +260,7 @@
     if (!index)
         return;
     ++m_counters.messagesReceived;
+    detectSuspension(now);
     m_agents[*index].lastHeard = m_agents[*index].lastReceived = now;
     m_agents[*index].agentTime = agentTime;
     switch (body.type) {
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -24,8 +24,7 @@
         dispatcher.tick(now);
         for (size_t i = 0; i < agents; ++i)
             link(i);
-        now += DispatcherLimits().settleTime;
-        tick();
+        advance(DispatcherLimits().settleTime);
     }
 
     /** Links an agent; `restart` counts its restarts, each of which is another incarnation. */
@@ -527,8 +526,7 @@
     cr_assert_eq(fixture.orders.size(), 1U, "%s: the earlier run is still being stopped", row->name);
     if (row->isAgentLost) {
         fixture.dispatcher.linkClosed(LinkId(fixture.agentByRun.at(run)), fixture.now);
-        fixture.now += DispatcherLimits().runLapse + Milliseconds(20);
-        fixture.tick();
+        fixture.advance(DispatcherLimits().runLapse + Milliseconds(20));
     } else {
         fixture.end(run, row->outcome);
     }
@@ -596,8 +594,7 @@
     cr_expect(fixture.stops.back() == run, "%s", row->name);
     if (row->isAgentLost) {
         fixture.dispatcher.linkClosed(LinkId(agent), fixture.now);
-        fixture.now += DispatcherLimits().runLapse + Milliseconds(20);
-        fixture.tick();
+        fixture.advance(DispatcherLimits().runLapse + Milliseconds(20));
     } else {
         fixture.agentByRun[run] = agent;
         fixture.end(run, row->outcome);
@@ -828,6 +825,45 @@
     cr_expect_eq(fixture.relays.size(), 3U, "the run is over");
 }
 
+struct SuspendedEntryRow {
+    char name[32];
+    int64_t pauseMs; ///< For which the entry does nothing.
+    bool isTold; ///< A message that tells of an orphaned run waits meanwhile; it is read after the job.
+    size_t atOnce; ///< Orders expected before the message is read.
+    size_t later; ///< Orders expected in all, when messages that arrived have been read.
+};
+
+ParameterizedTestParameters(Dispatcher, entryThatWasSuspendedReadsWhatWaitsBeforeItStartsJobs)
+{
+    static SuspendedEntryRow rows[] = {
+        { "not suspended", 20, false, 1, 1 },
+        { "suspended", 600, false, 0, 1 },
+        { "suspended, told", 600, true, 0, 0 },
+        { "suspended shortly, told", 150, true, 0, 0 },
+    };
+    return cr_make_param_array(SuspendedEntryRow, rows, sizeof(rows) / sizeof(SuspendedEntryRow));
+}
+
+ParameterizedTest(SuspendedEntryRow* row, Dispatcher, entryThatWasSuspendedReadsWhatWaitsBeforeItStartsJobs)
+{
+    DispatcherFixture fixture;
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000)); // The shorter silence limit holds for links with runs.
+    fixture.submit(2, stepOf(1, 9500), Milliseconds(5000));
+    const auto others = fixture.orders.size();
+    fixture.now += Milliseconds(row->pauseMs);
+    fixture.submit(3, stepOf(1, 400), Milliseconds(5000));
+    cr_expect_eq(fixture.orders.size() - others, row->atOnce, "%s", row->name);
+    fixture.tick();
+    cr_expect_eq(fixture.dispatcher.linkedAgents(), 2U, "%s: messages may wait on the links", row->name);
+    if (row->isTold) {
+        wire::OrphanedRunsT orphans;
+        orphans.ids.push_back(toWire(RunId { { WorkId(3), StepIndex(0), TaskIndex(0) }, RunNumber(1) }));
+        fixture.deliver(0, std::move(orphans));
+    }
+    fixture.advance(DispatcherLimits().relinkWait + Milliseconds(20));
+    cr_expect_eq(fixture.orders.size() - others, row->later, "%s", row->name);
+}
+
 struct TakenOverRow {
     char name[16];
     wire::RunOutcome outcome;
