A task waits for all orphaned runs of it, not only for one

An entry that got a job again adopted one orphaned run of each task, that with the highest number, and forgot the others.

The other ones are now kept, and stopped at once. The task waits for each of them in turn before it is ready; one whose agent has told its end meanwhile is skipped. So is a run for which an order is refused as Occupied, and one that was told while the task had a run here, if that run is repeated.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -272,6 +272,8 @@
     void adoptRuns(Job& job, TimePoint now);
     /** The task of a run, which was ordered before its job was submitted here, waits for the end of this run. */
     void adoptRun(Job& job, const RunId& id, size_t agent, TimePoint now);
+    /** A task without a run waits for the latest of its orphaned runs that it has not waited for. */
+    void adoptOrphan(Job& job, const TaskId& task, TimePoint now);
     /** The same for a run of another entry, which is stopped. */
     void adoptForeignRun(Job& job, const RunId& id, size_t agent, const ForeignRun& run, TimePoint now);
     /** Reason for which a new job is refused; empty if it can be accepted. */
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -147,17 +147,37 @@
                 adoptRun(job, id, i, now);
         }
     }
-    // Of the runs of one task, only the one with the highest number may still be there.
-    std::map<TaskId, std::pair<std::pair<RunId, size_t>, ForeignRun>> latest;
-    for (auto it = m_orphanedRuns.lower_bound({ { { jobId, StepIndex(0), TaskIndex(0) }, RunNumber(0) }, 0 });
-         it != m_orphanedRuns.end() && it->first.first.task.job == jobId;) {
-        const auto& [key, orphan] = *it;
-        if (orphan.expires > now && !orphan.isOver)
-            latest[key.first.task] = { key, orphan.run };
-        it = orphan.isOver ? std::next(it) : m_orphanedRuns.erase(it);
+    const auto orphans = [&] {
+        std::vector<std::pair<RunId, size_t>> keys;
+        for (auto it = m_orphanedRuns.lower_bound({ { { jobId, StepIndex(0), TaskIndex(0) }, RunNumber(0) }, 0 });
+             it != m_orphanedRuns.end() && it->first.first.task.job == jobId; ++it) {
+            if (it->second.expires > now && !it->second.isOver)
+                keys.push_back(it->first);
+        }
+        return keys;
+    };
+    for (const auto& [id, agent] : orphans())
+        adoptOrphan(job, id.task, now);
+    for (const auto& [id, agent] : orphans())
+        sendStop(agent, { id }, false, now); // The task waits for it after the one that it has adopted.
+}
+
+void Dispatcher::adoptOrphan(Job& job, const TaskId& taskId, TimePoint now)
+{
+    const auto* task = findTask(taskId);
+    if (task == nullptr || (task->state != TaskState::Ready && task->state != TaskState::Blocked))
+        return;
+    auto latest = m_orphanedRuns.end();
+    for (auto it = m_orphanedRuns.lower_bound({ { taskId, RunNumber(0) }, 0 });
+         it != m_orphanedRuns.end() && it->first.first.task == taskId; ++it) {
+        if (it->second.expires > now && !it->second.isOver)
+            latest = it;
     }
-    for (const auto& [task, orphan] : latest)
-        adoptForeignRun(job, orphan.first.first, orphan.first.second, orphan.second, now);
+    if (latest == m_orphanedRuns.end())
+        return;
+    const auto [key, orphan] = *latest;
+    m_orphanedRuns.erase(latest);
+    adoptForeignRun(job, key.first, key.second, orphan.run, now);
 }
 
 void Dispatcher::adoptRun(Job& job, const RunId& id, size_t agentIndex, TimePoint now)
@@ -885,10 +905,11 @@
 {
     if (!isUnblocked(job, raw(id.task.step))) {
         task.state = TaskState::Blocked; // Its run was adopted.
-        return;
+    } else {
+        task.state = TaskState::Ready;
+        job.steps[raw(id.task.step)].ready.push_back(raw(id.task.index));
     }
-    task.state = TaskState::Ready;
-    job.steps[raw(id.task.step)].ready.push_back(raw(id.task.index));
+    adoptOrphan(job, id.task, now);
     requeue(job, now);
 }
 
@@ -937,9 +958,10 @@
         ++m_counters.refusals[result.refusal];
         traceRun("run-refused", job, id, agent, wire::EnumNameRefusal(result.refusal), now);
         if (result.refusal == wire::Refusal::Occupied && result.active_run > 0) {
-            retryTask(job, id, task, now);
-            adoptForeignRun(job, { id.task, RunNumber(result.active_run) }, agentIndex, { agent.incarnation, {} }, now);
-            return requeue(job, now);
+            const RunId active { id.task, RunNumber(result.active_run) };
+            m_orphanedRuns[{ active, agentIndex }]
+                = { { agent.incarnation, {} }, now + m_limits.orphanRetention, false };
+            return retryTask(job, id, task, now);
         }
         if (result.refusal == wire::Refusal::RunTooLow)
             task.run = RunNumber(raw(task.run) + runNumberJump);
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -447,8 +447,12 @@
         sendStop(index, { id }, findJob(id.task.job) == nullptr, now);
         return;
     }
-    if (agent.runs.erase(id) == 0)
+    if (agent.runs.erase(id) == 0) {
+        const auto orphan = m_orphanedRuns.find({ id, index });
+        if (orphan != m_orphanedRuns.end() && result.refusal != wire::Refusal::Occupied)
+            orphan->second.isOver = true;
         return;
+    }
     if (agent.foreignRuns.erase(id) > 0 && result.refusal != wire::Refusal::Occupied)
         m_orphanedRuns[{ id, index }] = { {}, now + m_limits.orphanRetention, true };
     agent.suspects.erase(id);
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -825,6 +825,46 @@
     cr_expect_eq(fixture.relays.size(), 3U, "the run is over");
 }
 
+struct SeveralOrphansRow {
+    char name[48];
+    uint32_t runs[2]; ///< Numbers of the runs at the two agents; entries that don't know each other's use the same.
+    size_t endsFirst; ///< Agent of the run that ends first.
+};
+
+ParameterizedTestParameters(Dispatcher, taskWaitsForAllOrphanedRunsOfIt)
+{
+    static SeveralOrphansRow rows[] = {
+        { "same number, the first agent's ends first", { 1, 1 }, 0 },
+        { "same number, the second agent's ends first", { 1, 1 }, 1 },
+        { "lower number first", { 1, 2 }, 0 },
+        { "higher number first", { 1, 2 }, 1 },
+    };
+    return cr_make_param_array(SeveralOrphansRow, rows, sizeof(rows) / sizeof(SeveralOrphansRow));
+}
+
+ParameterizedTest(SeveralOrphansRow* row, Dispatcher, taskWaitsForAllOrphanedRunsOfIt)
+{
+    DispatcherFixture fixture;
+    const auto runAt = [&](size_t agent) {
+        return RunId { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(row->runs[agent]) };
+    };
+    for (const size_t agent : { 0, 1 }) {
+        wire::OrphanedRunsT orphans;
+        orphans.ids.push_back(toWire(runAt(agent)));
+        fixture.deliver(agent, std::move(orphans));
+    }
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    cr_expect_eq(fixture.stops.size(), 2U, "%s: both are stopped at once", row->name);
+    for (const auto agent : { row->endsFirst, 1 - row->endsFirst }) {
+        fixture.advance(Milliseconds(40));
+        cr_assert(fixture.orders.empty(), "%s: the run at agent %zu isn't over", row->name, agent);
+        fixture.agentByRun[runAt(agent)] = agent;
+        fixture.end(runAt(agent), wire::RunOutcome::Stopped);
+    }
+    cr_assert_eq(fixture.orders.size(), 1U, "%s", row->name);
+    cr_expect_gt(raw(fixture.orders.back().run), std::max(row->runs[0], row->runs[1]), "%s", row->name);
+}
+
 struct SuspendedEntryRow {
     char name[32];
     int64_t pauseMs; ///< For which the entry does nothing.
