A refused id of a poll that names none counts as no answer

Cause (independent review): each such answer sent the next poll at once, for ever, and each poll extended the time at which the agent takes its leases as ended, so that runs of a server that answers so were never over.

Change: it counts as unanswered, as before polls could name an id.

--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -134,6 +134,8 @@
 {
     detectSuspension(now);
     m_pendingPolls.erase(number);
+    if (outcome == PollOutcome::OtherInstance && number != m_probe.poll)
+        outcome = PollOutcome::NoAnswer; // A poll that names no id is refused for none: the answer shows nothing.
     if (outcome != PollOutcome::Refused)
         recordCall(outcome != PollOutcome::NoAnswer);
     const bool wasFresh = isListingFresh(now);
@@ -157,8 +159,7 @@
             sendWaitingPolls(now); // The server has answered a later poll.
         }
     } else if (outcome == PollOutcome::OtherInstance) {
-        if (number == m_probe.poll)
-            instanceRefused(m_probe.instance, now);
+        instanceRefused(m_probe.instance, now);
         sendWaitingPolls(now);
     } else if (outcome == PollOutcome::StaleFence) {
         if (number >= m_fencedFromPoll)
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -2399,3 +2399,24 @@
     }
     cr_expect_eq(fixture.gate.counters().crashes, row->crashes, "%s", row->name);
 }
+
+/** Each answer sent the next poll at once, for ever. */
+Test(RunGate, refusedIdOfAPollThatNamesNoneIsNoAnswer)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    size_t polls = 0;
+    const auto until = fixture.now + fixture.limits.lease + Milliseconds(500);
+    for (; fixture.now < until; fixture.now += Milliseconds(20)) {
+        fixture.gate.tick(fixture.now);
+        fixture.sendHeartbeats();
+        fixture.collectEffects();
+        const auto last = fixture.lastPoll;
+        fixture.gate.pollAnswered(last, PollOutcome::OtherInstance, {}, fixture.now);
+        fixture.collectEffects();
+        polls += fixture.lastPoll - last;
+    }
+    cr_expect_leq(polls, 2U * 60, "%zu polls in 60 ticks", polls);
+    cr_expect_eq(fixture.gate.runs(), 0U, "no lease is renewed, so that the run's end shows");
+}
