--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -295,10 +295,10 @@
 std::set<std::string> RunGate::unreadableRows(const Listing& listing)
 {
     std::set<std::string> rows;
+    std::map<std::string, size_t> copies;
     for (const auto& text : listing.unreadableRunning) {
-        auto row = text;
-        for (int n = 2; !rows.insert(row).second; ++n)
-            row = fmt::format("{} {}", text, n);
+        const auto n = ++copies[text];
+        rows.insert(n == 1 ? text : fmt::format("{} {}", text, n));
     }
     return rows;
 }
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -2420,3 +2420,16 @@
     cr_expect_leq(polls, 2U * 60, "%zu polls in 60 ticks", polls);
     cr_expect_eq(fixture.gate.runs(), 0U, "no lease is renewed, so that the run's end shows");
 }
+
+Test(RunGate, equalUnreadableRowsAreToldApartByTheirNumber)
+{
+    Fixture fixture;
+    Listing listing = listingOf({});
+    constexpr size_t rows = 50000;
+    listing.unreadableRunning.assign(rows, "odd");
+    const auto begin = std::chrono::steady_clock::now();
+    fixture.answerPoll(listing);
+    cr_expect_lt((std::chrono::steady_clock::now() - begin).count(),
+        std::chrono::nanoseconds(std::chrono::seconds(10)).count(), "an agent that is busy for long loses its links");
+    cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Closed);
+}
