Soak: resends 3 is an ordinary row again; what remains of jobs sent to another entry

The same play, group resends, seed 3, with the same checks and time-out, is a row of keepsTheRulesOnSeedsThatFailed now.

--- a/tests/PlatformSoak.cpp
+++ b/tests/PlatformSoak.cpp
@@ -751,6 +751,7 @@
         { 41, "", "TWICE: an order that a cut of 2 s held up started after its entry had given the run up" },
         { 4, "delays", "TWICE: an agent heard an entry late that had given its runs up, beside stops that got lost" },
         { 10, "lives", "TWICE: a task whose adopted run had ended was started, and again when its step began" },
+        { 3, "resends", "TWICE: a job was sent to another entry; the agent of its run could not tell it of the run" },
         { 3, "odd", "RECOVER: an agent ignored its server for good after a ping with a start time far ahead" },
     };
     return cr_make_param_array(SeedRow, rows, sizeof(rows) / sizeof(SeedRow));
@@ -761,12 +762,6 @@
     playSoak({ .seed = row->seed, .group = row->group });
 }
 
-/** An entry whose links were reset a moment before gets a job again that another entry is stopping. */
-Test(PlatformSoak, jobsSentAgainWhileLinksAreResetRunOnce, .timeout = 300)
-{
-    playSoak({ .seed = 3, .group = "resends" });
-}
-
 /** Late starts at the next process of a server whose clock didn't begin at 0 in the process before. */
 Test(PlatformSoak, lateStartsAreOutrankedWhereverServerClocksBegin, .timeout = 300)
 {
