A slow entry starts jobs and notices silent agents

Change: an entry catches up at most each 500 ms, more than a link may be silent; links are then given 60 ms to be heard of, not the whole time.

Test: DispatcherTest slowEntryStartsJobsAndNoticesSilentAgents failed before in 3 of 3 rows; now dispatcher 85 of 85.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -42,6 +42,9 @@
      * orphaned runs on it. */
     Milliseconds relinkWait { 60 };
     Milliseconds suspensionThreshold { 100 }; ///< A process that did nothing for this long was suspended.
+    /** A process whose pauses are all as long as that catches up on its links this often at most, so that jobs start
+     * and silent agents are noticed in between; exceeds `linkSilence`. */
+    Milliseconds catchUpInterval { 500 };
     size_t maxOrphanedRuns = 16384; ///< Orphaned runs of other entries beyond this many are not remembered.
     uint64_t traceSampleInterval = 64; ///< The trace of one in this many jobs answered in time is logged.
     size_t backfillDepth = 24; ///< Queued jobs that may fail to be placed before a pass over the queue ends.
@@ -384,6 +387,8 @@
     void sendStop(size_t agent, const std::vector<RunId>& ids, bool isCallerGone, TimePoint now);
     /** After a suspension, messages that arrived meanwhile are read before links count as silent and jobs start. */
     void detectSuspension(TimePoint now);
+    /** How long a link may be without a message before it is closed. */
+    Milliseconds allowedSilence(const AgentView& agent) const;
     /** Whether a link was lost a moment ago, or messages may wait, so that orphaned runs may not be known. */
     bool isRelinking(TimePoint now) const;
     /** Until when a run at an agent may be there if nothing is heard of it. */
@@ -442,6 +447,7 @@
     std::map<std::pair<RunId, size_t>, OrphanedRun> m_orphanedRuns;
     TimePoint m_nextSummary {};
     TimePoint m_lastTick {};
+    TimePoint m_nextCatchUp {}; ///< Earliest time of the next one.
     TimePoint m_catchUpUntil {}; ///< Until then messages that arrived during a suspension may wait.
     TimePoint m_settledAt {}; ///< When the discovery of agents counts as complete.
     size_t m_entryCount = 1;
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -189,6 +189,11 @@
     }
 }
 
+Milliseconds Dispatcher::allowedSilence(const AgentView& agent) const
+{
+    return agent.runs.empty() ? m_limits.idleLinkTimeout : m_limits.linkSilence;
+}
+
 void Dispatcher::tickLinks(TimePoint now)
 {
     std::vector<LinkId> silent;
@@ -202,8 +207,7 @@
             continue;
         }
         const bool isBusy = !agent.runs.empty();
-        const auto allowed = isBusy ? m_limits.linkSilence : m_limits.idleLinkTimeout;
-        if (now - agent.lastHeard > allowed) {
+        if (now - agent.lastHeard > allowedSilence(agent)) {
             silent.push_back(agent.link);
             continue;
         }
@@ -222,13 +226,14 @@
 void Dispatcher::detectSuspension(TimePoint now)
 {
     const auto pause = now - m_lastTick;
-    if (m_lastTick == TimePoint() || pause <= m_limits.suspensionThreshold)
+    if (m_lastTick == TimePoint() || pause <= m_limits.suspensionThreshold || now < m_nextCatchUp)
         return;
     m_effects.record(LogLevel::Warning, "suspended", { { "ms", toMilliseconds(pause).count() } });
     m_lastTick = now;
     m_catchUpUntil = now + m_limits.relinkWait;
+    m_nextCatchUp = now + m_limits.catchUpInterval;
     for (auto& agent : m_agents)
-        agent.lastHeard = now;
+        agent.lastHeard = std::max(agent.lastHeard, m_catchUpUntil - allowedSilence(agent));
 }
 
 bool Dispatcher::isRelinking(TimePoint now) const
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -904,6 +904,51 @@
     cr_expect_eq(fixture.orders.size() - others, row->later, "%s", row->name);
 }
 
+/** Intervals of the ticks of an entry whose VM is slow or throttled. */
+struct SlowEntryRow {
+    char name[24];
+    int64_t cycleMs;
+};
+
+ParameterizedTestParameters(Dispatcher, slowEntryStartsJobsAndNoticesSilentAgents)
+{
+    static SlowEntryRow rows[] = { { "throttled", 110 }, { "slow", 120 }, { "very slow", 240 } };
+    return cr_make_param_array(SlowEntryRow, rows, sizeof(rows) / sizeof(SlowEntryRow));
+}
+
+/** Each tick counted as the end of a suspension, after which no job starts and no link is silent for a while. */
+ParameterizedTest(SlowEntryRow* row, Dispatcher, slowEntryStartsJobsAndNoticesSilentAgents)
+{
+    DispatcherFixture fixture(2);
+    const auto cycle = [&](std::initializer_list<size_t> agents) {
+        fixture.now += Milliseconds(row->cycleMs);
+        for (const auto i : agents)
+            fixture.deliver(i, wire::BeatT());
+    };
+    cycle({ 0, 1 });
+    fixture.tick();
+    cycle({ 0, 1 });
+    fixture.submit(1, stepOf(1, 100), Milliseconds(1500));
+    fixture.tick();
+    const auto submitted = fixture.now;
+    while (fixture.orders.empty() && fixture.now < submitted + Milliseconds(1500)) {
+        cycle({ 0, 1 });
+        fixture.tick();
+    }
+    cr_assert_eq(fixture.orders.size(), 1U, "%s", row->name);
+    cr_expect_leq(toMilliseconds(fixture.now - submitted).count(), 2 * row->cycleMs, "%s", row->name);
+    const auto silent = fixture.agentByRun.at(fixture.orders.back());
+    const auto silentFrom = fixture.now;
+    while (fixture.dispatcher.linkedAgents() == 2 && fixture.now < silentFrom + Milliseconds(5000)) {
+        cycle({ 1 - silent });
+        fixture.tick();
+    }
+    const auto allowed
+        = DispatcherLimits().linkSilence + DispatcherLimits().relinkWait + Milliseconds(2 * row->cycleMs);
+    cr_expect_leq(
+        toMilliseconds(fixture.now - silentFrom).count(), allowed.count(), "%s: an agent is silent", row->name);
+}
+
 struct TakenOverRow {
     char name[16];
     wire::RunOutcome outcome;
