Ownerless runs of agents without a link are told of when other agents link

Cause: an entry told the others of its runs only over the links that it had when their caller left. If its links were lost in the same moment, nobody was told, or the messages were lost with the links; later only the runs of the agent that linked were told of.

Change: on each new link the entry relays the ownerless runs of all agents without a link as well, until three linked agents have been told since a link was last lost. So many messages at most follow the loss of a link, whatever the number of agents that link again.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -125,6 +125,7 @@
         agentTime {}; ///< The latest received on this link, by the agent's clock; goes back to it with each message.
     TimePoint lastSent {};
     TimePoint unlinkedAt {}; ///< When the link ended.
+    size_t relays = 0; ///< Linked agents told of its ownerless runs, counted anew when any link is lost.
     TimePoint relinkUntil {}; ///< Until then a report on a new link is expected; zero if none is.
     TimePoint lastSuccess {}; ///< When a run there last ended successfully.
     TimePoint nextDemand {};
@@ -207,6 +208,8 @@
     bool hasIsolatedRoutes() const { return m_hasIsolation; }
 
 private:
+    static constexpr size_t maxRelays = 3; ///< Linked agents that are told of ownerless runs.
+
     enum class TaskState : uint8_t { Blocked, Ready, Ordered, Done };
 
     struct Task {
@@ -359,8 +362,13 @@
     void onOrphan(size_t agent, const RunId& id, const ForeignRun& run, TimePoint now);
     /** False if the run was known. */
     bool rememberOrphan(size_t agent, const RunId& id, const ForeignRun& run, TimePoint now);
-    /** Tells the other entries of runs, by agent, whose caller has left; a few linked agents pass the message on. */
-    void relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now);
+    /** Tells the other entries of runs, by agent, whose caller has left; a few linked agents pass the message on.
+     * Returns how many. */
+    size_t relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now);
+    /** Runs at an agent whose job isn't open any more. */
+    std::vector<RunId> ownerlessRuns(const AgentView& agent) const;
+    /** Those of agents without a link that too few linked agents were told of. */
+    std::map<size_t, std::vector<RunId>> unreachableOrphans() const;
     /** Agents for this: those heard of most recently, of different failure domains if there are such. */
     std::vector<size_t> chooseRelays() const;
     /** Position of an agent; one that has not linked yet is added. */
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -684,8 +684,11 @@
     }
     for (const auto& [agent, ids] : byAgent)
         sendStop(agent, ids, isCallerGone, now);
-    if (isCallerGone)
-        relayOrphans(byAgent, now);
+    if (!isCallerGone)
+        return;
+    const auto relays = relayOrphans(byAgent, now);
+    for (const auto& [agent, ids] : byAgent)
+        m_agents[agent].relays = std::min(m_agents[agent].relays, relays);
 }
 
 void Dispatcher::sendStop(size_t agentIndex, const std::vector<RunId>& ids, bool isCallerGone, TimePoint now)
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -126,19 +126,39 @@
     markRunsLost(index, ended, "agent-restarted", now);
     if (isRestarted)
         dispatchQueued(now);
-    if (agent.runs.empty())
-        return;
-    wire::RunQueryT query;
-    std::vector<RunId> ownerless;
-    for (const auto& id : agent.runs) {
-        query.ids.push_back(toWire(id));
-        if (!m_jobs.contains(id.task.job))
-            ownerless.push_back(id);
+    if (!agent.runs.empty()) {
+        wire::RunQueryT query;
+        for (const auto& id : agent.runs)
+            query.ids.push_back(toWire(id));
+        send(agent, std::move(query), now);
+    }
+    // On the new link the agent goes on with its ownerless runs until it is told to stop them.
+    auto ownerless = unreachableOrphans();
+    if (auto ids = ownerlessRuns(agent); !ids.empty())
+        ownerless[index] = std::move(ids);
+    const auto relays = relayOrphans(ownerless, now);
+    for (const auto& [i, ids] : ownerless)
+        m_agents[i].relays += relays;
+}
+
+std::vector<RunId> Dispatcher::ownerlessRuns(const AgentView& agent) const
+{
+    std::vector<RunId> ids;
+    std::copy_if(agent.runs.begin(), agent.runs.end(), std::back_inserter(ids),
+        [&](const RunId& id) { return !m_jobs.contains(id.task.job); });
+    return ids;
+}
+
+std::map<size_t, std::vector<RunId>> Dispatcher::unreachableOrphans() const
+{
+    std::map<size_t, std::vector<RunId>> runs;
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        if (m_agents[i].isLinked || m_agents[i].relays >= maxRelays)
+            continue;
+        if (auto ids = ownerlessRuns(m_agents[i]); !ids.empty())
+            runs[i] = std::move(ids);
     }
-    send(agent, std::move(query), now);
-    // On the new link the agent goes on with these runs until it is told to stop them.
-    if (!ownerless.empty())
-        relayOrphans({ { index, ownerless } }, now);
+    return runs;
 }
 
 void Dispatcher::linkClosed(LinkId link, TimePoint now)
@@ -151,6 +171,8 @@
     agent.isLinked = false;
     m_isPreferenceStale = true;
     agent.unlinkedAt = now;
+    for (auto& other : m_agents)
+        other.relays = 0; // What was sent on this link may be lost with it.
     agent.relinkUntil = now + m_limits.relinkWait;
     m_effects.record(LogLevel::Warning, "agent-unlinked",
         { { "agent", agent.name }, { "runs", static_cast<int64_t>(agent.runs.size()) },
@@ -383,7 +405,6 @@
 
 std::vector<size_t> Dispatcher::chooseRelays() const
 {
-    constexpr size_t maxRelays = 3;
     std::vector<size_t> linked;
     for (size_t i = 0; i < m_agents.size(); ++i) {
         if (m_agents[i].isLinked && m_agents[i].agentTime != TimePoint()) // Earlier releases don't know the message.
@@ -403,7 +424,7 @@
     return chosen;
 }
 
-void Dispatcher::relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now)
+size_t Dispatcher::relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now)
 {
     std::map<std::pair<size_t, Incarnation>, wire::AgentRunsT> byIncarnation;
     for (const auto& [index, ids] : runs) {
@@ -421,12 +442,14 @@
         }
     }
     if (byIncarnation.empty())
-        return;
+        return 0;
     wire::RelayedOrphansT message;
     for (auto& [key, entry] : byIncarnation)
         message.agents.push_back(std::make_unique<wire::AgentRunsT>(std::move(entry)));
-    for (const auto relay : chooseRelays())
+    const auto relays = chooseRelays();
+    for (const auto relay : relays)
         send(m_agents[relay], message, now);
+    return relays.size();
 }
 
 void Dispatcher::onResult(size_t index, const wire::RunResultT& result, TimePoint now)
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -825,6 +825,48 @@
     cr_expect_eq(fixture.relays.size(), 3U, "the run is over");
 }
 
+/** All links are lost with the caller; the agent of the run stays away, and others link one after another. */
+Test(Dispatcher, runsOfAgentsWithoutALinkAreToldWhenOtherAgentsLinkAgain)
+{
+    constexpr size_t agents = 12;
+    DispatcherFixture fixture(agents);
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    const auto run = fixture.orders.back();
+    const auto agent = fixture.agentByRun.at(run);
+    const auto loseLinks = [&] {
+        for (size_t i = 0; i < agents; ++i)
+            fixture.dispatcher.linkClosed(LinkId(i), fixture.now);
+    };
+    const auto linkOthers = [&] {
+        for (size_t i = 0; i < agents; ++i) {
+            if (i == agent)
+                continue;
+            fixture.now += Milliseconds(1);
+            fixture.link(i);
+        }
+    };
+    loseLinks();
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    cr_assert(fixture.relays.empty(), "there is no link");
+    fixture.now += Milliseconds(20);
+    fixture.link((agent + 1) % agents);
+    cr_assert_eq(fixture.relays.size(), 1U, "nobody is told of the run");
+    cr_expect_eq(fixture.relays.front(), (agent + 1) % agents);
+    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front()) == run);
+    fixture.relays.clear();
+    loseLinks(); // What was sent may be lost with them.
+    linkOthers();
+    const std::set<size_t> told(fixture.relays.begin(), fixture.relays.end());
+    cr_expect_geq(told.size(), 2U);
+    cr_expect_leq(fixture.relays.size(), 3U, "the number of messages grows with the number of agents");
+    fixture.relays.clear();
+    fixture.advance(DispatcherLimits().runLapse + Milliseconds(40));
+    loseLinks();
+    linkOthers();
+    cr_expect(fixture.relays.empty(), "the run is over");
+}
+
 struct SeveralOrphansRow {
     char name[48];
     uint32_t runs[2]; ///< Numbers of the runs at the two agents; entries that don't know each other's use the same.
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -609,6 +609,44 @@
     }
 }
 
+/** Agents are suspended, and a share of the entry's links is reset with its callers' connections. */
+static void resetLinksWithCallers(double share)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        auto scenario
+            = mingaScenario("callers turn to another entry, beside suspended agents and links that are reset");
+        scenario.seed = seed;
+        scenario.load = 0.4;
+        scenario.quickResend = Milliseconds(10);
+        scenario.resendsElsewhere = true;
+        scenario.resetShare = share;
+        std::vector<size_t> servers(scenario.servers);
+        std::iota(servers.begin(), servers.end(), size_t(0));
+        scenario.faults = { { ServerFaultKind::Slow, servers, Milliseconds(2000), scenario.length, 2 } };
+        for (size_t i = 0; i < 4; ++i) {
+            const auto entry = i % scenario.entries;
+            const Milliseconds when { 3000 + 4500 * i };
+            for (size_t agent = i; agent < scenario.servers; agent += 3)
+                scenario.agentSuspensions.emplace_back(agent, when);
+            for (const int64_t delay : { 50, 150, 300 })
+                scenario.connectionResets.emplace_back(entry, when + Milliseconds(delay));
+        }
+        const auto report = simulate(scenario);
+        cr_expect(report.violations.empty(), "seed %d: %zu violations, the first one: %s", static_cast<int>(seed),
+            report.violations.size(), report.violations.empty() ? "" : report.violations.front().c_str());
+    }
+}
+
+Test(ClusterSimulation, runsAreKnownElsewhereWhenMostLinksAreResetWithCallers, .timeout = 120)
+{
+    resetLinksWithCallers(0.8);
+}
+
+Test(ClusterSimulation, runsAreKnownElsewhereWhenAllLinksAreResetWithCallers, .timeout = 120)
+{
+    resetLinksWithCallers(1);
+}
+
 /** Callers of a killed entry send their jobs again, while servers answer polls but hardly any stop gets through. */
 Test(ClusterSimulation, runsOfLostEntriesNeverOverlapTheirReplacementsWhileStopsGetLost, .timeout = 120)
 {
