Stopped runs of a job that is open again are told of when their agent links

Cause: a run counted as ownerless only if its job wasn't open. A job that was submitted again waits for its stopped runs; when their agent linked again their leases counted anew, and the other entries weren't told.

Change: a run is ownerless if no task waits for its result.

Failed before, passes now: Dispatcher stoppedRunsOfAReopenedJobAreToldAgainWhenTheirAgentLinks (no relay after the link).

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -365,10 +365,10 @@
     /** Tells the other entries of runs, by agent, whose caller has left; a few linked agents pass the message on.
      * Returns how many. */
     size_t relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now);
-    /** Runs at an agent whose job isn't open any more. */
-    std::vector<RunId> ownerlessRuns(const AgentView& agent) const;
+    /** Runs at an agent that no task waits for any more; their job may be open again. */
+    std::vector<RunId> ownerlessRuns(const AgentView& agent);
     /** Those of agents without a link that too few linked agents were told of. */
-    std::map<size_t, std::vector<RunId>> unreachableOrphans() const;
+    std::map<size_t, std::vector<RunId>> unreachableOrphans();
     /** Agents for this: those heard of most recently, of different failure domains if there are such. */
     std::vector<size_t> chooseRelays() const;
     /** Position of an agent; one that has not linked yet is added. */
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -141,15 +141,15 @@
         m_agents[i].relays += relays;
 }
 
-std::vector<RunId> Dispatcher::ownerlessRuns(const AgentView& agent) const
+std::vector<RunId> Dispatcher::ownerlessRuns(const AgentView& agent)
 {
     std::vector<RunId> ids;
-    std::copy_if(agent.runs.begin(), agent.runs.end(), std::back_inserter(ids),
-        [&](const RunId& id) { return !m_jobs.contains(id.task.job); });
+    std::copy_if(
+        agent.runs.begin(), agent.runs.end(), std::back_inserter(ids), [&](const RunId& id) { return !isWanted(id); });
     return ids;
 }
 
-std::map<size_t, std::vector<RunId>> Dispatcher::unreachableOrphans() const
+std::map<size_t, std::vector<RunId>> Dispatcher::unreachableOrphans()
 {
     std::map<size_t, std::vector<RunId>> runs;
     for (size_t i = 0; i < m_agents.size(); ++i) {
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -867,6 +867,24 @@
     cr_expect(fixture.relays.empty(), "the run is over");
 }
 
+/** On the new link the lease of the run counts anew; its job is open again, for another caller. */
+Test(Dispatcher, stoppedRunsOfAReopenedJobAreToldAgainWhenTheirAgentLinks)
+{
+    DispatcherFixture fixture(2);
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    const auto run = fixture.orders.back();
+    const auto agent = fixture.agentByRun.at(run);
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    const auto before = fixture.relays.size();
+    fixture.dispatcher.linkClosed(LinkId(agent), fixture.now);
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000)); // A second caller of the job; it is held here.
+    fixture.now += Milliseconds(60);
+    fixture.link(agent);
+    fixture.collectEffects();
+    cr_expect_gt(fixture.relays.size(), before, "the run's lease counts anew, and the others aren't told");
+}
+
 struct SeveralOrphansRow {
     char name[48];
     uint32_t runs[2]; ///< Numbers of the runs at the two agents; entries that don't know each other's use the same.
