Orphaned runs are known by the incarnation of their agent too

Cause: entries number runs independently of each other, so that after a restart of an agent another run may have the id of one that is over. m_orphanedRuns, and the test for known runs in onOrphan, compared the id and the agent only: the new run was taken for the one that had ended, and its task was ordered beside it.

Change: the key of m_orphanedRuns has the incarnation, and a known run is the same only if its incarnation is.

Failed before, passes now: Dispatcher runOfARestartedAgentIsNotTakenForOneThatIsOver. The test of the relays to agents that link again loses all links once more, as relays on lost links must not count.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -446,8 +446,14 @@
         TimePoint expires {};
         bool isOver = false; ///< Its agent has told so; messages that arrive later are ignored.
     };
-    /** Orphaned runs of other entries, by agent. */
-    std::map<std::pair<RunId, size_t>, OrphanedRun> m_orphanedRuns;
+    /** Entries number runs independently, so that incarnations of an agent may have runs of the same id. */
+    struct OrphanKey {
+        RunId id;
+        size_t agent = 0;
+        Incarnation incarnation {}; ///< Of the agent that has the run.
+        auto operator<=>(const OrphanKey&) const = default;
+    };
+    std::map<OrphanKey, OrphanedRun> m_orphanedRuns;
     TimePoint m_nextSummary {};
     TimePoint m_lastTick {};
     TimePoint m_catchUpUntil {}; ///< Until then messages that arrived during a suspension may wait.
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -148,18 +148,18 @@
         }
     }
     const auto orphans = [&] {
-        std::vector<std::pair<RunId, size_t>> keys;
-        for (auto it = m_orphanedRuns.lower_bound({ { { jobId, StepIndex(0), TaskIndex(0) }, RunNumber(0) }, 0 });
-             it != m_orphanedRuns.end() && it->first.first.task.job == jobId; ++it) {
+        std::vector<OrphanKey> keys;
+        for (auto it = m_orphanedRuns.lower_bound({ { { jobId, StepIndex(0), TaskIndex(0) }, RunNumber(0) } });
+             it != m_orphanedRuns.end() && it->first.id.task.job == jobId; ++it) {
             if (it->second.expires > now && !it->second.isOver)
                 keys.push_back(it->first);
         }
         return keys;
     };
-    for (const auto& [id, agent] : orphans())
-        adoptOrphan(job, id.task, now);
-    for (const auto& [id, agent] : orphans())
-        sendStop(agent, { id }, false, now); // The task waits for it after the one that it has adopted.
+    for (const auto& key : orphans())
+        adoptOrphan(job, key.id.task, now);
+    for (const auto& key : orphans())
+        sendStop(key.agent, { key.id }, false, now); // The task waits for it after the one that it has adopted.
 }
 
 void Dispatcher::adoptOrphan(Job& job, const TaskId& taskId, TimePoint now)
@@ -168,8 +168,8 @@
     if (task == nullptr || (task->state != TaskState::Ready && task->state != TaskState::Blocked))
         return;
     auto latest = m_orphanedRuns.end();
-    for (auto it = m_orphanedRuns.lower_bound({ { taskId, RunNumber(0) }, 0 });
-         it != m_orphanedRuns.end() && it->first.first.task == taskId; ++it) {
+    for (auto it = m_orphanedRuns.lower_bound({ { taskId, RunNumber(0) } });
+         it != m_orphanedRuns.end() && it->first.id.task == taskId; ++it) {
         if (it->second.expires > now && !it->second.isOver)
             latest = it;
     }
@@ -177,7 +177,7 @@
         return;
     const auto [key, orphan] = *latest;
     m_orphanedRuns.erase(latest);
-    adoptForeignRun(job, key.first, key.second, orphan.run, now);
+    adoptForeignRun(job, key.id, key.agent, orphan.run, now);
 }
 
 void Dispatcher::adoptRun(Job& job, const RunId& id, size_t agentIndex, TimePoint now)
@@ -962,7 +962,7 @@
         traceRun("run-refused", job, id, agent, wire::EnumNameRefusal(result.refusal), now);
         if (result.refusal == wire::Refusal::Occupied && result.active_run > 0) {
             const RunId active { id.task, RunNumber(result.active_run) };
-            m_orphanedRuns[{ active, agentIndex }]
+            m_orphanedRuns[{ active, agentIndex, agent.incarnation }]
                 = { { agent.incarnation, {} }, now + m_limits.orphanRetention, false };
             return retryTask(job, id, task, now);
         }
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -120,8 +120,7 @@
             ended.push_back(id);
     }
     std::erase_if(m_orphanedRuns, [&](const auto& orphan) {
-        return orphan.first.second == index && !orphan.second.isOver
-            && orphan.second.run.incarnation != agent.incarnation;
+        return orphan.first.agent == index && !orphan.second.isOver && orphan.first.incarnation != agent.incarnation;
     });
     markRunsLost(index, ended, "agent-restarted", now);
     if (isRestarted)
@@ -359,10 +358,10 @@
 
 bool Dispatcher::rememberOrphan(size_t index, const RunId& id, const ForeignRun& run, TimePoint now)
 {
-    const auto known = m_orphanedRuns.find({ id, index });
+    const auto known = m_orphanedRuns.find({ id, index, run.incarnation });
     if (known == m_orphanedRuns.end()) {
         if (m_orphanedRuns.size() < m_limits.maxOrphanedRuns)
-            m_orphanedRuns[{ id, index }] = { run, now + m_limits.orphanRetention, false };
+            m_orphanedRuns[{ id, index, run.incarnation }] = { run, now + m_limits.orphanRetention, false };
         return true;
     }
     auto& orphan = known->second;
@@ -376,9 +375,11 @@
 {
     auto& agent = m_agents[index];
     if (agent.runs.contains(id)) {
-        if (const auto known = agent.foreignRuns.find(id); known != agent.foreignRuns.end())
+        const auto known = agent.foreignRuns.find(id);
+        if (known != agent.foreignRuns.end() && known->second.incarnation == run.incarnation)
             known->second.lapse = std::max(known->second.lapse, run.lapse);
-        return;
+        if (run.incarnation == (known == agent.foreignRuns.end() ? agent.incarnation : known->second.incarnation))
+            return;
     }
     auto* job = findJob(id.task.job);
     if (job == nullptr) {
@@ -386,7 +387,7 @@
         return;
     }
     const auto* task = findTask(id.task);
-    const auto known = m_orphanedRuns.find({ id, index });
+    const auto known = m_orphanedRuns.find({ id, index, run.incarnation });
     if (task == nullptr || (known != m_orphanedRuns.end() && known->second.isOver))
         return;
     if (task->state == TaskState::Ready || task->state == TaskState::Blocked) {
@@ -471,13 +472,14 @@
         return;
     }
     if (agent.runs.erase(id) == 0) {
-        const auto orphan = m_orphanedRuns.find({ id, index });
+        const auto orphan = m_orphanedRuns.find({ id, index, agent.incarnation });
         if (orphan != m_orphanedRuns.end() && result.refusal != wire::Refusal::Occupied)
             orphan->second.isOver = true;
         return;
     }
-    if (agent.foreignRuns.erase(id) > 0 && result.refusal != wire::Refusal::Occupied)
-        m_orphanedRuns[{ id, index }] = { {}, now + m_limits.orphanRetention, true };
+    if (const auto foreign = agent.foreignRuns.extract(id); foreign && result.refusal != wire::Refusal::Occupied)
+        m_orphanedRuns[{ id, index, foreign.mapped().incarnation }]
+            = { foreign.mapped(), now + m_limits.orphanRetention, true };
     agent.suspects.erase(id);
     if (findTask(id.task) != nullptr)
         runEnded(*findJob(id.task.job), id, index, result, now);
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -861,6 +861,10 @@
     cr_expect_geq(told.size(), 2U);
     cr_expect_leq(fixture.relays.size(), 3U, "the number of messages grows with the number of agents");
     fixture.relays.clear();
+    loseLinks();
+    linkOthers();
+    cr_expect(!fixture.relays.empty(), "what was sent on the lost links counts");
+    fixture.relays.clear();
     fixture.advance(DispatcherLimits().runLapse + Milliseconds(40));
     loseLinks();
     linkOthers();
@@ -885,6 +889,34 @@
     cr_expect_gt(fixture.relays.size(), before, "the run's lease counts anew, and the others aren't told");
 }
 
+/** Entries number their runs independently of each other. */
+Test(Dispatcher, runOfARestartedAgentIsNotTakenForOneThatIsOver)
+{
+    DispatcherFixture fixture(3);
+    const RunId run { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(1) };
+    const auto tell = [&] {
+        wire::OrphanedRunsT message;
+        message.ids.push_back(toWire(run));
+        fixture.deliver(2, std::move(message));
+    };
+    tell();
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    fixture.agentByRun[run] = 2;
+    fixture.end(run, wire::RunOutcome::Stopped);
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    for (const auto& id : std::vector<RunId>(fixture.orders))
+        fixture.end(id, wire::RunOutcome::Stopped);
+    fixture.dispatcher.linkClosed(LinkId(2), fixture.now);
+    fixture.now += Milliseconds(20);
+    fixture.link(2, 1);
+    tell();
+    const auto before = fixture.orders.size();
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    fixture.advance(Milliseconds(100));
+    cr_expect_eq(fixture.orders.size(), before, "ordered beside the run at the restarted agent");
+}
+
 struct SeveralOrphansRow {
     char name[48];
     uint32_t runs[2]; ///< Numbers of the runs at the two agents; entries that don't know each other's use the same.
