--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -128,6 +128,7 @@
         agentTime {}; ///< The latest received on this link, by the agent's clock; goes back to it with each message.
     TimePoint lastSent {};
     TimePoint unlinkedAt {}; ///< When the link ended.
+    size_t relays = 0; ///< Linked agents told of its ownerless runs, counted anew when any link is lost.
     TimePoint relinkUntil {}; ///< Until then a report on a new link is expected; zero if none is.
     TimePoint lastSuccess {}; ///< When a run there last ended successfully.
     TimePoint nextDemand {};
@@ -210,6 +211,8 @@
     bool hasIsolatedRoutes() const { return m_hasIsolation; }
 
 private:
+    static constexpr size_t maxRelays = 3; ///< Linked agents that are told of ownerless runs.
+
     enum class TaskState : uint8_t { Blocked, Ready, Ordered, Done };
 
     struct Task {
@@ -362,8 +365,13 @@
     void onOrphan(size_t agent, const RunId& id, const ForeignRun& run, TimePoint now);
     /** False if the run was known. */
     bool rememberOrphan(size_t agent, const RunId& id, const ForeignRun& run, TimePoint now);
-    /** Tells the other entries of runs, by agent, whose caller has left; a few linked agents pass the message on. */
-    void relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now);
+    /** Tells the other entries of runs, by agent, whose caller has left; a few linked agents pass the message on.
+     * Returns how many. */
+    size_t relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now);
+    /** Runs at an agent that no task waits for any more; their job may be open again. */
+    std::vector<RunId> ownerlessRuns(const AgentView& agent);
+    /** Those of agents without a link that too few linked agents were told of. */
+    std::map<size_t, std::vector<RunId>> unreachableOrphans();
     /** Agents for this: those heard of most recently, of different failure domains if there are such. */
     std::vector<size_t> chooseRelays() const;
     /** Position of an agent; one that has not linked yet is added. */
@@ -443,8 +451,14 @@
         TimePoint expires {};
         bool isOver = false; ///< Its agent has told so; messages that arrive later are ignored.
     };
-    /** Orphaned runs of other entries, by agent. */
-    std::map<std::pair<RunId, size_t>, OrphanedRun> m_orphanedRuns;
+    /** Entries number runs independently, so that incarnations of an agent may have runs of the same id. */
+    struct OrphanKey {
+        RunId id;
+        size_t agent = 0;
+        Incarnation incarnation {}; ///< Of the agent that has the run.
+        auto operator<=>(const OrphanKey&) const = default;
+    };
+    std::map<OrphanKey, OrphanedRun> m_orphanedRuns;
     TimePoint m_nextSummary {};
     TimePoint m_lastTick {};
     TimePoint m_nextCatchUp {}; ///< Earliest time of the next one.
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -120,25 +120,44 @@
             ended.push_back(id);
     }
     std::erase_if(m_orphanedRuns, [&](const auto& orphan) {
-        return orphan.first.second == index && !orphan.second.isOver
-            && orphan.second.run.incarnation != agent.incarnation;
+        return orphan.first.agent == index && !orphan.second.isOver && orphan.first.incarnation != agent.incarnation;
     });
     markRunsLost(index, ended, "agent-restarted", now);
     if (isRestarted)
         dispatchQueued(now);
-    if (agent.runs.empty())
-        return;
-    wire::RunQueryT query;
-    std::vector<RunId> ownerless;
-    for (const auto& id : agent.runs) {
-        query.ids.push_back(toWire(id));
-        if (!m_jobs.contains(id.task.job))
-            ownerless.push_back(id);
+    if (!agent.runs.empty()) {
+        wire::RunQueryT query;
+        for (const auto& id : agent.runs)
+            query.ids.push_back(toWire(id));
+        send(agent, std::move(query), now);
+    }
+    // On the new link the agent goes on with its ownerless runs until it is told to stop them.
+    auto ownerless = unreachableOrphans();
+    if (auto ids = ownerlessRuns(agent); !ids.empty())
+        ownerless[index] = std::move(ids);
+    const auto relays = relayOrphans(ownerless, now);
+    for (const auto& [i, ids] : ownerless)
+        m_agents[i].relays += relays;
+}
+
+std::vector<RunId> Dispatcher::ownerlessRuns(const AgentView& agent)
+{
+    std::vector<RunId> ids;
+    std::copy_if(
+        agent.runs.begin(), agent.runs.end(), std::back_inserter(ids), [&](const RunId& id) { return !isWanted(id); });
+    return ids;
+}
+
+std::map<size_t, std::vector<RunId>> Dispatcher::unreachableOrphans()
+{
+    std::map<size_t, std::vector<RunId>> runs;
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        if (m_agents[i].isLinked || m_agents[i].relays >= maxRelays)
+            continue;
+        if (auto ids = ownerlessRuns(m_agents[i]); !ids.empty())
+            runs[i] = std::move(ids);
     }
-    send(agent, std::move(query), now);
-    // On the new link the agent goes on with these runs until it is told to stop them.
-    if (!ownerless.empty())
-        relayOrphans({ { index, ownerless } }, now);
+    return runs;
 }
 
 void Dispatcher::linkClosed(LinkId link, TimePoint now)
@@ -151,6 +170,8 @@
     agent.isLinked = false;
     m_isPreferenceStale = true;
     agent.unlinkedAt = now;
+    for (auto& other : m_agents)
+        other.relays = 0; // What was sent on this link may be lost with it.
     agent.relinkUntil = now + m_limits.relinkWait;
     m_effects.record(LogLevel::Warning, "agent-unlinked",
         { { "agent", agent.name }, { "runs", static_cast<int64_t>(agent.runs.size()) },
@@ -342,10 +363,10 @@
 
 bool Dispatcher::rememberOrphan(size_t index, const RunId& id, const ForeignRun& run, TimePoint now)
 {
-    const auto known = m_orphanedRuns.find({ id, index });
+    const auto known = m_orphanedRuns.find({ id, index, run.incarnation });
     if (known == m_orphanedRuns.end()) {
         if (m_orphanedRuns.size() < m_limits.maxOrphanedRuns)
-            m_orphanedRuns[{ id, index }] = { run, now + m_limits.orphanRetention, false };
+            m_orphanedRuns[{ id, index, run.incarnation }] = { run, now + m_limits.orphanRetention, false };
         return true;
     }
     auto& orphan = known->second;
@@ -359,9 +380,11 @@
 {
     auto& agent = m_agents[index];
     if (agent.runs.contains(id)) {
-        if (const auto known = agent.foreignRuns.find(id); known != agent.foreignRuns.end())
+        const auto known = agent.foreignRuns.find(id);
+        if (known != agent.foreignRuns.end() && known->second.incarnation == run.incarnation)
             known->second.lapse = std::max(known->second.lapse, run.lapse);
-        return;
+        if (run.incarnation == (known == agent.foreignRuns.end() ? agent.incarnation : known->second.incarnation))
+            return;
     }
     auto* job = findJob(id.task.job);
     if (job == nullptr) {
@@ -369,7 +392,7 @@
         return;
     }
     const auto* task = findTask(id.task);
-    const auto known = m_orphanedRuns.find({ id, index });
+    const auto known = m_orphanedRuns.find({ id, index, run.incarnation });
     if (task == nullptr || (known != m_orphanedRuns.end() && known->second.isOver))
         return;
     if (task->state == TaskState::Ready || task->state == TaskState::Blocked) {
@@ -388,7 +411,6 @@
 
 std::vector<size_t> Dispatcher::chooseRelays() const
 {
-    constexpr size_t maxRelays = 3;
     std::vector<size_t> linked;
     for (size_t i = 0; i < m_agents.size(); ++i) {
         if (m_agents[i].isLinked && m_agents[i].agentTime != TimePoint()) // Earlier releases don't know the message.
@@ -408,7 +430,7 @@
     return chosen;
 }
 
-void Dispatcher::relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now)
+size_t Dispatcher::relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now)
 {
     std::map<std::pair<size_t, Incarnation>, wire::AgentRunsT> byIncarnation;
     for (const auto& [index, ids] : runs) {
@@ -426,12 +448,14 @@
         }
     }
     if (byIncarnation.empty())
-        return;
+        return 0;
     wire::RelayedOrphansT message;
     for (auto& [key, entry] : byIncarnation)
         message.agents.push_back(std::make_unique<wire::AgentRunsT>(std::move(entry)));
-    for (const auto relay : chooseRelays())
+    const auto relays = chooseRelays();
+    for (const auto relay : relays)
         send(m_agents[relay], message, now);
+    return relays.size();
 }
 
 void Dispatcher::onResult(size_t index, const wire::RunResultT& result, TimePoint now)
@@ -453,13 +477,14 @@
         return;
     }
     if (agent.runs.erase(id) == 0) {
-        const auto orphan = m_orphanedRuns.find({ id, index });
+        const auto orphan = m_orphanedRuns.find({ id, index, agent.incarnation });
         if (orphan != m_orphanedRuns.end() && result.refusal != wire::Refusal::Occupied)
             orphan->second.isOver = true;
         return;
     }
-    if (agent.foreignRuns.erase(id) > 0 && result.refusal != wire::Refusal::Occupied)
-        m_orphanedRuns[{ id, index }] = { {}, now + m_limits.orphanRetention, true };
+    if (const auto foreign = agent.foreignRuns.extract(id); foreign && result.refusal != wire::Refusal::Occupied)
+        m_orphanedRuns[{ id, index, foreign.mapped().incarnation }]
+            = { foreign.mapped(), now + m_limits.orphanRetention, true };
     agent.suspects.erase(id);
     if (findTask(id.task) != nullptr)
         runEnded(*findJob(id.task.job), id, index, result, now);
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -825,6 +825,98 @@
     cr_expect_eq(fixture.relays.size(), 3U, "the run is over");
 }
 
+/** All links are lost with the caller; the agent of the run stays away, and others link one after another. */
+Test(Dispatcher, runsOfAgentsWithoutALinkAreToldWhenOtherAgentsLinkAgain)
+{
+    constexpr size_t agents = 12;
+    DispatcherFixture fixture(agents);
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    const auto run = fixture.orders.back();
+    const auto agent = fixture.agentByRun.at(run);
+    const auto loseLinks = [&] {
+        for (size_t i = 0; i < agents; ++i)
+            fixture.dispatcher.linkClosed(LinkId(i), fixture.now);
+    };
+    const auto linkOthers = [&] {
+        for (size_t i = 0; i < agents; ++i) {
+            if (i == agent)
+                continue;
+            fixture.now += Milliseconds(1);
+            fixture.link(i);
+        }
+    };
+    loseLinks();
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    cr_assert(fixture.relays.empty(), "there is no link");
+    fixture.now += Milliseconds(20);
+    fixture.link((agent + 1) % agents);
+    cr_assert_eq(fixture.relays.size(), 1U, "nobody is told of the run");
+    cr_expect_eq(fixture.relays.front(), (agent + 1) % agents);
+    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front()) == run);
+    fixture.relays.clear();
+    loseLinks(); // What was sent may be lost with them.
+    linkOthers();
+    const std::set<size_t> told(fixture.relays.begin(), fixture.relays.end());
+    cr_expect_geq(told.size(), 2U);
+    cr_expect_leq(fixture.relays.size(), 3U, "the number of messages grows with the number of agents");
+    fixture.relays.clear();
+    loseLinks();
+    linkOthers();
+    cr_expect(!fixture.relays.empty(), "what was sent on the lost links counts");
+    fixture.relays.clear();
+    fixture.advance(DispatcherLimits().runLapse + Milliseconds(40));
+    loseLinks();
+    linkOthers();
+    cr_expect(fixture.relays.empty(), "the run is over");
+}
+
+/** On the new link the lease of the run counts anew; its job is open again, for another caller. */
+Test(Dispatcher, stoppedRunsOfAReopenedJobAreToldAgainWhenTheirAgentLinks)
+{
+    DispatcherFixture fixture(2);
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    const auto run = fixture.orders.back();
+    const auto agent = fixture.agentByRun.at(run);
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    const auto before = fixture.relays.size();
+    fixture.dispatcher.linkClosed(LinkId(agent), fixture.now);
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000)); // A second caller of the job; it is held here.
+    fixture.now += Milliseconds(60);
+    fixture.link(agent);
+    fixture.collectEffects();
+    cr_expect_gt(fixture.relays.size(), before, "the run's lease counts anew, and the others aren't told");
+}
+
+/** Entries number their runs independently of each other. */
+Test(Dispatcher, runOfARestartedAgentIsNotTakenForOneThatIsOver)
+{
+    DispatcherFixture fixture(3);
+    const RunId run { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(1) };
+    const auto tell = [&] {
+        wire::OrphanedRunsT message;
+        message.ids.push_back(toWire(run));
+        fixture.deliver(2, std::move(message));
+    };
+    tell();
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    fixture.agentByRun[run] = 2;
+    fixture.end(run, wire::RunOutcome::Stopped);
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    for (const auto& id : std::vector<RunId>(fixture.orders))
+        fixture.end(id, wire::RunOutcome::Stopped);
+    fixture.dispatcher.linkClosed(LinkId(2), fixture.now);
+    fixture.now += Milliseconds(20);
+    fixture.link(2, 1);
+    tell();
+    const auto before = fixture.orders.size();
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    fixture.advance(Milliseconds(100));
+    cr_expect_eq(fixture.orders.size(), before, "ordered beside the run at the restarted agent");
+}
+
 struct SeveralOrphansRow {
     char name[48];
     uint32_t runs[2]; ///< Numbers of the runs at the two agents; entries that don't know each other's use the same.
