Orphaned runs are relayed only to peers that know the message; unknown messages close no link

Cause: RelayedOrphans went to every peer with agent times. The release before has them but not the message; its LinkHub closes the link as malformed.

Change: Hello and Welcome tell with `relays` that their sender knows the message; it is sent to such peers only, in both directions. From now on a verified frame of an unknown type is ignored, and the first one logged (unknown-message).

Tests: Dispatcher agentsOfEarlierReleasesAreNotToldOfOrphanedRuns, RunGate runsThatAnEntryTellsOfArePassedOnToAllOtherEntries (its earlier release has agent times now), LinkHub messagesOfLaterReleasesAreIgnored.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -106,6 +106,7 @@
     Incarnation incarnation {};
     LinkId link {};
     bool isLinked = false;
+    bool takesRelays = false; ///< It knows RelayedOrphans, unlike earlier releases.
     bool isPreferred = true; ///< This entry orders from it first; see AgentShares.h.
     bool isForIsolatedRoutes = false; ///< While routes are isolated, its server runs their tasks and no others.
     wire::GateState state = wire::GateState::Closed;
--- a/include/sequoia/Link.h
+++ b/include/sequoia/Link.h
@@ -20,6 +20,8 @@
     std::function<void(LinkId, FramePtr)> received; ///< A frame arrived and passed verification.
     /** The connection has ended or could not be established. Called once for each connection, but not by a shutdown. */
     std::function<void(LinkId, std::string reason)> closed;
+    /** The first frame of a process whose message this release doesn't know was ignored. */
+    std::function<void(LinkId, int type)> ignored {};
 };
 
 /** Limits of a connection. */
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -318,6 +318,7 @@
         TimePoint confirmed {};
         Milliseconds ownerBound {}; ///< RunGateLimits::ownerBound with the figures of this entry.
         bool hasAgentTimes = false; ///< The entry sends them; otherwise `confirmed` is `lastHeard`.
+        bool takesRelays = false; ///< The entry knows RelayedOrphans, unlike earlier releases.
         TimePoint lastSent {};
         uint32_t ordersSeen = 0;
         size_t runs = 0;
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -101,6 +101,7 @@
     agent.isLinked = true;
     agent.lastHeard = agent.lastReceived = now;
     agent.agentTime = agentTime;
+    agent.takesRelays = hello.relays;
     agent.lastSent = now;
     agent.state = wire::GateState::Closed; // Until its first report.
     agent.ordersSent = 0;
@@ -408,7 +409,7 @@
 {
     std::vector<size_t> linked;
     for (size_t i = 0; i < m_agents.size(); ++i) {
-        if (m_agents[i].isLinked && m_agents[i].agentTime != TimePoint()) // Earlier releases don't know the message.
+        if (m_agents[i].isLinked && m_agents[i].takesRelays)
             linked.push_back(i);
     }
     std::stable_sort(linked.begin(), linked.end(),
--- a/src/Link.cpp
+++ b/src/Link.cpp
@@ -43,6 +43,7 @@
     HybridClock& m_clock;
     std::atomic<uint64_t> m_bytesSent { 0 };
     std::atomic<uint64_t> m_bytesReceived { 0 };
+    std::atomic<uint64_t> m_framesIgnored { 0 };
 
 private:
     std::shared_ptr<Link> makeLink();
@@ -207,7 +208,7 @@
         return true;
     }
 
-    /** Verifies and delivers one frame; false if it is malformed. */
+    /** Verifies and delivers one frame; false if it is malformed. Messages of later releases are ignored. */
     bool deliver(const uint8_t* data, size_t size)
     {
         std::vector<uint64_t> aligned((size + sizeof(uint64_t) - 1) / sizeof(uint64_t));
@@ -219,8 +220,15 @@
         flatbuffers::Verifier verifier(bytes, size);
         if (!wire::VerifySizePrefixedFrameBuffer(verifier))
             return false;
+        const auto* message = wire::GetSizePrefixedFrame(bytes);
+        if (message->body_type() > wire::Body::MAX) {
+            m_hub.m_clock.merge(message->stamp());
+            if (m_hub.m_framesIgnored++ == 0 && m_hub.m_hooks.ignored)
+                m_hub.m_hooks.ignored(m_id, static_cast<int>(message->body_type()));
+            return true;
+        }
         auto frame = std::make_shared<Frame>();
-        wire::GetSizePrefixedFrame(bytes)->UnPackTo(frame.get());
+        message->UnPackTo(frame.get());
         if (frame->body.value == nullptr)
             return false;
         m_hub.m_clock.merge(frame->stamp);
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -136,6 +136,10 @@
                 m_core.linkClosed(link, suspendAwareNow());
                 m_dialer.closed(link, suspendAwareNow());
             });
+        },
+        [this](LinkId link, int type) {
+            m_log.event(LogLevel::Warning, "unknown-message",
+                { { "link", static_cast<int64_t>(raw(link)) }, { "type", type } });
         } };
 }
 
@@ -182,6 +186,7 @@
     hello.agent = m_settings.name;
     hello.incarnation = raw(m_incarnation);
     hello.failure_domain = m_settings.failure_domain;
+    hello.relays = true;
     Frame frame;
     frame.body.Set(std::move(hello));
     setAgentTime(frame, suspendAwareNow());
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -153,8 +153,11 @@
     return { [](LinkId) {},
         [this](
             LinkId link, FramePtr frame) { post([this, link, frame = std::move(frame)] { received(link, *frame); }); },
-        [this](
-            LinkId link, const std::string&) { post([this, link] { m_core.linkClosed(link, suspendAwareNow()); }); } };
+        [this](LinkId link, const std::string&) { post([this, link] { m_core.linkClosed(link, suspendAwareNow()); }); },
+        [this](LinkId link, int type) {
+            m_log.event(LogLevel::Warning, "unknown-message",
+                { { "link", static_cast<int64_t>(raw(link)) }, { "type", type } });
+        } };
 }
 
 LearnedPublisherHooks PlatformEntryProcess::learnedHooks()
@@ -223,6 +226,7 @@
     welcome.samples = speed.samples;
     welcome.run_lapse_ms = static_cast<uint32_t>(m_settings.run_lapse_ms);
     welcome.caller_resend_ms = static_cast<uint32_t>(m_settings.caller_resend_ms);
+    welcome.relays = true;
     Frame reply;
     reply.body.Set(std::move(welcome));
     setAgentTime(reply, agentTime);
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -58,7 +58,7 @@
 void RunGate::relayOrphans(LinkId from, const wire::RelayedOrphansT& message, TimePoint now)
 {
     for (const auto& [id, link] : m_links) {
-        if (id != from && link.hasAgentTimes)
+        if (id != from && link.takesRelays)
             send(id, message, now);
     }
 }
@@ -82,6 +82,7 @@
     link.ownerBound = limits.ownerBound();
     m_stopBound = std::min(m_stopBound, limits.stopBound());
     link.hasAgentTimes = agentTime != TimePoint();
+    link.takesRelays = welcome.relays;
     confirm(link, agentTime, now);
     link.lastSent = now;
     wire::OrphanedRunsT orphans;
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -551,9 +551,11 @@
         wire::WelcomeT welcome;
         welcome.entry = fmt::format("entry{}", entry);
         welcome.incarnation = m_incarnations[entry];
+        welcome.relays = true;
         wire::HelloT hello;
         hello.agent = fmt::format("agent{}", agent);
         hello.incarnation = m_gateIncarnations[agent];
+        hello.relays = true;
         m_entries[entry]->agentLinked(id, hello, events.now(), events.now());
         m_gates[agent]->entryLinked(id, welcome, events.now(), events.now());
     }
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -28,12 +28,13 @@
     }
 
     /** Links an agent; `restart` counts its restarts, each of which is another incarnation. */
-    void link(size_t i, uint64_t restart = 0, const std::string& failureDomain = "")
+    void link(size_t i, uint64_t restart = 0, const std::string& failureDomain = "", bool takesRelays = true)
     {
         wire::HelloT hello;
         hello.failure_domain = failureDomain;
         hello.agent = "agent" + std::to_string(i);
         hello.incarnation = 100 + i + 1000 * restart;
+        hello.relays = takesRelays;
         dispatcher.agentLinked(LinkId(i), hello, now, now);
         wire::RoomReportT report;
         report.service = "service";
@@ -917,6 +918,17 @@
     cr_expect_eq(fixture.orders.size(), before, "ordered beside the run at the restarted agent");
 }
 
+Test(Dispatcher, agentsOfEarlierReleasesAreNotToldOfOrphanedRuns)
+{
+    DispatcherFixture fixture(2);
+    fixture.submit(1, stepOf(1, 1000));
+    fixture.link(0, 0, "", false);
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    cr_assert_eq(fixture.relays.size(), 1U);
+    cr_expect_eq(fixture.relays.front(), 1U);
+}
+
 struct SeveralOrphansRow {
     char name[48];
     uint32_t runs[2]; ///< Numbers of the runs at the two agents; entries that don't know each other's use the same.
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -4,6 +4,7 @@
 #include <sequoia/Dialer.h>
 #include <sequoia/HttpService.h>
 #include <sequoia/LineWriter.h>
+#include <sequoia/Link.h>
 #include <sequoia/Registration.h>
 #include <sequoia/RouteTable.h>
 #include <sequoia/SettingsFile.h>
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <arpa/inet.h>
 #include <array>
+#include <atomic>
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 #include <fcntl.h>
@@ -472,3 +474,41 @@
         lines[1].find("taken=log_level after_restart=max_open_jobs") != std::string::npos, "%s", lines[1].c_str());
     unlink(path.c_str());
 }
+
+Test(LinkHub, messagesOfLaterReleasesAreIgnored, .timeout = 20)
+{
+    using Callback = std::function<void(LinkId, FramePtr)>;
+    std::promise<wire::Body> delivered;
+    std::promise<LinkId> opened;
+    std::atomic<int> ignored { 0 };
+    std::atomic<int> lastType { 0 };
+    HybridClock clock;
+    LinkHub receiver(
+        { [](LinkId) {}, Callback([&](LinkId, const FramePtr& frame) { delivered.set_value(frame->body.type); }),
+            [](LinkId, const std::string&) {},
+            [&](LinkId, int type) {
+                ++ignored;
+                lastType = type;
+            } },
+        {}, clock);
+    const auto port = receiver.listen("127.0.0.1:0");
+    LinkHub sender({ [&](LinkId link) { opened.set_value(link); }, Callback([](LinkId, const FramePtr&) {}),
+                       [](LinkId, const std::string&) {} },
+        {}, clock);
+    sender.dial("127.0.0.1:" + std::to_string(port));
+    const auto link = opened.get_future().get();
+    constexpr int laterType = 200;
+    for (int n = 0; n < 2; ++n) {
+        Frame later;
+        later.body.type = wire::Body(laterType);
+        sender.send(link, std::move(later));
+    }
+    Frame known;
+    known.body.Set(wire::BeatT());
+    sender.send(link, std::move(known));
+    cr_expect(delivered.get_future().get() == wire::Body::Beat, "the link goes on");
+    cr_expect_eq(ignored.load(), 1, "told of once");
+    cr_expect_eq(lastType.load(), laterType);
+    sender.shutdown();
+    receiver.shutdown();
+}
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -63,6 +63,7 @@
         welcome.caller_resend_ms = static_cast<uint32_t>(resendDelay.count());
         welcome.entry = "entry";
         welcome.incarnation = entry;
+        welcome.relays = true;
         lastSent[link] = now;
         gate.entryLinked(link, welcome, now, now);
     }
@@ -667,7 +668,7 @@
     wire::WelcomeT welcome;
     welcome.entry = "earlier";
     welcome.incarnation = 77;
-    fixture.gate.entryLinked(earlierRelease, welcome, TimePoint(), fixture.now);
+    fixture.gate.entryLinked(earlierRelease, welcome, fixture.now, fixture.now);
     wire::RelayedOrphansT message;
     auto& runs = *message.agents.emplace_back(std::make_unique<wire::AgentRunsT>());
     runs.agent = "another agent";
