--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -125,8 +125,8 @@
     TimePoint freeReportedAt {}; ///< When `free` was last reported.
     TimePoint lastReceived {}; ///< When its last message arrived.
     TimePoint lastHeard {}; ///< The same, or when it got its first run, if that was later.
-    TimePoint
-        agentTime {}; ///< The latest received on this link, by the agent's clock; goes back to it with each message.
+    /** The latest received on this link, by the agent's clock; goes back to it with each message. */
+    TimePoint agentTime {};
     TimePoint lastSent {};
     TimePoint unlinkedAt {}; ///< When the link ended.
     size_t relays = 0; ///< Linked agents told of its ownerless runs, counted anew when any link is lost.
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -281,8 +281,8 @@
         /** The run is over if this poll or a later one doesn't list it; 0 until the number is known. */
         uint64_t firstConclusivePoll = 0;
         TimePoint nextStop {};
-        TimePoint
-            ownerConfirmed {}; ///< When its owner was last confirmed to have a link, if that one was not replaced.
+        /** When its owner was last confirmed to have a link, if that one was not replaced. */
+        TimePoint ownerConfirmed {};
         TimePoint overBy = TimePoint::max(); ///< Its task may be started elsewhere from then on.
         bool isListed = false; ///< A listing has shown it running.
         bool isSample = false; ///< Its run time is a sample for `m_speed`; only one run of a job is.
