Crashes of a server accuse no runs of its process before

Cause: a run whose start call stayed without an answer is kept when the server's next process is listed, until it can't start late there. When that process crashed too, crashedRuns() accused these runs again, at the age since their order at the process before (597 ms instead of 0 to 4). CrashRecords counts crashes at about the same age, so that the false one set the count of a deadly task back to one: 1 ms, 597 ms, 0 ms, 0 ms made two crashes, not three. Innocent neighbours of the first crash were accused twice.

Change: only runs that were ordered for the present process, or listed by it, are accused of its crash.

--- a/src/RunGateCrashes.cpp
+++ b/src/RunGateCrashes.cpp
@@ -12,7 +12,8 @@
     const auto when = m_pollLostAt == TimePoint() ? now : m_pollLostAt;
     std::vector<std::pair<uint64_t, RunId>> orders;
     for (const auto& [id, run] : m_runs) {
-        if (run.ordered <= when)
+        // A run of the process before is kept until it can't start late any more; it hasn't been in this one.
+        if (run.ordered <= when && run.serverStartedMs == m_serverStartedMs)
             orders.emplace_back(run.startNumber, id);
     }
     std::sort(orders.rbegin(), orders.rend());
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -243,6 +243,7 @@
     uint32_t activeRun = 0; ///< In the last result.
     std::map<LinkId, std::vector<RunId>> orphans;
     std::map<LinkId, wire::RelayedOrphansT> relayed; ///< The last message of the kind on each link.
+    std::vector<TaskId> accused; ///< In the last message of a crash.
     std::map<LinkId, Resources> free;
     std::map<LinkId, Resources> total;
     std::string service; ///< In the last report.
@@ -281,6 +282,11 @@
                 orphans[send.link].push_back(fromWire(id));
         } else if (const auto* message = send.body.AsRelayedOrphans())
             relayed[send.link] = *message;
+        else if (const auto* message = send.body.AsServerCrash()) {
+            accused.clear();
+            for (const auto& run : message->runs)
+                accused.push_back(fromWire(*run->id).task);
+        }
     }
 };
 
@@ -2401,6 +2407,27 @@
     cr_expect_eq(fixture.gate.counters().crashes, row->crashes, "%s", row->name);
 }
 
+Test(RunGate, crashesAccuseNoRunsOfTheProcessBefore)
+{
+    Fixture fixture;
+    const auto crash = [&] {
+        fixture.answerPoll({}, PollOutcome::NoAnswer);
+        fixture.gate.tick(fixture.now += Milliseconds(1));
+        fixture.answerPoll({}, PollOutcome::Refused);
+    };
+    fixture.order(firstLink, runId(1)); // Its start call stays without an answer.
+    crash();
+    fixture.announce(false, 2);
+    auto next = listingOf({});
+    next.startedMs = 2;
+    fixture.answerPoll(next);
+    cr_assert_eq(fixture.gate.runs(), 1U, "it may still start late");
+    fixture.order(firstLink, runId(2));
+    fixture.answerStart(runId(2), StartOutcome::Started);
+    crash();
+    cr_expect(fixture.accused == std::vector { runId(2).task }, "%zu runs are accused", fixture.accused.size());
+}
+
 /** Each answer sent the next poll at once, for ever. */
 Test(RunGate, refusedIdOfAPollThatNamesNoneIsNoAnswer)
 {
