Orphaned runs and the server's processes get files of their own

Each is one file now, DispatcherOrphans.cpp and RunGateServer.cpp; the functions are moved as they are.

--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -141,26 +141,6 @@
         m_agents[i].relays += relays;
 }
 
-std::vector<RunId> Dispatcher::ownerlessRuns(const AgentView& agent)
-{
-    std::vector<RunId> ids;
-    std::copy_if(
-        agent.runs.begin(), agent.runs.end(), std::back_inserter(ids), [&](const RunId& id) { return !isWanted(id); });
-    return ids;
-}
-
-std::map<size_t, std::vector<RunId>> Dispatcher::unreachableOrphans()
-{
-    std::map<size_t, std::vector<RunId>> runs;
-    for (size_t i = 0; i < m_agents.size(); ++i) {
-        if (m_agents[i].isLinked || m_agents[i].relays >= maxRelays)
-            continue;
-        if (auto ids = ownerlessRuns(m_agents[i]); !ids.empty())
-            runs[i] = std::move(ids);
-    }
-    return runs;
-}
-
 void Dispatcher::linkClosed(LinkId link, TimePoint now)
 {
     const auto index = agentOf(link);
@@ -187,13 +167,6 @@
     return it->second;
 }
 
-TimePoint Dispatcher::lapseOf(const AgentView& agent, const RunId& id, TimePoint now) const
-{
-    const auto lapse = (agent.isLinked ? now : agent.unlinkedAt) + m_limits.runLapse;
-    const auto foreign = agent.foreignRuns.find(id);
-    return foreign == agent.foreignRuns.end() ? lapse : std::max(lapse, foreign->second.lapse);
-}
-
 void Dispatcher::markRunsLost(size_t index, const std::vector<RunId>& ids, std::string_view cause, TimePoint now)
 {
     for (const auto& id : ids) {
@@ -346,119 +319,6 @@
     return task != nullptr && task->state == TaskState::Ordered && task->run == id.run && !task->isStopping;
 }
 
-void Dispatcher::onOrphanedRuns(size_t index, const wire::OrphanedRunsT& message, TimePoint now)
-{
-    for (const auto& id : message.ids)
-        onOrphan(index, fromWire(id), { m_agents[index].incarnation, {} }, now);
-}
-
-void Dispatcher::onRelayedOrphans(const wire::RelayedOrphansT& message, TimePoint now)
-{
-    for (const auto& runs : message.agents) {
-        const auto index = agentNamed(runs->agent);
-        for (const auto& id : runs->ids)
-            onOrphan(
-                index, fromWire(id), { Incarnation(runs->agent_incarnation), now + Milliseconds(runs->lapse_ms) }, now);
-    }
-}
-
-bool Dispatcher::rememberOrphan(size_t index, const RunId& id, const ForeignRun& run, TimePoint now)
-{
-    const auto known = m_orphanedRuns.find({ id, index, run.incarnation });
-    if (known == m_orphanedRuns.end()) {
-        if (m_orphanedRuns.size() < m_limits.maxOrphanedRuns)
-            m_orphanedRuns[{ id, index, run.incarnation }] = { run, now + m_limits.orphanRetention, false };
-        return true;
-    }
-    auto& orphan = known->second;
-    orphan.run.lapse = std::max(orphan.run.lapse, run.lapse);
-    if (!orphan.isOver)
-        orphan.expires = now + m_limits.orphanRetention;
-    return false;
-}
-
-void Dispatcher::onOrphan(size_t index, const RunId& id, const ForeignRun& run, TimePoint now)
-{
-    auto& agent = m_agents[index];
-    if (agent.runs.contains(id)) {
-        const auto known = agent.foreignRuns.find(id);
-        if (known != agent.foreignRuns.end() && known->second.incarnation == run.incarnation)
-            known->second.lapse = std::max(known->second.lapse, run.lapse);
-        if (run.incarnation == (known == agent.foreignRuns.end() ? agent.incarnation : known->second.incarnation))
-            return;
-    }
-    auto* job = findJob(id.task.job);
-    if (job == nullptr) {
-        rememberOrphan(index, id, run, now);
-        return;
-    }
-    const auto* task = findTask(id.task);
-    const auto known = m_orphanedRuns.find({ id, index, run.incarnation });
-    if (task == nullptr || (known != m_orphanedRuns.end() && known->second.isOver))
-        return;
-    if (task->state == TaskState::Ready || task->state == TaskState::Blocked) {
-        adoptForeignRun(*job, id, index, run, now);
-        requeue(*job, now);
-        return;
-    }
-    if (!rememberOrphan(index, id, run, now))
-        return;
-    ++m_counters.jobsElsewhere;
-    m_effects.record(LogLevel::Warning, "job-elsewhere",
-        { { "job", id.task.job }, { "task", toString(id.task) }, { "run", static_cast<int64_t>(raw(id.run)) },
-            { "agent", agent.name } });
-    sendStop(index, { id }, false, now);
-}
-
-std::vector<size_t> Dispatcher::chooseRelays() const
-{
-    std::vector<size_t> linked;
-    for (size_t i = 0; i < m_agents.size(); ++i) {
-        if (m_agents[i].isLinked && m_agents[i].takesRelays)
-            linked.push_back(i);
-    }
-    std::stable_sort(linked.begin(), linked.end(),
-        [&](size_t a, size_t b) { return m_agents[a].lastReceived > m_agents[b].lastReceived; });
-    std::set<std::string> failureDomains;
-    std::vector<size_t> chosen;
-    std::vector<size_t> others;
-    for (const auto i : linked) {
-        const bool isFirstOfDomain = failureDomains.insert(m_agents[i].failureDomain).second;
-        (isFirstOfDomain ? chosen : others).push_back(i);
-    }
-    chosen.insert(chosen.end(), others.begin(), others.end());
-    chosen.resize(std::min(chosen.size(), maxRelays));
-    return chosen;
-}
-
-size_t Dispatcher::relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now)
-{
-    std::map<std::pair<size_t, Incarnation>, wire::AgentRunsT> byIncarnation;
-    for (const auto& [index, ids] : runs) {
-        const auto& agent = m_agents[index];
-        for (const auto& id : ids) {
-            const auto foreign = agent.foreignRuns.find(id);
-            const auto incarnation
-                = foreign == agent.foreignRuns.end() ? agent.incarnation : foreign->second.incarnation;
-            auto& entry = byIncarnation[{ index, incarnation }];
-            entry.agent = agent.name;
-            entry.agent_incarnation = raw(incarnation);
-            const auto lapse = std::max<int64_t>(toMilliseconds(lapseOf(agent, id, now) - now).count(), 0);
-            entry.lapse_ms = std::max(entry.lapse_ms, static_cast<uint32_t>(lapse));
-            entry.ids.push_back(toWire(id));
-        }
-    }
-    if (byIncarnation.empty())
-        return 0;
-    wire::RelayedOrphansT message;
-    for (auto& [key, entry] : byIncarnation)
-        message.agents.push_back(std::make_unique<wire::AgentRunsT>(std::move(entry)));
-    const auto relays = chooseRelays();
-    for (const auto relay : relays)
-        send(m_agents[relay], message, now);
-    return relays.size();
-}
-
 void Dispatcher::onResult(size_t index, const wire::RunResultT& result, TimePoint now)
 {
     auto& agent = m_agents[index];
