The incarnation of an orphaned run is kept once

Three places looked up whether a run at an agent is one of another entry, to tell which incarnation of the agent has it, each in its own words; and an orphaned run had its incarnation twice, in its key and in its value. Two places repeated the condition on which a job waits for an orphaned run.

AgentView::incarnationOf answers the first question, OrphanedRun::isOpen the second, and OrphanedRun holds the lapse alone.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -142,6 +142,12 @@
     {
         return isLinked && state != wire::GateState::Closed && service == name;
     }
+    /** Incarnation of the agent that has a run. */
+    Incarnation incarnationOf(const RunId& id) const
+    {
+        const auto foreign = foreignRuns.find(id);
+        return foreign == foreignRuns.end() ? incarnation : foreign->second.incarnation;
+    }
     /** Whether suspects of another job keep a job's runs from its server. */
     bool isBlockedFor(WorkId job, TimePoint now) const
     {
@@ -448,9 +454,12 @@
     };
     std::unordered_map<WorkId, EndedJob> m_endedJobs;
     struct OrphanedRun {
-        ForeignRun run;
+        TimePoint lapse {}; ///< As in ForeignRun.
         TimePoint expires {};
         bool isOver = false; ///< Its agent has told so; messages that arrive later are ignored.
+
+        /** Whether a job that has its task waits for it. */
+        bool isOpen(TimePoint now) const { return expires > now && !isOver; }
     };
     /** Entries number runs independently, so that incarnations of an agent may have runs of the same id. */
     struct OrphanKey {
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -883,8 +883,7 @@
         traceRun("run-refused", job, id, agent, wire::EnumNameRefusal(result.refusal), now);
         if (result.refusal == wire::Refusal::Occupied && result.active_run > 0) {
             const RunId active { id.task, RunNumber(result.active_run) };
-            m_orphanedRuns[{ active, agentIndex, agent.incarnation }]
-                = { { agent.incarnation, {} }, now + m_limits.orphanRetention, false };
+            m_orphanedRuns[{ active, agentIndex, agent.incarnation }] = { {}, now + m_limits.orphanRetention, false };
             return retryTask(job, id, task, now);
         }
         if (result.refusal == wire::Refusal::RunTooLow)
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -108,20 +108,17 @@
     agent.unacknowledgedOrders.clear();
     agent.nextDemand = now;
     m_agentByLink[link] = index;
-    const auto previous = std::exchange(agent.incarnation, Incarnation(hello.incarnation));
-    const bool isRestarted = agent.incarnation != previous;
+    const Incarnation incarnation { hello.incarnation };
+    // A restarted agent links only after all runs of its previous incarnation are over.
+    std::vector<RunId> ended;
+    std::copy_if(agent.runs.begin(), agent.runs.end(), std::back_inserter(ended),
+        [&](const RunId& id) { return agent.incarnationOf(id) != incarnation; });
+    const bool isRestarted = std::exchange(agent.incarnation, incarnation) != incarnation;
     m_effects.record(LogLevel::Info, "agent-linked",
         { { "agent", agent.name }, { "new_life", isRestarted ? "true" : "false" },
             { "runs", static_cast<int64_t>(agent.runs.size()) } });
-    // A restarted agent links only after all runs of its previous incarnation are over.
-    std::vector<RunId> ended;
-    for (const auto& id : agent.runs) {
-        const auto foreign = agent.foreignRuns.find(id);
-        if ((foreign == agent.foreignRuns.end() ? previous : foreign->second.incarnation) != agent.incarnation)
-            ended.push_back(id);
-    }
     std::erase_if(m_orphanedRuns, [&](const auto& orphan) {
-        return orphan.first.agent == index && !orphan.second.isOver && orphan.first.incarnation != agent.incarnation;
+        return orphan.first.agent == index && !orphan.second.isOver && orphan.first.incarnation != incarnation;
     });
     markRunsLost(index, ended, "agent-restarted", now);
     if (isRestarted)
@@ -345,7 +342,7 @@
     }
     if (const auto foreign = agent.foreignRuns.extract(id); foreign && result.refusal != wire::Refusal::Occupied)
         m_orphanedRuns[{ id, index, foreign.mapped().incarnation }]
-            = { foreign.mapped(), now + m_limits.orphanRetention, true };
+            = { foreign.mapped().lapse, now + m_limits.orphanRetention, true };
     agent.suspects.erase(id);
     if (findTask(id.task) != nullptr)
         runEnded(*findJob(id.task.job), id, index, result, now);
--- a/src/DispatcherOrphans.cpp
+++ b/src/DispatcherOrphans.cpp
@@ -18,7 +18,7 @@
         std::vector<OrphanKey> keys;
         for (auto it = m_orphanedRuns.lower_bound({ { { jobId, StepIndex(0), TaskIndex(0) }, RunNumber(0) } });
              it != m_orphanedRuns.end() && it->first.id.task.job == jobId; ++it) {
-            if (it->second.expires > now && !it->second.isOver)
+            if (it->second.isOpen(now))
                 keys.push_back(it->first);
         }
         return keys;
@@ -37,14 +37,14 @@
     auto latest = m_orphanedRuns.end();
     for (auto it = m_orphanedRuns.lower_bound({ { taskId, RunNumber(0) } });
          it != m_orphanedRuns.end() && it->first.id.task == taskId; ++it) {
-        if (it->second.expires > now && !it->second.isOver)
+        if (it->second.isOpen(now))
             latest = it;
     }
     if (latest == m_orphanedRuns.end())
         return;
     const auto [key, orphan] = *latest;
     m_orphanedRuns.erase(latest);
-    adoptForeignRun(job, key.id, key.agent, orphan.run, now);
+    adoptForeignRun(job, key.id, key.agent, { key.incarnation, orphan.lapse }, now);
 }
 
 void Dispatcher::adoptRun(Job& job, const RunId& id, size_t agentIndex, TimePoint now)
@@ -132,11 +132,11 @@
     const auto known = m_orphanedRuns.find({ id, index, run.incarnation });
     if (known == m_orphanedRuns.end()) {
         if (m_orphanedRuns.size() < m_limits.maxOrphanedRuns)
-            m_orphanedRuns[{ id, index, run.incarnation }] = { run, now + m_limits.orphanRetention, false };
+            m_orphanedRuns[{ id, index, run.incarnation }] = { run.lapse, now + m_limits.orphanRetention, false };
         return true;
     }
     auto& orphan = known->second;
-    orphan.run.lapse = std::max(orphan.run.lapse, run.lapse);
+    orphan.lapse = std::max(orphan.lapse, run.lapse);
     if (!orphan.isOver)
         orphan.expires = now + m_limits.orphanRetention;
     return false;
@@ -145,12 +145,10 @@
 void Dispatcher::onOrphan(size_t index, const RunId& id, const ForeignRun& run, TimePoint now)
 {
     auto& agent = m_agents[index];
-    if (agent.runs.contains(id)) {
-        const auto known = agent.foreignRuns.find(id);
-        if (known != agent.foreignRuns.end() && known->second.incarnation == run.incarnation)
+    if (agent.runs.contains(id) && agent.incarnationOf(id) == run.incarnation) {
+        if (const auto known = agent.foreignRuns.find(id); known != agent.foreignRuns.end())
             known->second.lapse = std::max(known->second.lapse, run.lapse);
-        if (run.incarnation == (known == agent.foreignRuns.end() ? agent.incarnation : known->second.incarnation))
-            return;
+        return;
     }
     auto* job = findJob(id.task.job);
     if (job == nullptr) {
@@ -202,9 +200,7 @@
     for (const auto& [index, ids] : runs) {
         const auto& agent = m_agents[index];
         for (const auto& id : ids) {
-            const auto foreign = agent.foreignRuns.find(id);
-            const auto incarnation
-                = foreign == agent.foreignRuns.end() ? agent.incarnation : foreign->second.incarnation;
+            const auto incarnation = agent.incarnationOf(id);
             auto& entry = byIncarnation[{ index, incarnation }];
             entry.agent = agent.name;
             entry.agent_incarnation = raw(incarnation);
