A link that is lost as silent expects no new one from the start

tickLinks kept the silent links, looked each one's agent up again, closed the link like any other and took back the time until which a new one is expected. It keeps the agents' positions now, and unlink is told that time. Whether agents are linking again is asked only if a server is free and jobs wait.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -314,6 +314,8 @@
     /** Refuses the waiting jobs that no server is large enough for any more. */
     void refuseWhatFitsNoServer(TimePoint now);
     std::optional<size_t> agentOf(LinkId link) const;
+    /** An agent has lost its link; a report on a new one is expected until `relinkUntil`, zero if none is. */
+    void unlink(size_t agent, TimePoint relinkUntil, TimePoint now);
     /** Recomputes which agents this entry orders from first. */
     void updatePreferredAgents();
     Job* findJob(WorkId id);
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -324,7 +324,7 @@
 {
     const bool hasFreeAgent = std::any_of(
         m_agents.begin(), m_agents.end(), [](const AgentView& agent) { return agent.isLinked && agent.free.cpu > 0; });
-    const bool isRelinkingAgents = isRelinking(now);
+    const bool isRelinkingAgents = hasFreeAgent && !m_queue.empty() && isRelinking(now);
     size_t misses = 0;
     for (auto it = m_queue.begin(); hasFreeAgent && it != m_queue.end() && misses < m_limits.backfillDepth;) {
         auto& job = m_jobs.at((it++)->job);
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -140,17 +140,20 @@
 
 void Dispatcher::linkClosed(LinkId link, TimePoint now)
 {
-    const auto index = agentOf(link);
-    if (!index)
-        return;
-    auto& agent = m_agents[*index];
-    m_agentByLink.erase(link);
+    if (const auto index = agentOf(link))
+        unlink(*index, now + m_limits.relinkWait, now);
+}
+
+void Dispatcher::unlink(size_t index, TimePoint relinkUntil, TimePoint now)
+{
+    auto& agent = m_agents[index];
+    m_agentByLink.erase(agent.link);
     agent.isLinked = false;
     m_isPreferenceStale = true;
     agent.unlinkedAt = now;
     for (auto& other : m_agents)
         other.relays = 0; // What was sent on this link may be lost with it.
-    agent.relinkUntil = now + m_limits.relinkWait;
+    agent.relinkUntil = relinkUntil;
     m_effects.record(LogLevel::Warning, "agent-unlinked",
         { { "agent", agent.name }, { "runs", static_cast<int64_t>(agent.runs.size()) },
             { "heard_ms_ago", toMilliseconds(now - agent.lastHeard).count() } });
@@ -188,7 +191,7 @@
 
 void Dispatcher::tickLinks(TimePoint now)
 {
-    std::vector<LinkId> silent;
+    std::vector<size_t> silent;
     for (size_t i = 0; i < m_agents.size(); ++i) {
         auto& agent = m_agents[i];
         if (!agent.isLinked) {
@@ -200,18 +203,15 @@
         }
         const bool isBusy = !agent.runs.empty();
         if (now - agent.lastHeard > allowedSilence(agent)) {
-            silent.push_back(agent.link);
+            silent.push_back(i);
             continue;
         }
         if (now - agent.lastSent >= (isBusy ? m_limits.heartbeatInterval : m_limits.idleHeartbeatInterval))
             send(agent, wire::BeatT(), now);
     }
-    for (const auto link : silent) {
-        m_effects.add(CloseLink { link, "silent" });
-        const auto index = agentOf(link);
-        linkClosed(link, now);
-        if (index)
-            m_agents[*index].relinkUntil = {}; // The agent has been out of reach for longer than a new link takes.
+    for (const auto i : silent) {
+        m_effects.add(CloseLink { m_agents[i].link, "silent" });
+        unlink(i, {}, now); // The agent has been out of reach for longer than a new link takes.
     }
 }
 
