Run gate: one function tells an entry of orphans

entryLinked made the message of orphaned runs and asked whether the entry knows it, and so did sendOrphans for all other entries. sendOrphans tells one entry now, sendOrphansToOthers all but one. The id that all calls for a run carry is set where the run is made instead of at the first of its start calls, and the unreadable rows of a listing are numbered once, not twice.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -266,7 +266,7 @@
         std::string payload; ///< For another start call; empty once one was answered.
         int64_t serverStartedMs = 0; ///< Incarnation of the server that it was ordered for, or that has listed it.
         uint32_t startCalls = 0;
-        std::string instance; ///< The id that its start calls carry. A stop has to carry it, too: see callStart.
+        std::string instance; ///< The id that its start calls carry. A stop has to carry it, too: see onOrder.
         std::string route;
         uint64_t startNumber = 0; ///< Counts the orders that were accepted.
         TimePoint suspectUntil {}; ///< Until then it is suspected to crash the server; see CrashRecords.h.
@@ -365,8 +365,10 @@
     void stopRun(const RunId& id, Run& run, TimePoint now);
     /** An entry that didn't order a run asks for its end. */
     void addSuccessor(Run& run, EntryLink& link, TimePoint now);
-    /** Tells all entries but the one on `except` of runs that are orphaned now. */
-    void sendOrphans(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now);
+    /** Tells an entry of orphaned runs. */
+    void sendOrphans(LinkId link, const std::vector<RunId>& ids, TimePoint now);
+    /** Tells all entries but the one on `except`. */
+    void sendOrphansToOthers(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now);
     /** Passes on what an entry tells the other ones of its runs. */
     void relayOrphans(LinkId from, const wire::RelayedOrphansT& message, TimePoint now);
     /** Stops a run that a start call may have started; it is over once a stop was answered and a poll shows no run. */
@@ -394,9 +396,9 @@
     void processEnds(const Listing& listing, TimePoint now);
     void processRunning(uint64_t number, const Listing& listing, TimePoint now);
     /** Follows the rows that can't be read in a listing that wasn't overtaken. */
-    void processUnreadable(uint64_t number, const Listing& listing, TimePoint now);
-    /** Whether a run that isn't among the running ones of a listing isn't running. */
-    bool provesAbsence(const Listing& listing) const;
+    void processUnreadable(uint64_t number, const std::set<std::string>& rows, TimePoint now);
+    /** Whether a run that isn't among the running ones of a listing with these unreadable rows isn't running. */
+    bool provesAbsence(const std::set<std::string>& rows) const;
     /** Whether a row that can't be read may be a run. */
     bool hasUnreadableRuns() const;
     /** Tells unreadable rows with the same text apart. */
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -242,6 +242,9 @@
     run.estimate = Milliseconds(order.estimate_ms);
     run.ordered = now;
     run.serverStartedMs = m_serverStartedMs;
+    // All calls for a run carry one id: a process with another one refuses them all. That it refuses a stop with an id
+    // of an odd report would not show that it refuses the start, too.
+    run.instance = m_server->instance;
     run.route = order.route;
     run.suspectUntil = now + Milliseconds(order.suspect_ms);
     run.startNumber = ++m_lastStartNumber;
@@ -271,10 +274,7 @@
 
 void RunGate::callStart(const RunId& id, Run& run, TimePoint now)
 {
-    // All calls for a run carry one id: a process with another one refuses them all. That it refuses a stop with an id
-    // of an odd report would not show that it refuses the start, too.
-    if (run.startCalls++ == 0)
-        run.instance = m_server->instance;
+    ++run.startCalls;
     run.startCalled = now;
     m_startFence = m_fence;
     m_effects.add(StartRun { id, run.payload, run.instance, m_fence, grantLease(now), m_callTime.timeout(now) });
@@ -458,7 +458,7 @@
                 now + m_limits.resultRetention, m_pollNumber });
         sendResult(link, id, ended->second.outcome, ended->second.refusal, ended->second.reason, {}, now);
     }
-    sendOrphans(orphans, link, now);
+    sendOrphansToOthers(orphans, link, now);
 }
 
 void RunGate::onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now)
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -42,16 +42,21 @@
         link.busySince = now;
 }
 
-void RunGate::sendOrphans(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now)
+void RunGate::sendOrphans(LinkId link, const std::vector<RunId>& ids, TimePoint now)
 {
-    if (ids.empty())
-        return;
+    if (ids.empty() || !m_links.at(link).hasAgentTimes)
+        return; // Entries of an earlier release don't know the message.
     wire::OrphanedRunsT message;
     for (const auto& id : ids)
         message.ids.push_back(toWire(id));
+    send(link, std::move(message), now);
+}
+
+void RunGate::sendOrphansToOthers(const std::vector<RunId>& ids, std::optional<LinkId> except, TimePoint now)
+{
     for (const auto& [id, link] : m_links) {
-        if (id != except && link.hasAgentTimes) // Entries of an earlier release don't know the message.
-            send(id, message, now);
+        if (id != except)
+            sendOrphans(id, ids, now);
     }
 }
 
@@ -85,11 +90,11 @@
     link.takesRelays = welcome.relays;
     confirm(link, agentTime, now);
     link.lastSent = now;
-    wire::OrphanedRunsT orphans;
-    for (auto& [runId, run] : m_runs) {
+    std::vector<RunId> orphans;
+    for (const auto& [runId, run] : m_runs) {
         link.runs += concerns(run, entry) ? 1 : 0;
         if (run.owner != entry && run.isOrphaned)
-            orphans.ids.push_back(toWire(runId));
+            orphans.push_back(runId);
     }
     m_lostOwners.erase(entry);
     if (welcome.server_life == m_serverStartedMs)
@@ -98,15 +103,14 @@
         { { "entry", welcome.entry }, { "incarnation", fmt::format("{:016x}", raw(entry)) },
             { "runs", static_cast<int64_t>(link.runs) } });
     sendCrashes(id, now); // These precede the report, on which the entry sends orders.
-    if (!orphans.ids.empty() && link.hasAgentTimes)
-        send(id, std::move(orphans), now);
+    sendOrphans(id, orphans, now);
     sendReport(id, now);
 }
 
 void RunGate::linkClosed(LinkId id, TimePoint now)
 {
     if (m_links.contains(id))
-        sendOrphans(removeLink(id, now), std::nullopt, now);
+        sendOrphansToOthers(removeLink(id, now), std::nullopt, now);
 }
 
 std::vector<RunId> RunGate::removeLink(LinkId id, TimePoint now)
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -309,18 +309,16 @@
         m_unreadableRuns.begin(), m_unreadableRuns.end(), [](const auto& row) { return !row.second.isDisproved; });
 }
 
-bool RunGate::provesAbsence(const Listing& listing) const
+bool RunGate::provesAbsence(const std::set<std::string>& rows) const
 {
-    const auto rows = unreadableRows(listing);
     return std::all_of(rows.begin(), rows.end(), [this](const auto& row) {
         const auto it = m_unreadableRuns.find(row);
         return it != m_unreadableRuns.end() && it->second.isDisproved;
     });
 }
 
-void RunGate::processUnreadable(uint64_t number, const Listing& listing, TimePoint now)
+void RunGate::processUnreadable(uint64_t number, const std::set<std::string>& rows, TimePoint now)
 {
-    const auto rows = unreadableRows(listing);
     std::erase_if(m_unreadableRuns, [&](const auto& unreadable) { return !rows.contains(unreadable.first); });
     for (const auto& row : rows) {
         // No stop call can name the run. Its lease ends instead, with those of the other runs on the server.
@@ -339,9 +337,10 @@
 void RunGate::processRunning(uint64_t number, const Listing& listing, TimePoint now)
 {
     const bool isNewest = !isOvertaken(listing);
+    const auto rows = unreadableRows(listing);
     if (isNewest)
-        processUnreadable(number, listing, now);
-    const bool isComplete = provesAbsence(listing);
+        processUnreadable(number, rows, now);
+    const bool isComplete = provesAbsence(rows);
     if (isNewest && listing.clock)
         m_listedClock = *listing.clock;
     std::set<RunId> running;
