Time-outs of polls before an answered one tell no time of a crash

What may be seen: a task that crashes its server isn't counted as under the crash, and starts once more than the limit; runs beside it are accused at too low an age, or no crash is told at all.

Cause: a crash accuses the runs that were ordered before the first poll that got no answer since the last listing. A poll that was lost counted as that one also when the server had answered a later poll before its time-out. Until the next listing, up to 150 ms on an idle server, runs were then ordered that the crash didn't accuse.

Change: only a poll that is later than the last listed one tells when the server went.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -537,7 +537,8 @@
     uint64_t m_sentBeforeListing = 0;
     uint64_t m_lastListedPoll = 0; ///< The latest poll that was answered with a listing.
     double m_lostCallShare = 0; ///< Share of start calls and polls without an answer, smoothed.
-    TimePoint m_pollLostAt {}; ///< When the first poll since the last listing got no answer; zero if none did.
+    /** When the first poll later than the last listed one got no answer since that listing; zero if none did. */
+    TimePoint m_pollLostAt {};
     bool m_isPollLost = false; ///< The last poll had no answer: polls don't renew leases until one is answered.
     TimePoint m_nextPoll {};
     TimePoint m_lastPoll {}; ///< When the last poll was sent.
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -148,11 +148,11 @@
         }
         processEnded(now);
     } else if (outcome == PollOutcome::NoAnswer) {
-        if (m_pollLostAt == TimePoint())
-            m_pollLostAt = now;
         if (!m_isPollLost)
             m_effects.record(LogLevel::Info, "look-unanswered", { { "look", static_cast<int64_t>(number) } });
         if (number > m_lastListedPoll) {
+            if (m_pollLostAt == TimePoint())
+                m_pollLostAt = now;
             m_isPollLost = true;
             m_nextPoll = now;
         } else {
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -2428,6 +2428,27 @@
     cr_expect(fixture.accused == std::vector { runId(2).task }, "%zu runs are accused", fixture.accused.size());
 }
 
+/** A run that was ordered after the time-out of such a poll was taken for one that the server hadn't got. */
+Test(RunGate, timeOutOfAPollBeforeAnAnsweredOneTellsNoTimeOfACrash)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    const auto lostPoll = fixture.lastPoll;
+    fixture.stop(firstLink, runId(1));
+    fixture.gate.stopAnswered(runId(1), true, fixture.now); // Another poll is sent.
+    fixture.answerPoll(listingOf({}, { { 1, runId(1), EndKind::Stopped } }));
+    fixture.gate.pollAnswered(lostPoll, PollOutcome::NoAnswer, {}, fixture.now);
+    fixture.now += Milliseconds(10);
+    fixture.order(firstLink, runId(2));
+    fixture.answerStart(runId(2), StartOutcome::Started);
+    fixture.now += Milliseconds(10);
+    fixture.answerPoll({}, PollOutcome::NoAnswer);
+    fixture.gate.tick(fixture.now);
+    fixture.answerPoll({}, PollOutcome::Refused);
+    cr_expect(fixture.accused == std::vector { runId(2).task }, "%zu runs are accused", fixture.accused.size());
+}
+
 /** Each answer sent the next poll at once, for ever. */
 Test(RunGate, refusedIdOfAPollThatNamesNoneIsNoAnswer)
 {
