A crash after a refuted end of a server is told of

Cause: the report says that the server isn't gone, and the listing took back the recorded crash only for a server that was gone.

Change: a listing of the same process refutes its end whenever a connection was refused before, too.

--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -172,7 +172,7 @@
     } else {
         m_sentBeforeListing = m_pollNumber;
         m_isPollLost = false;
-        if (m_isServerGone && listing.startedMs == m_serverStartedMs) {
+        if ((m_isServerGone || m_isProcessEnded) && listing.startedMs == m_serverStartedMs) {
             ++m_counters.refutedServerEnds;
             m_isCrashRecorded = false;
             m_effects.record(LogLevel::Warning, "server-end-refuted", { { "born", listing.startedMs } });
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -2428,6 +2428,24 @@
     cr_expect(fixture.accused == std::vector { runId(2).task }, "%zu runs are accused", fixture.accused.size());
 }
 
+/** A report that came before the listing hid that the server had been there all the time. */
+Test(RunGate, crashAfterARefutedEndIsToldOf)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.answerPoll({}, PollOutcome::Refused);
+    fixture.announce();
+    fixture.gate.tick(fixture.now += Milliseconds(20));
+    fixture.answerPoll(listingOf({}));
+    cr_expect_eq(fixture.gate.counters().refutedServerEnds, 1U);
+    fixture.order(firstLink, runId(2));
+    fixture.answerStart(runId(2), StartOutcome::Started);
+    fixture.answerPoll({}, PollOutcome::Refused);
+    cr_expect_eq(fixture.gate.counters().crashes, 2U);
+    cr_expect(fixture.accused == std::vector { runId(2).task }, "%zu runs are accused", fixture.accused.size());
+}
+
 /** A run that was ordered after the time-out of such a poll was taken for one that the server hadn't got. */
 Test(RunGate, timeOutOfAPollBeforeAnAnsweredOneTellsNoTimeOfACrash)
 {
