--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -2428,6 +2428,21 @@
     cr_expect(fixture.accused == std::vector { runId(2).task }, "%zu runs are accused", fixture.accused.size());
 }
 
+Test(RunGate, crashesAccuseRunsOfTheProcessBeforeThatStartedLate)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1)); // Its start call stays without an answer.
+    fixture.answerPoll({}, PollOutcome::Refused);
+    fixture.announce(false, 2);
+    fixture.gate.tick(fixture.now += Milliseconds(20));
+    auto next = listingOf({ runId(1) });
+    next.startedMs = 2;
+    fixture.answerPoll(next);
+    fixture.accused.clear();
+    fixture.answerPoll({}, PollOutcome::Refused);
+    cr_expect(fixture.accused == std::vector { runId(1).task }, "%zu runs are accused", fixture.accused.size());
+}
+
 /** A report that came before the listing hid that the server had been there all the time. */
 Test(RunGate, crashAfterARefutedEndIsToldOf)
 {
