Orphaned runs at a suspended agent are told when other agents link

The entry relayed the run to this agent only. Seven other agents linked again at once, but weren't told: unreachableOrphans took an agent with a link for one that tells of its runs itself. The job was sent again to another entry after 10 ms, which started the task a second time.

The function is called untoldOrphans now. The messages are sent only when an agent links while such runs haven't ended.

DispatcherTest runsOfASuspendedAgentAreToldWhenOtherAgentsLinkAgain failed before.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -379,8 +379,8 @@
     size_t relayOrphans(const std::map<size_t, std::vector<RunId>>& runs, TimePoint now);
     /** Runs at an agent that no task waits for any more; their job may be open again. */
     std::vector<RunId> ownerlessRuns(const AgentView& agent);
-    /** Those of agents without a link that too few linked agents were told of. */
-    std::map<size_t, std::vector<RunId>> unreachableOrphans();
+    /** Those of all agents that too few linked agents were told of since a link was lost. */
+    std::map<size_t, std::vector<RunId>> untoldOrphans();
     /** Agents for this: those heard of most recently, of different failure domains if there are such. */
     std::vector<size_t> chooseRelays() const;
     /** Position of an agent; one that has not linked yet is added. */
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -130,7 +130,7 @@
         send(agent, std::move(query), now);
     }
     // On the new link the agent goes on with its ownerless runs until it is told to stop them.
-    auto ownerless = unreachableOrphans();
+    auto ownerless = untoldOrphans();
     if (auto ids = ownerlessRuns(agent); !ids.empty())
         ownerless[index] = std::move(ids);
     const auto relays = relayOrphans(ownerless, now);
--- a/src/DispatcherOrphans.cpp
+++ b/src/DispatcherOrphans.cpp
@@ -92,11 +92,11 @@
     return ids;
 }
 
-std::map<size_t, std::vector<RunId>> Dispatcher::unreachableOrphans()
+std::map<size_t, std::vector<RunId>> Dispatcher::untoldOrphans()
 {
     std::map<size_t, std::vector<RunId>> runs;
     for (size_t i = 0; i < m_agents.size(); ++i) {
-        if (m_agents[i].isLinked || m_agents[i].relays >= maxRelays)
+        if (m_agents[i].relays >= maxRelays)
             continue;
         if (auto ids = ownerlessRuns(m_agents[i]); !ids.empty())
             runs[i] = std::move(ids);
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -872,6 +872,38 @@
     cr_expect(fixture.relays.empty(), "the run is over");
 }
 
+/** All links but that of the run's agent are lost with the caller; this agent is suspended and passes nothing on. */
+Test(Dispatcher, runsOfASuspendedAgentAreToldWhenOtherAgentsLinkAgain)
+{
+    constexpr size_t agents = 12;
+    DispatcherFixture fixture(agents);
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000));
+    const auto run = fixture.orders.back();
+    const auto agent = fixture.agentByRun.at(run);
+    for (size_t i = 0; i < agents; ++i) {
+        if (i != agent)
+            fixture.dispatcher.linkClosed(LinkId(i), fixture.now);
+    }
+    fixture.dispatcher.callerGone(WorkId(1), WaiterId(1), fixture.now);
+    fixture.collectEffects();
+    cr_assert_eq(fixture.relays.size(), 1U);
+    cr_expect_eq(fixture.relays.front(), agent);
+    fixture.relays.clear();
+    const auto other = (agent + 1) % agents;
+    fixture.link(other);
+    cr_expect(std::find(fixture.relays.begin(), fixture.relays.end(), other) != fixture.relays.end(),
+        "only the suspended agent is told of the run");
+    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front()) == run);
+    for (size_t i = 2; i < agents; ++i)
+        fixture.link((agent + i) % agents);
+    cr_expect_leq(fixture.relays.size(), 6U, "the number of messages grows with the number of agents");
+    fixture.relays.clear();
+    fixture.end(run, wire::RunOutcome::Stopped);
+    fixture.dispatcher.linkClosed(LinkId(other), fixture.now);
+    fixture.link(other);
+    cr_expect(fixture.relays.empty(), "the run is over");
+}
+
 /** On the new link the lease of the run counts anew; its job is open again, for another caller. */
 Test(Dispatcher, stoppedRunsOfAReopenedJobAreToldAgainWhenTheirAgentLinks)
 {
