Simulation: messages of a new link leave when it opens

Cause: ClusterSimulation::link called both cores, but carried out neither one's effects; these waited for the next event of the process, here 10 and 11.5 ms. The real processes carry them out after each call.

Change: link carries them out. It plays new links that come in the moment of the reset. Real ones come later: agents wait 20 ms before they dial again, and look every 20 ms.

--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -558,6 +558,8 @@
         hello.relays = true;
         m_entries[entry]->agentLinked(id, hello, events.now(), events.now());
         m_gates[agent]->entryLinked(id, welcome, events.now(), events.now());
+        applyEntryEffects(entry);
+        applyGateEffects(agent);
     }
 
     void ClusterSimulation::closeLink(LinkId id, bool byEntry)
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -609,8 +609,9 @@
     }
 }
 
-/** Agents are suspended, and a share of the entry's links is reset with its callers' connections. */
-static void resetLinksWithCallers(double share)
+/** Agents are suspended, and a share of the entry's links is reset with its callers' connections. The other agents link
+ * again `linksAfter` the first reset. */
+static void resetLinksWithCallers(double share, Milliseconds linksAfter)
 {
     for (uint64_t seed = 1; seed <= 5; ++seed) {
         auto scenario
@@ -629,7 +630,7 @@
             for (size_t agent = i; agent < scenario.servers; agent += 3)
                 scenario.agentSuspensions.emplace_back(agent, when);
             for (const int64_t delay : { 50, 150, 300 })
-                scenario.connectionResets.emplace_back(entry, when + Milliseconds(delay));
+                scenario.connectionResets.emplace_back(entry, when + Milliseconds(delay) - linksAfter);
         }
         const auto report = simulate(scenario);
         cr_expect(report.violations.empty(), "seed %d: %zu violations, the first one: %s", static_cast<int>(seed),
@@ -639,12 +640,25 @@
 
 Test(ClusterSimulation, runsAreKnownElsewhereWhenMostLinksAreResetWithCallers, .timeout = 120)
 {
-    resetLinksWithCallers(0.8);
+    resetLinksWithCallers(0.8, Milliseconds(0));
 }
 
 Test(ClusterSimulation, runsAreKnownElsewhereWhenAllLinksAreResetWithCallers, .timeout = 120)
 {
-    resetLinksWithCallers(1);
+    resetLinksWithCallers(1, Milliseconds(0));
+}
+
+/** Jobs are sent again after 10 ms; what an entry tells on a new link takes 3 ms to the other entries. */
+Test(ClusterSimulation, runsAreKnownElsewhereWhenNewLinksComeBeforeCallers, .timeout = 120)
+{
+    resetLinksWithCallers(0.8, Milliseconds(6));
+    resetLinksWithCallers(1, Milliseconds(6));
+}
+
+/** Agents wait 20 ms before they dial again. */
+Test(ClusterSimulation, runsAreKnownElsewhereWhenNewLinksComeAfterCallers, .timeout = 120)
+{
+    resetLinksWithCallers(1, Milliseconds(20));
 }
 
 /** Callers of a killed entry send their jobs again, while servers answer polls but hardly any stop gets through. */
