Agents dial an entry again at once when a link that had lasted is lost

Seen: the trace of runsAreKnownElsewhereWhenAllLinksAreResetWithCallers (KNOWN-RED.txt). When all links of an entry are reset together with its callers' connections, the other entries learn of its runs at agents that can't speak only on a new link.

Change: a link that had a Welcome and lasted a second is dialled again as it closes. A link that ended sooner is followed by the backoff as before, so that an entry that closes its links at once isn't dialled without end; a refused attempt is followed by the initial backoff.

A link that takes longer to come back still lets two runs overlap (runsAreKnownElsewhereWhenNewLinksComeAfterCallers, KNOWN-RED.txt).

--- a/include/sequoia/Dialer.h
+++ b/include/sequoia/Dialer.h
@@ -14,6 +14,8 @@
 /** Timeouts and backoff of a Dialer. */
 struct DialerLimits {
     Milliseconds initialBackoff { 100 }; ///< From the end of a link that had a Welcome to the next attempt.
+    /** A link that had a Welcome and lasted this long is dialled again without a backoff. */
+    Milliseconds lastingLink { 1000 };
     Milliseconds maxBackoff { 2000 };
     double backoffFactor = 2; ///< Growth of the backoff with each attempt without a Welcome, the first one included.
     /** A link without a Welcome in this time is closed; doubles with each such link to the same address. */
@@ -33,7 +35,7 @@
     void addAddresses(const std::vector<std::string>& addresses, TimePoint now);
     /** To be called when an entry has sent a Welcome on a link. Returns false if this dialer did not open the link. */
     bool welcomed(LinkId link);
-    /** To be called when a link has closed. */
+    /** To be called when a link has closed; `tick` dials at once after a link that had lasted. */
     void closed(LinkId link, TimePoint now);
     /** Dials the addresses without a link on the next tick, without waiting for their backoff. */
     void dialNow();
--- a/src/Dialer.cpp
+++ b/src/Dialer.cpp
@@ -56,6 +56,8 @@
     for (auto& [address, target] : m_targets) {
         if (target.link != link)
             continue;
+        if (target.isWelcomed && now - target.lastAttempt >= m_limits.lastingLink)
+            target.backoff = Milliseconds(0);
         target.link.reset();
         target.isWelcomed = false;
         target.lastAttempt = now;
@@ -86,7 +88,8 @@
         }
         if (now - target.lastAttempt < target.backoff)
             continue;
-        target.backoff = std::min(toMilliseconds(target.backoff * m_limits.backoffFactor), m_limits.maxBackoff);
+        target.backoff = std::clamp(
+            toMilliseconds(target.backoff * m_limits.backoffFactor), m_limits.initialBackoff, m_limits.maxBackoff);
         target.lastAttempt = now;
         target.link = m_dial(address);
     }
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -133,8 +133,11 @@
             LinkId link, FramePtr frame) { post([this, link, frame = std::move(frame)] { received(link, *frame); }); },
         [this](LinkId link, const std::string&) {
             post([this, link] {
-                m_core.linkClosed(link, suspendAwareNow());
-                m_dialer.closed(link, suspendAwareNow());
+                const auto now = suspendAwareNow();
+                m_core.linkClosed(link, now);
+                m_dialer.closed(link, now);
+                // The entry's orphaned runs are told on the new link, before their callers send their jobs again.
+                m_dialer.tick(now);
             });
         },
         [this](LinkId link, int type) {
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -447,6 +447,33 @@
     cr_expect(dialer.addresses().empty());
 }
 
+Test(Dialer, redialsAtOnceAfterALinkThatHadLasted)
+{
+    uint32_t dialled = 0;
+    DialerLimits limits;
+    Dialer dialer(
+        limits, [&](const std::string&) { return LinkId(++dialled); }, [](LinkId) {});
+    TimePoint now { std::chrono::seconds(100) };
+    dialer.addAddresses({ "a:1" }, now);
+    dialer.tick(now);
+    cr_assert(dialer.welcomed(LinkId(1)));
+    now += limits.lastingLink;
+    dialer.closed(LinkId(1), now);
+    dialer.tick(now);
+    cr_assert_eq(dialled, 2U);
+    dialer.closed(LinkId(2), now);
+    dialer.tick(now);
+    cr_expect_eq(dialled, 2U, "an attempt without a Welcome is followed by a backoff");
+    now += limits.initialBackoff;
+    dialer.tick(now);
+    cr_assert_eq(dialled, 3U, "the first backoff is the initial one");
+    cr_assert(dialer.welcomed(LinkId(3)));
+    now += limits.lastingLink - Milliseconds(1);
+    dialer.closed(LinkId(3), now);
+    dialer.tick(now);
+    cr_expect_eq(dialled, 3U, "an entry that closes its links soon isn't dialled without end");
+}
+
 Test(SettingsFile, appliesValidChangesAndKeepsOldValuesOtherwise)
 {
     std::string path = "/tmp/sequoia-settings-XXXXXX";
