One reader for JSON texts of other writers

Six places asked whether a text is nested too deeply and then parsed it without exceptions, each with its own way to go on. parseUntrusted does both and gives a discarded value for a text that is malformed or too deep, which all of them already take for one that isn't an object. The codec and the configuration keep their own, as they tell the two apart.

--- a/include/sequoia/JsonNesting.h
+++ b/include/sequoia/JsonNesting.h
@@ -1,6 +1,7 @@
-/** @file JsonNesting.h Limit on the nesting of JSON texts of other writers. */
+/** @file JsonNesting.h Reads JSON texts of other writers, with a limit on their nesting. */
 #pragma once
 
+#include <nlohmann/json_fwd.hpp>
 #include <string_view>
 
 namespace sequoia {
@@ -10,5 +11,7 @@
  * each level takes memory, and copying or writing a parsed value uses the stack for each level.
  */
 bool isNestedTooDeeply(std::string_view json);
+/** The value of such a text; a discarded value, which is of no type, if it is malformed or nested too deeply. */
+nlohmann::json parseUntrusted(std::string_view text);
 
 } // namespace sequoia
--- a/src/AgentMain.cpp
+++ b/src/AgentMain.cpp
@@ -195,7 +195,7 @@
 
         void handleAnnouncement(const httplib::Request& request, httplib::Response& response)
         {
-            const auto json = isNestedTooDeeply(request.body) ? Json() : Json::parse(request.body, nullptr, false);
+            const auto json = parseUntrusted(request.body);
             const auto reject = [&](const std::string& message) {
                 response.status = 400;
                 response.set_content(
@@ -276,8 +276,7 @@
             std::advance(it, static_cast<std::ptrdiff_t>(random() % known.size()));
             auto client = makeHttpClient(*it, discoveryTimeout);
             const auto reply = client.Get("/v1/links");
-            const bool isReadable = reply && !isNestedTooDeeply(reply->body);
-            const auto json = isReadable ? Json::parse(reply->body, nullptr, false) : Json();
+            const auto json = reply ? parseUntrusted(reply->body) : Json();
             if (!json.is_object()) {
                 known = { m_settings.entries.begin(), m_settings.entries.end() };
                 return;
--- a/src/ConfigSynchronizer.cpp
+++ b/src/ConfigSynchronizer.cpp
@@ -52,9 +52,7 @@
 
 std::optional<EntryRegistration> parseRegistration(const std::string& text)
 {
-    if (isNestedTooDeeply(text))
-        return std::nullopt;
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseUntrusted(text);
     if (!json.is_object())
         return std::nullopt;
     try {
--- a/src/CtlMain.cpp
+++ b/src/CtlMain.cpp
@@ -239,8 +239,7 @@
     if (!options.entry.empty()) {
         auto client = makeHttpClient(options.entry, Milliseconds(1500));
         const auto reply = client.Get("/v1/links");
-        const bool isReadable = reply && !isNestedTooDeeply(reply->body);
-        const auto json = isReadable ? nlohmann::json::parse(reply->body, nullptr, false) : nlohmann::json();
+        const auto json = reply ? parseUntrusted(reply->body) : nlohmann::json();
         if (json.is_object() && json.contains("entries")) {
             for (const auto& entry : json.at("entries")) {
                 if (auto known = parseRegistration(entry.dump()))
--- a/src/EntryDirectory.cpp
+++ b/src/EntryDirectory.cpp
@@ -19,9 +19,7 @@
 
 std::optional<EntryItem> parseEntryItem(const std::string& text)
 {
-    if (isNestedTooDeeply(text))
-        return std::nullopt;
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseUntrusted(text);
     const auto textOf = [&](const char* name) {
         const auto it = json.is_object() ? json.find(name) : json.end();
         return it != json.end() && it->is_string() ? it->get<std::string>() : std::string();
--- a/src/JsonNesting.cpp
+++ b/src/JsonNesting.cpp
@@ -1,7 +1,8 @@
-/** @file JsonNesting.cpp Finds the depth of a JSON text without parsing it. */
+/** @file JsonNesting.cpp Finds the depth of a JSON text without parsing it; parses texts that aren't too deep. */
 #include <sequoia/JsonNesting.h>
 
 #include <cstddef>
+#include <nlohmann/json.hpp>
 
 namespace sequoia {
 
@@ -26,4 +27,11 @@
     return false;
 }
 
+nlohmann::json parseUntrusted(std::string_view text)
+{
+    if (isNestedTooDeeply(text))
+        return nlohmann::json::value_t::discarded;
+    return nlohmann::json::parse(text, nullptr, false);
+}
+
 } // namespace sequoia
--- a/src/Learned.cpp
+++ b/src/Learned.cpp
@@ -115,9 +115,7 @@
 
 std::optional<Learned> parseLearned(const std::string& text, std::vector<std::string>* problems)
 {
-    if (isNestedTooDeeply(text))
-        return std::nullopt;
-    const auto json = Json::parse(text, nullptr, false);
+    const auto json = parseUntrusted(text);
     if (!json.is_object())
         return std::nullopt;
     try {
