--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -25,6 +25,20 @@
     = R"({"items":[{"key":"op/config","value":"bm9kZS0x","revision":412,"created":412,"lease":0}],"truncated":true,)"
       R"("current_rev":530})";
 
+/** A text with a part of it replaced, which it has to have. */
+std::string replaced(std::string text, const std::string& from, const std::string& to, const char* name)
+{
+    const auto at = text.find(from);
+    cr_assert_neq(at, std::string::npos, "%s", name);
+    return text.replace(at, from.size(), to);
+}
+
+/** The JSON text of a row; arrays nested deeply if it is empty. */
+std::string oddText(const char* text)
+{
+    return *text == '\0' ? std::string(100000, '[') + std::string(100000, ']') : text;
+}
+
 template <typename T> std::string problemPlace(const Decoded<T>& decoded)
 {
     const auto* error = std::get_if<FormatProblem>(&decoded);
@@ -143,10 +157,7 @@
 
 ParameterizedTest(PingRow* row, Codec, malformedPingsAreRejected)
 {
-    auto text = goodPing;
-    const auto at = text.find(row->from);
-    cr_assert_neq(at, std::string::npos);
-    text.replace(at, std::string(row->from).size(), row->to);
+    const auto text = replaced(goodPing, row->from, row->to, row->name);
     cr_expect_eq(problemPlace(decodeServerReport("i-1", text)), std::string(row->place), "%s", row->name);
 }
 
@@ -193,7 +204,7 @@
 /** One odd item made the store's whole page unreadable, so that nothing under the prefix was followed any more. */
 ParameterizedTest(OddItemRow* row, Codec, oddItemsDoNotHideOthers)
 {
-    const std::string odd = *row->item == '\0' ? std::string(100000, '[') + std::string(100000, ']') : row->item;
+    const std::string odd = oddText(row->item);
     for (const auto* list : { "items", "events" }) {
         const auto text = R"({"current_rev":9,")" + std::string(list)
             + R"(":[{"key":"p/a","value":"eA==","revision":1},)" + odd
@@ -231,10 +242,7 @@
 /** A listing without its lists, or that doesn't tell its process and time, proves nothing. */
 ParameterizedTest(OddListingRow* row, Codec, oddListingsAreRejected)
 {
-    auto text = goodListing;
-    const auto at = text.find(row->from);
-    cr_assert_neq(at, std::string::npos, "%s", row->name);
-    text.replace(at, std::string(row->from).size(), row->to);
+    const auto text = replaced(goodListing, row->from, row->to, row->name);
     cr_expect_eq(problemPlace(decodeListing(text)), std::string(row->place), "%s", row->name);
 }
 
@@ -271,7 +279,7 @@
 /** One odd row made the whole listing count as unanswered. */
 ParameterizedTest(OddRunRow* row, Codec, oddRowsOfListingsAreCounted)
 {
-    const std::string odd = *row->row == '\0' ? std::string(100000, '[') + std::string(100000, ']') : row->row;
+    const std::string odd = oddText(row->row);
     const std::string first
         = row->isEnded ? R"([57,"5c0e7a21d94b36f8.0.0.8",1,"done",""])" : R"(["5c0e7a21d94b36f8.0.1.16",2,"",41])";
     const std::string last
@@ -315,8 +323,7 @@
 {
     const auto odd = *row->value == '\0' ? std::string(1000, '9') : std::string(row->value);
     for (const auto* text : { R"(["5c0e7a21d94b36f8.0.1.17",%,"",41])", R"([%,2,"",41])" }) {
-        auto oddRow = std::string(text);
-        oddRow.replace(oddRow.find('%'), 1, odd);
+        const auto oddRow = replaced(text, "%", odd, row->name);
         const auto body = R"({"running":[["5c0e7a21d94b36f8.0.1.16",2,"",41],)" + oddRow
             + R"(,["5c0e7a21d94b36f8.0.1.18",2,"",41]],"ended":[],"clock_ms":48,"born":17})";
         const auto decoded = decodeListing(body);
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -33,6 +33,24 @@
     return candidate;
 }
 
+/** Name of a simulation in the messages of its expectations. */
+std::string nameOf(uint64_t seed, const char* row = nullptr)
+{
+    return (row == nullptr ? "" : std::string(row) + ", ") + "seed " + std::to_string(seed);
+}
+
+void expectNoViolations(const SimulationReport& report, const std::string& name)
+{
+    cr_expect(report.violations.empty(), "%s: %zu violations", name.c_str(), report.violations.size());
+    for (const auto& violation : report.violations)
+        cr_expect_fail("%s: %s", name.c_str(), violation.c_str());
+}
+
+void expectServed(const SimulationReport& report, double share, const std::string& name)
+{
+    cr_expect_geq(report.servedShare(), share, "%s: served %f", name.c_str(), report.servedShare());
+}
+
 } // namespace
 
 struct FitCountRow {
@@ -384,8 +402,7 @@
         if (row->partitionsEntry)
             scenario.entryPartitions = { { 0, Milliseconds(10000) } };
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("%s, seed %d: %s", row->name, static_cast<int>(seed), violation.c_str());
+        expectNoViolations(report, nameOf(seed, row->name));
         cr_expect_geq(report.valueShare(), row->minValueShare, "%s, seed %d: share of the value %f", row->name,
             static_cast<int>(seed), report.valueShare());
         cr_expect_geq(report.worstKindShare(), row->minKindShare, "%s, seed %d: share of the worst kind %f", row->name,
@@ -425,9 +442,8 @@
         scenario.lateOrders = 0.3;
         scenario.lostPolls = 0.3;
         const auto report = simulate(scenario);
-        cr_expect(report.violations.empty(), "seed %d: %s", static_cast<int>(seed),
-            report.violations.empty() ? "" : report.violations.front().c_str());
-        cr_expect_geq(report.servedShare(), 0.92, "seed %d: served %.3f", static_cast<int>(seed), report.servedShare());
+        expectNoViolations(report, nameOf(seed));
+        expectServed(report, 0.92, nameOf(seed));
         const double possible = simulate(withPerfectView(scenario)).valueShare();
         cr_expect_geq(report.valueShare(), 0.97 * possible, "seed %d: worth %.3f, with a perfect view %.3f",
             static_cast<int>(seed), report.valueShare(), possible);
@@ -448,9 +464,8 @@
         for (size_t i = 0; i < 6 * scenario.servers; ++i)
             scenario.agentKills.emplace_back(i % scenario.servers, Milliseconds(1000 + 250 * i));
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
-        cr_expect_geq(report.servedShare(), 0.5, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+        expectNoViolations(report, nameOf(seed));
+        expectServed(report, 0.5, nameOf(seed));
     }
 }
 
@@ -495,10 +510,8 @@
         for (size_t i = 0; i < 3 * scenario.entries; ++i)
             scenario.connectionResets.emplace_back(i % scenario.entries, Milliseconds(3000 + 1500 * i));
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("%s, seed %d: %s", row->name, static_cast<int>(seed), violation.c_str());
-        cr_expect_geq(report.servedShare(), 0.5, "%s, seed %d: served %f", row->name, static_cast<int>(seed),
-            report.servedShare());
+        expectNoViolations(report, nameOf(seed, row->name));
+        expectServed(report, 0.5, nameOf(seed, row->name));
     }
 }
 
@@ -539,11 +552,8 @@
             }
         }
         const auto report = simulate(scenario);
-        cr_expect(report.violations.empty(), "%s, seed %d: %zu violations, the first one: %s", row->name,
-            static_cast<int>(seed), report.violations.size(),
-            report.violations.empty() ? "" : report.violations.front().c_str());
-        cr_expect_geq(report.servedShare(), 0.8, "%s, seed %d: served %f", row->name, static_cast<int>(seed),
-            report.servedShare());
+        expectNoViolations(report, nameOf(seed, row->name));
+        expectServed(report, 0.8, nameOf(seed, row->name));
     }
 }
 
@@ -601,11 +611,8 @@
                 scenario.connectionResets.emplace_back(entry, when + Milliseconds(delay));
         }
         const auto report = simulate(scenario);
-        cr_expect(report.violations.empty(), "%s, seed %d: %zu violations, the first one: %s", row->name,
-            static_cast<int>(seed), report.violations.size(),
-            report.violations.empty() ? "" : report.violations.front().c_str());
-        cr_expect_geq(report.servedShare(), 0.5, "%s, seed %d: served %f", row->name, static_cast<int>(seed),
-            report.servedShare());
+        expectNoViolations(report, nameOf(seed, row->name));
+        expectServed(report, 0.5, nameOf(seed, row->name));
     }
 }
 
@@ -633,8 +640,7 @@
                 scenario.connectionResets.emplace_back(entry, when + Milliseconds(delay) - linksAfter);
         }
         const auto report = simulate(scenario);
-        cr_expect(report.violations.empty(), "seed %d: %zu violations, the first one: %s", static_cast<int>(seed),
-            report.violations.size(), report.violations.empty() ? "" : report.violations.front().c_str());
+        expectNoViolations(report, nameOf(seed));
     }
 }
 
@@ -676,9 +682,8 @@
             scenario.entryKills.emplace_back(i % scenario.entries, Milliseconds(3000 + 3000 * i));
         scenario.entryPartitions = { { 0, Milliseconds(5000) }, { 1, Milliseconds(13000) } };
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
-        cr_expect_geq(report.servedShare(), 0.2, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+        expectNoViolations(report, nameOf(seed));
+        expectServed(report, 0.2, nameOf(seed));
     }
 }
 
@@ -693,9 +698,8 @@
             scenario.faults.push_back(
                 { ServerFaultKind::Replaced, { i % scenario.servers }, Milliseconds(1000 + 250 * i), Milliseconds(0) });
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
-        cr_expect_geq(report.servedShare(), 0.7, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+        expectNoViolations(report, nameOf(seed));
+        expectServed(report, 0.7, nameOf(seed));
     }
 }
 
@@ -745,11 +749,9 @@
         withoutIsolation.dispatcher.crashes.maxIsolation = Milliseconds(0);
         for (const auto& tuning : { SimulationTuning(), withoutIsolation }) {
             const auto report = simulate(scenario, tuning);
-            for (const auto& violation : report.violations)
-                cr_expect_fail("%s, seed %d: %s", row->name, static_cast<int>(seed), violation.c_str());
+            expectNoViolations(report, nameOf(seed, row->name));
             if (tuning.dispatcher.crashes.maxIsolation.count() == 0)
-                cr_expect_geq(report.servedShare(), 0.8, "%s, seed %d: served %f", row->name, static_cast<int>(seed),
-                    report.servedShare());
+                expectServed(report, 0.8, nameOf(seed, row->name));
         }
     }
 }
@@ -764,9 +766,8 @@
         scenario.heldCalls = 0.3;
         scenario.lostPolls = 0.6;
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
-        cr_expect_geq(report.servedShare(), 0.3, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+        expectNoViolations(report, nameOf(seed));
+        expectServed(report, 0.3, nameOf(seed));
     }
 }
 
@@ -780,9 +781,8 @@
         for (size_t i = 0; i < 8; ++i)
             scenario.linkStalls.emplace_back(i % scenario.entries, Milliseconds(2000 + 2200 * i));
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("seed %d: %s", static_cast<int>(seed), violation.c_str());
-        cr_expect_geq(report.servedShare(), 0.5, "seed %d: served %f", static_cast<int>(seed), report.servedShare());
+        expectNoViolations(report, nameOf(seed));
+        expectServed(report, 0.5, nameOf(seed));
     }
 }
 
@@ -818,10 +818,8 @@
                     i % scenario.entries, from + scenario.slowLinkLength - Milliseconds(20));
         }
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("%s, seed %d: %s", row->name, static_cast<int>(seed), violation.c_str());
-        cr_expect_geq(report.servedShare(), 0.2, "%s, seed %d: served %f", row->name, static_cast<int>(seed),
-            report.servedShare());
+        expectNoViolations(report, nameOf(seed, row->name));
+        expectServed(report, 0.2, nameOf(seed, row->name));
     }
 }
 
@@ -868,8 +866,7 @@
         scenario.capacityChanges = { { servers, Milliseconds(4000), Milliseconds(3000) },
             { servers, Milliseconds(9000), Milliseconds(700) }, { servers, Milliseconds(12000), Milliseconds(4000) } };
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("%s, seed %d: %s", row->name, static_cast<int>(seed), violation.c_str());
+        expectNoViolations(report, nameOf(seed, row->name));
         const double possible = row->fits ? 1 : simulate(withPerfectView(scenario)).valueShare();
         cr_expect_geq(report.valueShare(), row->minShareOfPossible * possible,
             "%s, seed %d: share of the value %f, possible %f", row->name, static_cast<int>(seed), report.valueShare(),
@@ -913,8 +910,7 @@
         const auto possible = simulate(scenario); // Without such tasks.
         scenario.kinds[row->kind].crashingShare = row->share;
         const auto report = simulate(scenario);
-        for (const auto& violation : report.violations)
-            cr_expect_fail("%s, seed %d: %s", row->name, n, violation.c_str());
+        expectNoViolations(report, nameOf(seed, row->name));
         cr_expect_leq(report.mostCrashes, row->maxCrashes, "%s, seed %d: %u crashes", row->name, n, report.mostCrashes);
         cr_expect_leq(report.crashingJobsGivenUp, report.crashingJobsFailed,
             "%s, seed %d: %zu jobs not shown as failed", row->name, n, static_cast<size_t>(report.crashingJobsGivenUp));
@@ -941,10 +937,10 @@
                     Milliseconds(3000 + 2000 * i), Milliseconds(1500) });
         const auto report = simulate(scenario);
         const auto n = static_cast<int>(seed);
-        cr_expect(report.violations.empty(), "seed %d", n);
+        expectNoViolations(report, nameOf(seed));
         cr_expect_eq(report.isolations, 0U, "seed %d: %zu isolations", n, static_cast<size_t>(report.isolations));
         for (const auto& [name, kind] : report.kinds)
             cr_expect_eq(kind.falselyFailed, 0U, "seed %d: %zu jobs of %s failed", n, kind.falselyFailed, name.c_str());
-        cr_expect_geq(report.servedShare(), 0.95, "seed %d: served %f", n, report.servedShare());
+        expectServed(report, 0.95, nameOf(seed));
     }
 }
