Ages of runs at a crash count from their last start call

Its crashes were told at the ages 71, 0, 0 and 0 ms.

Cause: the soak's process stood still for 62 ms, so that the server took the first start 70 ms after the order. Ages counted from the order, and crashes count together only at about the same age, within 50 ms of 0.

Change: the age counts from the last start call. One that stays without an answer is repeated after at most 50 ms; a run with an answered call has the same age as before. The age of a run whose answers are lost for longer is too low by the time between its calls, at most 100 ms.

Evidence: ageOfARunAtACrashCountsFromItsLastStartCall failed before (70 ms instead of at most 20). run-gate 190 of 190, dispatcher 89 of 89, codec 79 of 79.

--- a/include/sequoia/CrashRecords.h
+++ b/include/sequoia/CrashRecords.h
@@ -39,7 +39,7 @@
 struct CrashedRun {
     TaskId task;
     std::string route;
-    Milliseconds age { 0 }; ///< Time from its order to the crash.
+    Milliseconds age { 0 }; ///< Time from its last start call to the crash.
     bool isLatest = false; ///< It belongs to one of the jobs whose runs were started last on that server.
     bool isSuspect = false; ///< It was still suspected: all suspects on a server belong to one job.
 };
--- a/src/RunGateCrashes.cpp
+++ b/src/RunGateCrashes.cpp
@@ -23,8 +23,9 @@
         if (latest.size() < m_limits.latestJobs)
             latest.insert(id.task.job);
         const auto& run = m_runs.at(id);
-        out.push_back({ id.task, run.route, toMilliseconds(when - run.ordered), latest.contains(id.task.job),
-            run.suspectUntil > when });
+        // The server may have taken an unanswered start late; the call may also have been repeated after the crash.
+        const auto age = toMilliseconds(std::max(when, run.startCalled) - run.startCalled);
+        out.push_back({ id.task, run.route, age, latest.contains(id.task.job), run.suspectUntil > when });
     }
     return out;
 }
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -244,6 +244,7 @@
     std::map<LinkId, std::vector<RunId>> orphans;
     std::map<LinkId, wire::RelayedOrphansT> relayed; ///< The last message of the kind on each link.
     std::vector<TaskId> accused; ///< In the last message of a crash.
+    std::vector<uint32_t> accusedAges; ///< Of the same runs, ms.
     std::map<LinkId, Resources> free;
     std::map<LinkId, Resources> total;
     std::string service; ///< In the last report.
@@ -284,8 +285,11 @@
             relayed[send.link] = *message;
         else if (const auto* message = send.body.AsServerCrash()) {
             accused.clear();
-            for (const auto& run : message->runs)
+            accusedAges.clear();
+            for (const auto& run : message->runs) {
                 accused.push_back(fromWire(*run->id).task);
+                accusedAges.push_back(run->age_ms);
+            }
         }
     }
 };
@@ -2443,6 +2447,23 @@
     cr_expect(fixture.accused == std::vector { runId(1).task }, "%zu runs are accused", fixture.accused.size());
 }
 
+/** A server that took a start late crashed at another age of its task than others, whose count began anew. */
+Test(RunGate, ageOfARunAtACrashCountsFromItsLastStartCall)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.now += Milliseconds(50);
+    fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+    cr_assert_eq(fixture.starts.size(), 2U);
+    fixture.now += Milliseconds(20);
+    fixture.answerPoll({}, PollOutcome::NoAnswer);
+    fixture.gate.tick(fixture.now += Milliseconds(5));
+    fixture.answerStart(runId(1), StartOutcome::NoAnswer); // The third call is later than the crash.
+    fixture.answerPoll({}, PollOutcome::Refused);
+    cr_assert_eq(fixture.accusedAges.size(), 1U);
+    cr_expect_leq(fixture.accusedAges[0], 20U, "%u ms", fixture.accusedAges[0]);
+}
+
 /** A report that came before the listing hid that the server had been there all the time. */
 Test(RunGate, crashAfterARefutedEndIsToldOf)
 {
