--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -661,7 +661,7 @@
     resetLinksWithCallers(1, Milliseconds(6));
 }
 
-/** Agents wait 20 ms before they dial again. */
+/** As after a lost packet: callers are faster than what an entry tells on its new links. */
 Test(ClusterSimulation, runsAreKnownElsewhereWhenNewLinksComeAfterCallers, .timeout = 120)
 {
     resetLinksWithCallers(1, Milliseconds(20));
