Entries order nothing for callers that have left before their request was read

Cause: reading a request was taken for its arrival. The caller's time counted from the reading, and the end of its connection, which lay in the socket behind the request, was noticed later than the first order. First runs were held for 60 ms after a suspension; reading the backlog takes longer.

Change: before each order (first runs, next steps, repeats) the entry looks in the socket whether a caller's connection has ended. A request carries its arrival: when the server reads late, the last time at which its socket was seen empty. The budget counts from there; a request that may be older than its caller's time is refused as not run. No wait and no bound was changed.

--- a/include/sequoia/AsyncHttp.h
+++ b/include/sequoia/AsyncHttp.h
@@ -50,6 +50,9 @@
     std::string target; ///< Path and query.
     std::string body;
     HttpHeaders headers; ///< Names in lower case.
+    /** When it came, by suspendAwareNow(): the earliest possible time if the server read it late, as after a
+     * suspension; otherwise, or without `AsyncHttpLimits::arrivalPeriod`, when the server began to read it. */
+    TimePoint arrival {};
 
     /** Value of a header, empty if there is none. `name` is in lower case. */
     std::string header(std::string_view name) const;
@@ -63,7 +66,7 @@
     HttpHeaders headers;
 };
 
-/** A received request that has not been answered yet. `reply` is thread-safe. */
+/** A received request that has not been answered yet. `reply` and `isConnected` are thread-safe. */
 class HttpExchange {
 public:
     virtual ~HttpExchange() = default;
@@ -71,6 +74,9 @@
     virtual void reply(HttpReply reply) = 0;
     /** Sets what runs, on the loop's thread, if the caller disconnects before the reply. For use in the handler. */
     virtual void onDisconnect(std::function<void()> callback) = 0;
+    /** Whether the caller has not ended its connection, as far as that has arrived here. Reads the socket's state, so
+     * that it is true even if the loop has not noticed the end yet. False after the reply. */
+    virtual bool isConnected() const = 0;
 };
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 
@@ -81,6 +87,9 @@
     size_t maxBodyBytes = 1U << 20U;
     Milliseconds idleTimeout { 15000 }; ///< For the next request on an open connection.
     Milliseconds readTimeout { 5000 }; ///< For reading a request, and for writing a reply.
+    /** Interval at which the server looks for bytes on its sockets, so that it knows since when they may have been
+     * there; zero: it doesn't. */
+    Milliseconds arrivalPeriod { 0 };
 };
 
 class AsyncHttpServerState;
--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -58,6 +58,16 @@
     double isolationShare = 0.2;
 };
 
+/** A caller's request for a job. */
+struct Caller {
+    WaiterId waiter {};
+    TimePoint arrival {}; ///< When its request came; the earliest possible time if it was read late.
+    Milliseconds budget {}; ///< How long it waits for the answer, from `arrival` on.
+
+    /** From then on it may have left, and may have submitted the job to another entry. */
+    TimePoint deadline() const { return arrival + budget; }
+};
+
 /** Effect: sends the answer of a job to one of its callers. */
 struct AnswerCaller {
     WaiterId waiter {};
@@ -165,6 +175,8 @@
 struct DispatcherHooks {
     PlacementHook place;
     AdmitHook admit;
+    /** Whether the connection of a caller is open, as far as its end has arrived in this process's socket. */
+    std::function<bool(WaiterId)> isConnected = [](WaiterId) { return true; };
 };
 
 /**
@@ -176,8 +188,8 @@
 public:
     Dispatcher(DispatcherLimits limits, TaskPlacementLimits policy, DispatcherHooks hooks);
 
-    /** Accepts or refuses a job, or adds the caller to the open job of this id. The caller waits for `budget`. */
-    void submit(WorkSpec spec, RoutePolicy route, Milliseconds budget, WaiterId waiter, TimePoint now);
+    /** Accepts or refuses a job, or adds the caller to the open job of this id. */
+    void submit(WorkSpec spec, RoutePolicy route, const Caller& caller, TimePoint now);
     /** A caller of a job has disconnected; the job ends with its last caller. */
     void callerGone(WorkId job, WaiterId waiter, TimePoint now);
 
@@ -279,7 +291,7 @@
     };
 
     /** Fills in a new job: its tasks, expected times, and the steps that are ready at once. */
-    void initializeJob(Job& job, WorkSpec spec, RoutePolicy route, Milliseconds budget, TimePoint now);
+    void initializeJob(Job& job, WorkSpec spec, RoutePolicy route, const Caller& caller, TimePoint now);
     /** A job that was submitted again waits for the ends of its earlier runs, which are being stopped, before its tasks
      * start anew. */
     void adoptRuns(Job& job, TimePoint now);
@@ -344,6 +356,10 @@
     /** Inserts a job into the queue, or moves it, or takes it out if it has no ready task. */
     void requeue(Job& job, TimePoint now);
     void removeFromQueue(Job& job);
+    /** Whether a caller of a job has not ended its connection. */
+    bool hasCaller(const Job& job) const;
+    /** Ends a job that has no caller any more. */
+    void callersLeft(WorkId id, TimePoint now);
     /** Places queued tasks on agents; if tasks stay queued, sends demands. */
     void dispatchQueued(TimePoint now);
     /** Places the ready tasks of a job; false if some have to wait. */
@@ -480,6 +496,7 @@
     size_t m_entryPosition = 0; ///< Position of this entry in the order of all entries.
     bool m_isPreferenceStale = false; ///< Agents or entries have changed since the preferred agents were chosen.
     bool m_isStopping = false;
+    std::set<WorkId> m_abandonedJobs; ///< Jobs whose callers were found to have left in this pass over the queue.
     uint64_t m_salt = 0; ///< Breaks ties between servers differently in each entry and request.
 };
 
--- a/include/sequoia/PlatformEntryProcess.h
+++ b/include/sequoia/PlatformEntryProcess.h
@@ -47,9 +47,8 @@
 private:
     /** A caller's request without an answer. */
     struct PendingRequest {
-        JobAnswerCallback onAnswer;
+        JobRequest request;
         std::string route;
-        TimePoint since {};
     };
 
     void post(std::function<void()> work) { m_control.post(std::move(work)); }
@@ -58,7 +57,7 @@
     LinkHooks linkHooks();
     LearnedPublisherHooks learnedHooks();
     JobInterface jobInterface();
-    void submit(WorkSpec job, RoutePolicy route, Milliseconds budget, WaiterId waiter, JobAnswerCallback answered);
+    void submit(WorkSpec job, RoutePolicy route, WaiterId waiter, JobRequest request);
 
     void received(LinkId link, const Frame& frame);
     void handleHello(LinkId link, const wire::HelloT& hello, TimePoint agentTime);
--- a/src/AsyncHttp.cpp
+++ b/src/AsyncHttp.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <mutex>
+#include <poll.h>
 #include <set>
 
 namespace sequoia {
@@ -38,13 +40,19 @@
         return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
     }
 
-    bool hasPeerClosed(tcp::socket& socket)
+    bool hasPeerClosed(int socket)
     {
         char byte = 0;
-        const auto n = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const auto n = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
+    bool isReadable(int socket)
+    {
+        pollfd wanted { socket, POLLIN, 0 };
+        return ::poll(&wanted, 1, 0) != 0;
+    }
+
     int statusOf(const error_code& ec)
     {
         if (ec == http::error::body_limit)
@@ -57,9 +65,10 @@
     /** Exchange of one request. Its connection's coroutine waits for the reply. */
     class Exchange : public HttpExchange, public std::enable_shared_from_this<Exchange> {
     public:
-        explicit Exchange(asio::io_context& context)
+        Exchange(asio::io_context& context, int socket)
             : m_context(context)
             , m_signal(context, asio::steady_timer::time_point::max())
+            , m_socket(socket)
         {
         }
 
@@ -73,6 +82,17 @@
             });
         }
         void onDisconnect(std::function<void()> callback) override { m_onDisconnect = std::move(callback); }
+        bool isConnected() const override
+        {
+            const std::lock_guard lock(m_socketMutex);
+            return m_socket != noSocket && !hasPeerClosed(m_socket);
+        }
+        /** The socket is closed or serves another request from now on. */
+        void releaseSocket()
+        {
+            const std::lock_guard lock(m_socketMutex);
+            m_socket = noSocket;
+        }
 
         /** Waits for the reply; false if the caller has disconnected. */
         asio::awaitable<bool> wait(beast::tcp_stream& stream)
@@ -87,7 +107,7 @@
                     || stream.socket().async_wait(tcp::socket::wait_read, completionToken));
                 if (m_reply)
                     break;
-                if (hasPeerClosed(stream.socket())) {
+                if (hasPeerClosed(stream.socket().native_handle())) {
                     if (m_onDisconnect)
                         m_onDisconnect();
                     co_return false;
@@ -100,10 +120,36 @@
         HttpReply& result() { return *m_reply; }
 
     private:
+        static constexpr int noSocket = -1;
+
         asio::io_context& m_context;
         asio::steady_timer m_signal;
         std::optional<HttpReply> m_reply;
         std::function<void()> m_onDisconnect;
+        mutable std::mutex m_socketMutex;
+        int m_socket;
+    };
+
+    /** Releases the socket of an exchange when its request is over, also if the loop ends before. */
+    class SocketUse {
+    public:
+        explicit SocketUse(Exchange& exchange)
+            : m_exchange(exchange)
+        {
+        }
+        ~SocketUse() { m_exchange.releaseSocket(); }
+        SocketUse(const SocketUse&) = delete;
+        SocketUse& operator=(const SocketUse&) = delete;
+
+    private:
+        Exchange& m_exchange;
+    };
+
+    /** A connection of a server. */
+    struct ServerConnection {
+        beast::tcp_stream stream;
+        beast::flat_buffer buffer {};
+        TimePoint lastEmpty {}; ///< When its socket was last known to hold no bytes.
     };
 
 } // namespace
@@ -167,15 +213,19 @@
         m_acceptor.listen(asio::socket_base::max_listen_connections, ec);
         if (ec)
             throw AsyncHttpError::AddressInUse;
+        m_acceptor.non_blocking(true);
+        m_listenerLastEmpty = suspendAwareNow();
         asio::co_spawn(m_context, accept(shared_from_this()), asio::detached);
+        if (m_limits.arrivalPeriod.count() > 0)
+            asio::co_spawn(m_context, watchArrivals(shared_from_this()), asio::detached);
         return toText(m_acceptor.local_endpoint());
     }
 
     void closeIdle()
     {
         m_isClosing = true;
-        for (auto* stream : m_idleStreams)
-            stream->close();
+        for (auto* connection : m_idleConnections)
+            connection->stream.close();
     }
 
     void stopListening()
@@ -193,52 +243,116 @@
     static asio::awaitable<void> accept(Self self)
     {
         while (self->m_acceptor.is_open()) {
-            auto [ec, socket] = co_await self->m_acceptor.async_accept(completionToken);
-            if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor)
+            auto [waitError] = co_await self->m_acceptor.async_wait(tcp::acceptor::wait_read, completionToken);
+            if (waitError == asio::error::operation_aborted || waitError == asio::error::bad_descriptor)
                 co_return;
-            if (ec) {
+            if (waitError || !self->acceptAll()) {
                 // If no file descriptors are left, the next attempt fails at once as well, and the loop would spin.
                 asio::steady_timer pause(self->m_context, acceptPause);
                 co_await pause.async_wait(completionToken);
-                continue;
             }
-            if (self->m_connections >= self->m_limits.maxConnections)
+        }
+    }
+
+    /** Accepts the connections that wait; false after an error. */
+    bool acceptAll()
+    {
+        const auto lastEmpty = m_listenerLastEmpty;
+        for (;;) {
+            const auto now = suspendAwareNow();
+            tcp::socket socket(m_context);
+            error_code ec;
+            m_acceptor.accept(socket, ec);
+            if (ec == asio::error::would_block) {
+                m_listenerLastEmpty = now;
+                return true;
+            }
+            if (ec)
+                return false;
+            if (m_connections >= m_limits.maxConnections)
                 continue;
+            ++m_connections;
             socket.set_option(tcp::no_delay(true), ec);
-            asio::co_spawn(self->m_context, serve(self, std::move(socket)), asio::detached);
+            asio::co_spawn(m_context, serve(shared_from_this(), std::move(socket), lastEmpty), asio::detached);
         }
     }
 
-    static asio::awaitable<void> serve(Self self, tcp::socket socket)
+    static asio::awaitable<void> serve(Self self, tcp::socket socket, TimePoint lastEmpty)
     {
-        ++self->m_connections;
-        beast::tcp_stream stream(std::move(socket));
-        beast::flat_buffer buffer;
+        ServerConnection connection { beast::tcp_stream(std::move(socket)), {}, lastEmpty };
         // A connection accepted during a stop still gets one reply.
         do {
-            if (!co_await self->serveOne(stream, buffer))
+            if (!co_await self->serveOne(connection))
                 break;
         } while (!self->m_isClosing);
         error_code ec;
-        stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        connection.stream.socket().shutdown(tcp::socket::shutdown_send, ec);
         --self->m_connections;
     }
 
+    /** Looks for bytes on the sockets that have been read empty. */
+    static asio::awaitable<void> watchArrivals(Self self)
+    {
+        asio::steady_timer timer(self->m_context);
+        for (;;) {
+            self->updateLastEmpty();
+            timer.expires_after(self->m_limits.arrivalPeriod);
+            co_await timer.async_wait(completionToken);
+        }
+    }
+
+    void updateLastEmpty()
+    {
+        std::vector<pollfd> sockets;
+        std::vector<TimePoint*> lastEmpty;
+        const auto add = [&](int socket, TimePoint& time) {
+            sockets.push_back({ socket, POLLIN, 0 });
+            lastEmpty.push_back(&time);
+        };
+        if (m_acceptor.is_open())
+            add(m_acceptor.native_handle(), m_listenerLastEmpty);
+        for (auto* connection : m_idleConnections)
+            add(connection->stream.socket().native_handle(), connection->lastEmpty);
+        const auto now = suspendAwareNow();
+        if (::poll(sockets.data(), sockets.size(), 0) < 0)
+            return;
+        for (size_t i = 0; i < sockets.size(); ++i) {
+            if (sockets[i].revents == 0)
+                *lastEmpty[i] = now;
+        }
+    }
+
+    /** When the request came whose first bytes have just been read. */
+    TimePoint arrivalOn(const ServerConnection& connection) const
+    {
+        const auto now = suspendAwareNow();
+        // With the looks in time the loop keeps up with its sockets, and what it reads has just come.
+        constexpr int periodsInTime = 2;
+        const bool isInTime = now - connection.lastEmpty <= periodsInTime * m_limits.arrivalPeriod;
+        return isInTime || m_limits.arrivalPeriod.count() == 0 ? now : connection.lastEmpty;
+    }
+
     /** Serves the next request of a connection; false if the connection is to be closed. */
-    asio::awaitable<bool> serveOne(beast::tcp_stream& stream, beast::flat_buffer& buffer)
+    asio::awaitable<bool> serveOne(ServerConnection& connection)
     {
+        auto& [stream, buffer, lastEmpty] = connection;
         http::request_parser<http::string_body> parser;
         parser.body_limit(m_limits.maxBodyBytes);
         parser.header_limit(static_cast<uint32_t>(m_limits.maxHeaderBytes));
         if (buffer.size() == 0) {
-            m_idleStreams.insert(&stream);
-            stream.expires_after(m_limits.idleTimeout);
-            auto [ec, n] = co_await stream.async_read_some(buffer.prepare(firstReadBytes), completionToken);
-            m_idleStreams.erase(&stream);
-            if (ec)
+            if (const auto now = suspendAwareNow();
+                m_limits.arrivalPeriod.count() > 0 && !isReadable(stream.socket().native_handle()))
+                lastEmpty = now;
+            m_idleConnections.insert(&connection);
+            asio::steady_timer timeout(m_context, m_limits.idleTimeout);
+            // Reads nothing: a read that has succeeded leaves an empty socket behind before this coroutine continues.
+            const auto ended = co_await (stream.socket().async_wait(tcp::socket::wait_read, completionToken)
+                || timeout.async_wait(completionToken));
+            m_idleConnections.erase(&connection);
+            if (ended.index() != 0 || std::get<0>(std::get<0>(ended)))
                 co_return false;
-            buffer.commit(n);
         }
+        const auto arrival = arrivalOn(connection);
         stream.expires_after(m_limits.readTimeout);
         auto [ec, n] = co_await http::async_read(stream, buffer, parser, completionToken);
         if (ec == http::error::end_of_stream || ec == beast::error::timeout || ec == asio::error::connection_reset
@@ -252,9 +366,10 @@
         stream.expires_never();
         auto request = parser.release();
         const bool keepAlive = request.keep_alive();
-        auto exchange = std::make_shared<Exchange>(m_context);
+        auto exchange = std::make_shared<Exchange>(m_context, stream.socket().native_handle());
+        const SocketUse socketUse(*exchange);
         ++m_openExchanges;
-        if (!m_failures.run("http-handler", [&] { m_handler(toServerRequest(request), exchange); }))
+        if (!m_failures.run("http-handler", [&] { m_handler(toServerRequest(request, arrival), exchange); }))
             exchange->reply({ statusInternalError, R"({"error":"unexpected error"})", "application/json", {} });
         const bool isConnected = co_await exchange->wait(stream);
         --m_openExchanges;
@@ -278,9 +393,10 @@
         co_return !ec;
     }
 
-    static HttpServerRequest toServerRequest(http::request<http::string_body>& request)
+    static HttpServerRequest toServerRequest(http::request<http::string_body>& request, TimePoint arrival)
     {
         HttpServerRequest received;
+        received.arrival = arrival;
         received.method = std::string(request.method_string());
         received.target = std::string(request.target());
         for (const auto& field : request) {
@@ -292,7 +408,6 @@
         return received;
     }
 
-    static constexpr size_t firstReadBytes = 4096;
     static constexpr int statusInternalError = 500;
     static constexpr Milliseconds acceptPause { 20 };
 
@@ -301,7 +416,8 @@
     AsyncHttpLimits m_limits;
     AsyncHttpServer::Handler m_handler;
     tcp::acceptor m_acceptor;
-    std::set<beast::tcp_stream*> m_idleStreams;
+    std::set<ServerConnection*> m_idleConnections; ///< Those that wait for their next request.
+    TimePoint m_listenerLastEmpty {}; ///< When no connection was last known to wait to be accepted.
     std::atomic<size_t> m_openExchanges { 0 };
     size_t m_connections = 0;
     bool m_isClosing = false;
@@ -438,7 +554,7 @@
     /** Whether a connection is left that the peer has not closed: its process lives, though it accepts no new ones. */
     bool hasOpenConnection()
     {
-        const auto isOpen = [](beast::tcp_stream& stream) { return !hasPeerClosed(stream.socket()); };
+        const auto isOpen = [](beast::tcp_stream& stream) { return !hasPeerClosed(stream.socket().native_handle()); };
         return std::any_of(
                    m_idleStreams.begin(), m_idleStreams.end(), [&](const Stream& idle) { return isOpen(*idle); })
             || std::any_of(
@@ -451,7 +567,7 @@
         while (!m_idleStreams.empty()) {
             auto stream = std::move(m_idleStreams.back());
             m_idleStreams.pop_back();
-            if (!hasPeerClosed(stream->socket()))
+            if (!hasPeerClosed(stream->socket().native_handle()))
                 return stream;
         }
         return nullptr;
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -69,12 +69,12 @@
     return isKnown ? &job->steps[raw(id.step)].tasks[raw(id.index)] : nullptr;
 }
 
-void Dispatcher::submit(WorkSpec spec, RoutePolicy route, Milliseconds budget, WaiterId waiter, TimePoint now)
+void Dispatcher::submit(WorkSpec spec, RoutePolicy route, const Caller& caller, TimePoint now)
 {
     detectSuspension(now);
     const auto id = spec.id;
     if (auto* openJob = findJob(id)) {
-        openJob->waiters.push_back(waiter);
+        openJob->waiters.push_back(caller.waiter);
         openJob->trace.add({ "job-joined", now, {}, false, "", {} });
         m_effects.record(LogLevel::Info, "job-joined", { { "job", id }, { "route", route.name } });
         return;
@@ -82,8 +82,10 @@
     ++m_counters.jobs;
     m_lastArrivals[{ route.service, route.name }] = now;
     auto& job = m_jobs[id];
-    job.waiters.push_back(waiter);
-    initializeJob(job, std::move(spec), std::move(route), budget, now);
+    job.waiters.push_back(caller.waiter);
+    initializeJob(job, std::move(spec), std::move(route), caller, now);
+    if (job.deadline <= now) // Nothing has run. A caller that still waits can send the job again at once.
+        return finish(id, { WorkStatus::NotRun, "read-too-late", {} }, now);
     if (m_crashes.hasTaskGivenUp(id))
         return giveUpCrashing(id, now);
     if (const auto refusal = rejectionReason(job, now); !refusal.empty())
@@ -109,13 +111,13 @@
     dispatchQueued(now);
 }
 
-void Dispatcher::initializeJob(Job& job, WorkSpec spec, RoutePolicy route, Milliseconds budget, TimePoint now)
+void Dispatcher::initializeJob(Job& job, WorkSpec spec, RoutePolicy route, const Caller& caller, TimePoint now)
 {
     job.route = std::move(route);
-    job.waitedBefore = m_resubmissions.waitedBefore(job.route.name, budget);
+    job.waitedBefore = m_resubmissions.waitedBefore(job.route.name, caller.budget);
     m_counters.resubmittedJobs += job.waitedBefore.count() > 0 ? 1 : 0;
-    job.arrival = now - job.waitedBefore;
-    job.deadline = now + budget;
+    job.arrival = caller.arrival - job.waitedBefore;
+    job.deadline = caller.deadline();
     job.spec = std::move(spec);
     if (const auto ended = m_endedJobs.find(job.spec.id); ended != m_endedJobs.end())
         job.firstRun = RunNumber(raw(ended->second.highestRun) + 1);
@@ -196,10 +198,14 @@
     if (job == nullptr)
         return;
     std::erase(job->waiters, waiter);
-    if (!job->waiters.empty())
-        return;
+    if (job->waiters.empty())
+        callersLeft(id, now);
+}
+
+void Dispatcher::callersLeft(WorkId id, TimePoint now)
+{
     ++m_counters.callersGone;
-    finish(id, { job->orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, callerGoneReason, {} }, now);
+    finish(id, { m_jobs.at(id).orders > 0 ? WorkStatus::GivenUp : WorkStatus::NotRun, callerGoneReason, {} }, now);
 }
 
 bool Dispatcher::cancel(WorkId id, TimePoint now)
@@ -337,11 +343,19 @@
         if (!placeJob(job, now) && !isIsolated(job, now))
             ++misses;
     }
+    for (const auto id : std::exchange(m_abandonedJobs, {}))
+        callersLeft(id, now);
     m_load.setBacklogged(!m_queue.empty(), now);
     if (!m_queue.empty())
         sendDemands(now);
 }
 
+bool Dispatcher::hasCaller(const Job& job) const
+{
+    return std::any_of(
+        job.waiters.begin(), job.waiters.end(), [&](WaiterId waiter) { return m_hooks.isConnected(waiter); });
+}
+
 size_t Dispatcher::queuedTasks() const
 {
     size_t tasks = 0;
@@ -437,8 +451,12 @@
     request.remaining = toMilliseconds(job.deadline - now);
     request.salt = m_salt += 0x9E3779B97F4A7C15U;
     const auto choice = m_hooks.place(candidates, request);
-    if (!choice)
+    if (!choice || now >= job.deadline)
         return false;
+    if (!hasCaller(job)) {
+        m_abandonedJobs.insert(job.spec.id);
+        return false;
+    }
     for (int64_t n = 0; n < choice->count; ++n) {
         const auto task = step.ready.back();
         step.ready.pop_back();
--- a/src/Explain.cpp
+++ b/src/Explain.cpp
@@ -191,6 +191,9 @@
                     fieldOf(answer, "route"), describeClosedAgents(events, answer.stamp)) };
         if (reason == "no-server-fits")
             return { reason, "refused at once: no known server is large enough or has its label" };
+        if (reason == "read-too-late")
+            return { reason,
+                fmt::format("refused: {} read its request so late that its caller may have given up", answer.process) };
         if (reason == "no-backend-server")
             return { reason,
                 "refused: no agent was linked to this entry; " + describeClosedAgents(events, answer.stamp) };
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -16,6 +16,7 @@
     constexpr Milliseconds flushGrace { 60 }; // Time to send the answers that are still in the connections' buffers.
     constexpr Milliseconds peerQueryPeriod { 500 }; // Between requests to other entries while the store is unavailable.
     constexpr Milliseconds peerTimeout { 300 };
+    constexpr Milliseconds arrivalPeriod { 50 };
     constexpr int ticksPerLinkCleanup = 50;
     constexpr std::string_view configurationPath = "/v1/configuration";
 
@@ -137,6 +138,7 @@
     AsyncHttpLimits limits;
     limits.maxConnections = static_cast<size_t>(m_settings.max_connections);
     limits.maxBodyBytes = static_cast<size_t>(m_settings.max_body_bytes);
+    limits.arrivalPeriod = arrivalPeriod;
     return limits;
 }
 
@@ -145,7 +147,11 @@
     return { [this](const auto& candidates, const auto& request) {
                 return choosePlacement(candidates, request, m_placementLimits);
             },
-        [this](const auto& work, const auto& load) { return admit(work, load, m_placementLimits); } };
+        [this](const auto& work, const auto& load) { return admit(work, load, m_placementLimits); },
+        [this](WaiterId waiter) {
+            const auto it = m_pendingRequests.find(waiter);
+            return it != m_pendingRequests.end() && it->second.request.isConnected();
+        } };
 }
 
 LinkHooks PlatformEntryProcess::linkHooks()
@@ -170,12 +176,11 @@
 {
     JobInterface port;
     port.routes = [this] { return m_routes.current(); };
-    port.submit = [this](WorkSpec job, RoutePolicy route, Milliseconds budget, JobAnswerCallback answered) {
+    port.submit = [this](WorkSpec job, RoutePolicy route, JobRequest request) {
         const auto id = job.id;
         const auto waiter = WaiterId(++m_lastWaiter);
-        post([this, job = std::move(job), route = std::move(route), budget, waiter,
-                 answered = std::move(answered)]() mutable {
-            submit(std::move(job), std::move(route), budget, waiter, std::move(answered));
+        post([this, job = std::move(job), route = std::move(route), waiter, request = std::move(request)]() mutable {
+            submit(std::move(job), std::move(route), waiter, std::move(request));
         });
         return [this, id, waiter] {
             post([this, id, waiter] {
@@ -193,12 +198,11 @@
     return port;
 }
 
-void PlatformEntryProcess::submit(
-    WorkSpec job, RoutePolicy route, Milliseconds budget, WaiterId waiter, JobAnswerCallback answered)
+void PlatformEntryProcess::submit(WorkSpec job, RoutePolicy route, WaiterId waiter, JobRequest request)
 {
-    const auto now = suspendAwareNow();
-    m_pendingRequests[waiter] = { std::move(answered), route.name, now };
-    m_core.submit(std::move(job), std::move(route), budget, waiter, now);
+    const Caller caller { waiter, request.arrival, request.budget };
+    m_pendingRequests[waiter] = { std::move(request), route.name };
+    m_core.submit(std::move(job), std::move(route), caller, suspendAwareNow());
 }
 
 void PlatformEntryProcess::received(LinkId link, const Frame& frame)
@@ -260,8 +264,8 @@
         return;
     const auto& waiting = it->second;
     m_responseSeconds.add({ { "route", waiting.route }, { "outcome", std::string(toString(action.answer.status)) } },
-        suspendAwareNow() - waiting.since);
-    waiting.onAnswer(action.answer);
+        suspendAwareNow() - waiting.request.arrival);
+    waiting.request.onAnswer(action.answer);
     m_pendingRequests.erase(it);
 }
 
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <fmt/format.h>
 #include <numeric>
 
@@ -171,6 +172,8 @@
             m_incarnations.resize(scenario.entries);
             m_isPartitioned.resize(scenario.entries);
             m_suspendedUntil.resize(scenario.servers);
+            m_entrySuspendedUntil.resize(scenario.entries);
+            m_callerArrivals.resize(scenario.entries);
             for (size_t i = 0; i < scenario.entries; ++i)
                 startEntry(i);
             const auto seconds = static_cast<size_t>(scenario.length.count() / 1000 + 5);
@@ -233,6 +236,13 @@
          */
         void withGate(size_t agent, std::function<void(RunGate&)> action);
         bool isSuspended(size_t agent) const { return m_suspendedUntil[agent] > events.now(); }
+        /** Calls `action` for an entry, after the suspension of its process, unless the process has ended. */
+        void withEntry(size_t entry, std::function<void(Dispatcher&)> action);
+        bool isEntrySuspended(size_t entry) const { return m_entrySuspendedUntil[entry] > events.now(); }
+        /** An entry reads something of a caller once it has read what came before. `read` gets the earliest time at
+         * which it may have come, as far as the entry knows. */
+        void arriveFromCaller(size_t entry, std::function<void(Dispatcher&, TimePoint arrival)> read);
+        void readNextOfCallers(size_t entry);
         void link(size_t entry, size_t agent);
         void closeLink(LinkId id, bool byEntry);
         /** When a message that is sent now on a connection arrives. */
@@ -269,6 +279,12 @@
         uint64_t m_lastGateIncarnation = 100;
         std::vector<bool> m_isPartitioned;
         std::vector<TimePoint> m_suspendedUntil; ///< By agent.
+        std::vector<TimePoint> m_entrySuspendedUntil;
+        struct Arrival {
+            TimePoint earliest {};
+            std::function<void(Dispatcher&, TimePoint arrival)> read;
+        };
+        std::vector<std::deque<Arrival>> m_callerArrivals; ///< By entry; what it hasn't read yet.
         std::map<std::pair<size_t, size_t>, TimePoint> m_stalledUntil; ///< By entry and agent.
         std::map<std::pair<size_t, size_t>, TimePoint> m_slowUntil; ///< By entry and agent; cut for 3 s from then on.
         std::map<LinkId, Connection> m_connections;
@@ -444,6 +460,10 @@
                                },
             [this](const auto& job, const auto& load) {
                 return m_tuning.predictsWaits ? admit(job, load, m_tuning.placement) : Admission();
+            },
+            [this, i](WaiterId waiter) {
+                const auto it = m_waiters.find(waiter);
+                return it != m_waiters.end() && it->second == i;
             } };
         m_entries[i] = std::make_unique<Dispatcher>(m_tuning.dispatcher, m_tuning.placement, hooks);
         m_entries[i]->setEntries(m_scenario.entries, i);
@@ -456,6 +476,7 @@
                 closeLink(id, true);
         }
         m_entries[i].reset();
+        m_callerArrivals[i].clear();
         for (const auto& [waiter, entry] : m_waiters) {
             if (entry != i)
                 continue;
@@ -544,6 +565,52 @@
         applyGateEffects(agent);
     }
 
+    void ClusterSimulation::withEntry(size_t entry, std::function<void(Dispatcher&)> action)
+    {
+        if (isEntrySuspended(entry)) {
+            events.add(m_entrySuspendedUntil[entry],
+                [this, entry, action = std::move(action), incarnation = m_incarnations[entry]] {
+                    if (m_incarnations[entry] == incarnation)
+                        withEntry(entry, action);
+                });
+            return;
+        }
+        if (!m_entries[entry])
+            return;
+        action(*m_entries[entry]);
+        applyEntryEffects(entry);
+    }
+
+    void ClusterSimulation::arriveFromCaller(size_t entry, std::function<void(Dispatcher&, TimePoint arrival)> read)
+    {
+        auto& waiting = m_callerArrivals[entry];
+        const auto now = events.now();
+        if (waiting.empty() && !isEntrySuspended(entry) && m_scenario.callerReadTime.count() == 0) {
+            withEntry(entry, [&](Dispatcher& dispatcher) { read(dispatcher, now); });
+            return;
+        }
+        // It last looked at its sockets just before it was suspended.
+        const auto earliest
+            = isEntrySuspended(entry) ? m_entrySuspendedUntil[entry] - m_scenario.entrySuspensionLength : now;
+        waiting.push_back({ earliest, std::move(read) });
+        if (waiting.size() == 1)
+            events.add(now + m_scenario.callerReadTime,
+                [this, entry] { withEntry(entry, [this, entry](Dispatcher&) { readNextOfCallers(entry); }); });
+    }
+
+    void ClusterSimulation::readNextOfCallers(size_t entry)
+    {
+        auto& waiting = m_callerArrivals[entry];
+        if (waiting.empty())
+            return;
+        const auto next = std::move(waiting.front());
+        waiting.pop_front();
+        next.read(*m_entries[entry], next.earliest);
+        if (!waiting.empty())
+            events.add(events.now() + m_scenario.callerReadTime,
+                [this, entry] { withEntry(entry, [this, entry](Dispatcher&) { readNextOfCallers(entry); }); });
+    }
+
     void ClusterSimulation::link(size_t entry, size_t agent)
     {
         const LinkId id { ++m_lastLink };
@@ -577,9 +644,8 @@
             });
         else if (!isCut(connection)) {
             events.add(arrival, [this, id] {
-                auto& entry = m_entries[m_connections.at(id).entry];
-                if (entry)
-                    entry->linkClosed(id, events.now());
+                withEntry(m_connections.at(id).entry,
+                    [this, id](Dispatcher& dispatcher) { dispatcher.linkClosed(id, events.now()); });
             });
         }
     }
@@ -645,11 +711,11 @@
         if (!connection.isOpen || isCut(connection))
             return;
         events.add(arrivalOn(connection), [this, id, message = std::make_shared<SendMessage>(std::move(message))] {
-            const auto entry = m_connections.at(id).entry;
-            if (!m_connections.at(id).isOpen || !m_entries[entry])
+            if (!m_connections.at(id).isOpen)
                 return;
-            m_entries[entry]->receive(id, message->body, message->agentTime, events.now());
-            applyEntryEffects(entry);
+            withEntry(m_connections.at(id).entry, [this, id, message](Dispatcher& dispatcher) {
+                dispatcher.receive(id, message->body, message->agentTime, events.now());
+            });
         });
     }
 
@@ -661,7 +727,10 @@
             else if (auto* close = std::get_if<CloseLink>(&effect))
                 closeLink(close->link, true);
             else if (auto* answer = std::get_if<AnswerCaller>(&effect)) {
-                m_waiters.erase(answer->waiter);
+                const auto it = m_waiters.find(answer->waiter);
+                if (it == m_waiters.end() || it->second != i)
+                    continue; // The caller has closed this connection.
+                m_waiters.erase(it);
                 answered(answer->job, answer->answer);
             }
         }
@@ -915,7 +984,8 @@
     {
         const auto& job = m_jobs.at(id);
         const auto callerTimeout = m_scenario.callerTimeoutMargin + toMilliseconds(job.objective * lateFactor);
-        const auto budget = toMilliseconds(job.sent + callerTimeout - events.now());
+        const auto left = toMilliseconds(job.sent + callerTimeout - events.now());
+        const auto budget = m_scenario.requestBudget.value_or(left);
         if (budget.count() <= 0)
             return;
         if (!m_entries[entry]) {
@@ -938,14 +1008,20 @@
         route.objective = m_scenario.objective;
         const WaiterId waiter { raw(id) };
         m_waiters[waiter] = entry;
-        m_entries[entry]->submit(std::move(spec), std::move(route), budget, waiter, events.now());
-        applyEntryEffects(entry);
+        arriveFromCaller(entry, [=, this](Dispatcher& dispatcher, TimePoint arrival) {
+            dispatcher.submit(spec, route, { waiter, arrival, budget }, events.now());
+        });
         events.add(events.now() + budget, [this, id, waiter, entry] {
-            if (m_jobs.at(id).isAnswered || !m_entries[entry] || !m_waiters.contains(waiter))
+            const auto it = m_waiters.find(waiter);
+            if (m_jobs.at(id).isAnswered || !m_entries[entry] || it == m_waiters.end() || it->second != entry)
                 return;
             m_waiters.erase(waiter);
-            m_entries[entry]->callerGone(id, waiter, events.now());
-            applyEntryEffects(entry);
+            if (m_scenario.requestBudget)
+                resubmit(id, (entry + 1) % m_scenario.entries);
+            if (m_scenario.endsArrive)
+                arriveFromCaller(entry, [this, id, waiter](Dispatcher& dispatcher, TimePoint) {
+                    dispatcher.callerGone(id, waiter, events.now());
+                });
         });
     }
 
@@ -1022,10 +1098,8 @@
         for (size_t i = 0; i < m_entries.size(); ++i) {
             auto onTick = std::make_shared<std::function<void()>>();
             *onTick = [this, i, onTick, tick] {
-                if (m_entries[i]) {
-                    m_entries[i]->tick(events.now());
-                    applyEntryEffects(i);
-                }
+                if (!isEntrySuspended(i))
+                    withEntry(i, [this](Dispatcher& dispatcher) { dispatcher.tick(events.now()); });
                 events.add(events.now() + tick, *onTick);
             };
             events.add(simulationStart + Milliseconds(5 + i), *onTick);
@@ -1041,7 +1115,8 @@
             for (size_t e = 0; e < m_entries.size(); ++e) {
                 for (size_t a = 0; a < m_gates.size(); ++a) {
                     const bool isLinked = open.contains({ e, a });
-                    const bool isReady = m_entries[e] && m_gates[a] && m_gates[a]->isRecovered() && !isSuspended(a);
+                    const bool isReady = m_entries[e] && !isEntrySuspended(e) && m_gates[a] && m_gates[a]->isRecovered()
+                        && !isSuspended(a);
                     const auto stall = m_stalledUntil.find({ e, a });
                     const bool isStalled = stall != m_stalledUntil.end() && stall->second > events.now();
                     if (!isLinked && isReady && !isStalled && !isCut({ e, a }))
@@ -1105,6 +1180,11 @@
             events.add(at(when),
                 [this, agent = agent] { m_suspendedUntil[agent] = events.now() + m_scenario.suspensionLength; });
         }
+        for (const auto& [entry, when] : m_scenario.entrySuspensions) {
+            events.add(at(when), [this, entry = entry] {
+                m_entrySuspendedUntil[entry] = events.now() + m_scenario.entrySuspensionLength;
+            });
+        }
         for (const auto& [entry, when] : m_scenario.linkStalls)
             events.add(at(when), [this, entry = entry] { stallLinks(entry); });
         for (const auto& [entry, when] : m_scenario.slowLinks)
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -115,6 +115,16 @@
     /** Agent and time; the process is suspended for `suspensionLength`, and what arrives meanwhile waits. */
     std::vector<std::pair<size_t, Milliseconds>> agentSuspensions;
     Milliseconds suspensionLength { 2300 };
+    /** Entry and time; the process is suspended for `entrySuspensionLength`, and what arrives meanwhile waits. */
+    std::vector<std::pair<size_t, Milliseconds>> entrySuspensions;
+    Milliseconds entrySuspensionLength { 4000 };
+    /** Entries read the requests of callers and the ends of their connections one after the other, in this time each.
+     */
+    Microseconds callerReadTime { 0 };
+    /** Time budget of each request; a caller without an answer by then submits its job to the next entry `resendDelay`
+     * later. Otherwise callers wait for the whole job, see `callerTimeoutMargin`. */
+    std::optional<Milliseconds> requestBudget;
+    bool endsArrive = true; ///< Entries hear of it when a caller closes its connection.
     std::vector<std::pair<size_t, Milliseconds>> entryPartitions; ///< Entry and time; it can't reach any agent for 3 s.
     /** Entry and time; for `stallLength` messages between it and half of the agents are held up, in their order. */
     std::vector<std::pair<size_t, Milliseconds>> linkStalls;
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -19,7 +19,8 @@
                  ++placements;
                  return choosePlacement(candidates, request, {});
              },
-                [](const auto& job, const auto& load) { return admit(job, load, {}); } })
+                [](const auto& job, const auto& load) { return admit(job, load, {}); },
+                [this](WaiterId waiter) { return !left.contains(raw(waiter)); } })
     {
         dispatcher.tick(now);
         for (size_t i = 0; i < agents; ++i)
@@ -100,7 +101,7 @@
         route.objective = Milliseconds(60);
         route.maxFailures = 3;
         route.priority = priority;
-        dispatcher.submit(std::move(spec), std::move(route), budget, WaiterId(id), now);
+        dispatcher.submit(std::move(spec), std::move(route), { WaiterId(id), now - age, budget }, now);
         collectEffects();
     }
 
@@ -161,6 +162,8 @@
     }
 
     TimePoint now { std::chrono::seconds(100) };
+    Milliseconds age {}; ///< Of the requests that are submitted.
+    std::set<uint64_t> left; ///< Jobs whose callers have ended their connections.
     size_t placements = 0; ///< Calls of the placement policy.
     Dispatcher dispatcher;
     std::map<uint64_t, WorkAnswer> answers;
@@ -271,6 +274,82 @@
     cr_expect(fixture.answers.at(1).status == WorkStatus::Succeeded);
 }
 
+/** Where a job stands when its caller closes the connection, which the entry has not noticed yet. */
+enum class LeavingAt : uint8_t { WaitingForRoom, NextStep, Repeat };
+
+struct LeavingRow {
+    char name[32];
+    LeavingAt at;
+};
+
+ParameterizedTestParameters(Dispatcher, noRunIsOrderedForACallerWhoseEndWaitsInTheSocket)
+{
+    static LeavingRow rows[] = {
+        { "first run", LeavingAt::WaitingForRoom },
+        { "run of the next step", LeavingAt::NextStep },
+        { "repeated run", LeavingAt::Repeat },
+    };
+    return cr_make_param_array(LeavingRow, rows, sizeof(rows) / sizeof(LeavingRow));
+}
+
+/** The caller has sent the job to another entry, so that a run here would be the second one of its task. */
+ParameterizedTest(LeavingRow* row, Dispatcher, noRunIsOrderedForACallerWhoseEndWaitsInTheSocket)
+{
+    DispatcherFixture fixture(1);
+    std::vector steps { stepOf(1, agentCpu) };
+    if (row->at == LeavingAt::NextStep) {
+        steps.push_back(stepOf(1, agentCpu));
+        steps[1].dependsOn = { 0 };
+    }
+    fixture.submit(1, steps);
+    cr_assert_eq(fixture.orders.size(), 1U);
+    const uint64_t leaving = row->at == LeavingAt::WaitingForRoom ? 2 : 1;
+    if (row->at == LeavingAt::WaitingForRoom)
+        fixture.submit(2, stepOf(1, 1000));
+    cr_assert_eq(fixture.orders.size(), 1U);
+    fixture.left.insert(leaving);
+    const bool isFailed = row->at == LeavingAt::Repeat;
+    fixture.end(fixture.orders[0], isFailed ? wire::RunOutcome::Failed : wire::RunOutcome::Done);
+    for (size_t i = 1; i < fixture.orders.size(); ++i)
+        cr_expect_neq(raw(fixture.orders[i].task.job), leaving, "%s", row->name);
+    cr_expect_not(fixture.dispatcher.isOpen(WorkId(leaving)), "%s", row->name);
+}
+
+struct ReadLateRow {
+    char name[32];
+    Milliseconds age; ///< Of the request when it is read.
+    bool isAccepted;
+};
+
+ParameterizedTestParameters(Dispatcher, requestsReadAfterTheirBudgetAreRefusedAsNotRun)
+{
+    static ReadLateRow rows[] = {
+        { "at once", Milliseconds(0), true },
+        { "early enough", Milliseconds(500), true },
+        { "after the budget", Milliseconds(1500), false },
+        { "long after the budget", Milliseconds(4000), false },
+    };
+    return cr_make_param_array(ReadLateRow, rows, sizeof(rows) / sizeof(ReadLateRow));
+}
+
+/** Their callers may have sent the jobs to another entry, though no end of a connection shows it. */
+ParameterizedTest(ReadLateRow* row, Dispatcher, requestsReadAfterTheirBudgetAreRefusedAsNotRun)
+{
+    DispatcherFixture fixture(1);
+    fixture.age = row->age;
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(1500));
+    cr_expect_eq(fixture.orders.size(), row->isAccepted ? 1U : 0U, "%s", row->name);
+    if (row->isAccepted) {
+        // The caller's time counts from when the request came.
+        fixture.advance(Milliseconds(1500) - row->age);
+        cr_assert(fixture.answers.contains(1), "%s", row->name);
+        cr_expect(fixture.answers.at(1).status == WorkStatus::GivenUp, "%s", row->name);
+        return;
+    }
+    cr_assert(fixture.answers.contains(1), "%s", row->name);
+    cr_expect(fixture.answers.at(1).status == WorkStatus::NotRun, "%s", row->name);
+}
+
 Test(Dispatcher, taskFailuresAreLimitedByTheRoute)
 {
     DispatcherFixture fixture(6);
@@ -311,7 +390,7 @@
     spec.steps.push_back(stepOf(1, 1000));
     RoutePolicy route;
     route.service = "service";
-    fresh.submit(std::move(spec), std::move(route), Milliseconds(2000), WaiterId(1), fixture.now);
+    fresh.submit(std::move(spec), std::move(route), { WaiterId(1), fixture.now, Milliseconds(2000) }, fixture.now);
     cr_expect(fresh.isOpen(WorkId(1)));
 }
 
--- a/tests/ExplainTest.cpp
+++ b/tests/ExplainTest.cpp
@@ -48,6 +48,8 @@
             "overloaded", "1 closed: agent-7 (server-silent)" },
         { "no server is large enough", answered("not-run", 0, "reason=no-server-fits in_time=false"), "no-server-fits",
             "no known server is large enough" },
+        { "its request was read late", answered("not-run", 0, "reason=read-too-late in_time=false"), "read-too-late",
+            "its caller may have given up" },
         { "its route is isolated", closed + answered("not-run", 0, "reason=route-isolated route=scans in_time=false"),
             "route-isolated", "tasks of its route scans crash servers" },
         { "it crashes servers",
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -47,6 +47,13 @@
 
     void send(const std::string& text) const { ::send(m_socket, text.data(), text.size(), MSG_NOSIGNAL); }
     void closeWriting() const { shutdown(m_socket, SHUT_WR); }
+    /** Reads what comes next; empty if the server closes the connection. */
+    std::string readSome() const
+    {
+        char buf[4096];
+        const auto n = recv(m_socket, buf, sizeof(buf), 0);
+        return { buf, static_cast<size_t>(std::max<ssize_t>(n, 0)) };
+    }
     /** Reads until the server closes the connection. */
     std::string readAll() const
     {
@@ -68,6 +75,7 @@
     limits.maxBodyBytes = 100;
     limits.idleTimeout = Milliseconds(2000);
     limits.readTimeout = Milliseconds(300);
+    limits.arrivalPeriod = Milliseconds(1000); // Longer than any pause of a busy machine.
     return limits;
 }
 
@@ -108,6 +116,7 @@
                 arrived.set_value();
                 return;
             }
+            lastArrival = call.arrival;
             if (call.target == "/throw")
                 throw std::runtime_error("a handler's error");
             exchange->reply({ 200, call.method + " " + call.target + " " + call.body, "text/plain", {} });
@@ -126,6 +135,7 @@
     std::promise<void> disconnected;
     std::promise<void> arrived;
     HttpExchangePtr pendingExchange;
+    TimePoint lastArrival {}; ///< Of the last request but /wait; set on the loop's thread, before the reply.
     AsyncHttpServer& server() { return m_server; }
 
 private:
@@ -197,6 +207,82 @@
     cr_expect(echo.disconnected.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
 }
 
+/** A loop that is busy, or whose process is suspended, doesn't notice that a caller has gone. */
+Test(AsyncHttp, endOfACallersConnectionIsKnownBeforeTheLoopNoticesIt, .timeout = 20)
+{
+    EchoServer echo;
+    auto connection = std::make_unique<RawConnection>(echo.address);
+    connection->send("GET /wait HTTP/1.1\r\n\r\n");
+    echo.arrived.get_future().get();
+    cr_expect(echo.pendingExchange->isConnected());
+    std::promise<void> held;
+    std::promise<void> released;
+    echo.loop.post([&] {
+        held.set_value();
+        released.get_future().get();
+    });
+    held.get_future().get();
+    connection.reset();
+    while (echo.pendingExchange->isConnected())
+        std::this_thread::yield(); // If it stays so, the test fails by its timeout.
+    auto disconnected = echo.disconnected.get_future();
+    cr_expect(disconnected.wait_for(Milliseconds(0)) == std::future_status::timeout);
+    released.set_value();
+    disconnected.get();
+    cr_expect_not(echo.pendingExchange->isConnected());
+}
+
+struct ArrivalRow {
+    char name[40];
+    bool isConnected; ///< The connection is open, and has served a request, before the loop is held up.
+    bool isHeld;
+};
+
+ParameterizedTestParameters(AsyncHttp, ageOfARequestCountsFromItsArrival)
+{
+    static ArrivalRow rows[] = {
+        { "read at once, new connection", false, false },
+        { "read at once, open connection", true, false },
+        { "read late, new connection", false, true },
+        { "read late, open connection", true, true },
+    };
+    return cr_make_param_array(ArrivalRow, rows, sizeof(rows) / sizeof(ArrivalRow));
+}
+
+/** A server that reads a request late must not take it for a new one. */
+ParameterizedTest(ArrivalRow* row, AsyncHttp, ageOfARequestCountsFromItsArrival, .timeout = 20)
+{
+    EchoServer echo;
+    std::unique_ptr<RawConnection> connection;
+    if (row->isConnected) {
+        connection = std::make_unique<RawConnection>(echo.address);
+        connection->send("GET /a HTTP/1.1\r\n\r\n");
+        cr_assert(connection->readSome().starts_with("HTTP/1.1 200"), "%s", row->name);
+    }
+    std::promise<void> held;
+    std::promise<void> released;
+    if (row->isHeld) {
+        echo.loop.post([&] {
+            held.set_value();
+            released.get_future().get();
+        });
+        held.get_future().get();
+    }
+    if (!connection)
+        connection = std::make_unique<RawConnection>(echo.address);
+    const auto sent = suspendAwareNow();
+    connection->send("GET /b HTTP/1.1\r\n\r\n");
+    if (row->isHeld) {
+        std::this_thread::sleep_for(Milliseconds(2500)); // More than two periods.
+        released.set_value();
+    }
+    cr_assert(connection->readSome().starts_with("HTTP/1.1 200"), "%s", row->name);
+    if (row->isHeld)
+        cr_expect_leq(echo.lastArrival.time_since_epoch().count(), sent.time_since_epoch().count(), "%s", row->name);
+    else
+        cr_expect_geq(echo.lastArrival.time_since_epoch().count(), sent.time_since_epoch().count(), "%s", row->name);
+}
+
 Test(AsyncHttp, stopClosesIdleConnectionsAndAnswersPendingCalls, .timeout = 20)
 {
     EchoServer echo;
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -515,6 +515,48 @@
     }
 }
 
+/** Callers give up and send their jobs to another entry before the first one has read their requests. */
+struct LateReadingRow {
+    char name[48];
+    bool suspendsEntries;
+    int readMs; ///< For each request and each end of a connection.
+    bool endsArrive; ///< Otherwise the ends of the callers' connections get lost, as behind a cut.
+};
+
+ParameterizedTestParameters(ClusterSimulation, jobsThatWereReadLateNeverRunBesideTheirResubmission)
+{
+    static LateReadingRow rows[] = {
+        { "suspended", true, 5, true },
+        { "suspended, ends of connections get lost", true, 5, false },
+        { "slow in a burst", false, 10, true },
+        { "slow in a burst, ends of connections get lost", false, 10, false },
+    };
+    return cr_make_param_array(LateReadingRow, rows, sizeof(rows) / sizeof(LateReadingRow));
+}
+
+ParameterizedTest(
+    LateReadingRow* row, ClusterSimulation, jobsThatWereReadLateNeverRunBesideTheirResubmission, .timeout = 60)
+{
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        auto scenario = mingaScenario("callers give up before entries read their requests");
+        scenario.seed = seed;
+        scenario.load = 0.6;
+        scenario.requestBudget = Milliseconds(1500);
+        scenario.callerReadTime = Milliseconds(row->readMs);
+        scenario.endsArrive = row->endsArrive;
+        if (row->suspendsEntries) {
+            for (size_t i = 0; i < scenario.entries; ++i)
+                scenario.entrySuspensions.emplace_back(i, Milliseconds(2500 + 5500 * i));
+        } else {
+            scenario.entryShares = { 4, 1, 1 };
+            scenario.bursts = { { "", 4, Milliseconds(4000), Milliseconds(3000) } };
+        }
+        const auto report = simulate(scenario);
+        expectNoViolations(report, nameOf(seed, row->name));
+        expectServed(report, row->suspendsEntries ? 0.5 : 0.2, nameOf(seed, row->name));
+    }
+}
+
 /** Callers send their jobs to another entry while the runs that the first one ordered are being stopped. */
 struct ElsewhereRow {
     char name[48];
