Agents refuse orders for a service or label that their server no longer has

Cause: an order didn't say why it may run on the server. The gate checked room, drain, incarnation and max_per_server; service and label were compared by the entry alone, with a view as old as the last report that it has read. Trace on: i-1 comes back with the label a at 6.889 s, front-1 goes on at 7.104 s, a step that requires b starts on i-1 at 7.106 s.

Change: RunOrder names service and required label; the gate refuses an order that its server doesn't match (Unsuitable). First runs, next steps and repeats share this path. A refusal is no attempt of the task. Entries of earlier releases name neither, and their orders are checked as before; agents of earlier releases ignore the fields.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -354,6 +354,8 @@
     /** Resources that an entry may use; none at all while any of them is overcommitted. */
     Resources freeFor(const EntryLink& link, TimePoint now) const;
     void onOrder(LinkId link, const wire::RunOrderT& order, TimePoint now);
+    /** Whether the server is of the service, and has the label, that an order names. */
+    bool isSuitable(const wire::RunOrderT& order) const;
     wire::Refusal refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const;
     /** The run of a task that is on the server, at most one. */
     std::map<RunId, Run>::const_iterator activeRunOf(const TaskId& task) const;
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -492,6 +492,8 @@
     message.remaining_ms = static_cast<uint32_t>(std::max<int64_t>(msOf(job.deadline - now), 0));
     message.max_per_server = spec.maxPerServer;
     message.route = job.route.name;
+    message.service = job.route.service;
+    message.required_label = spec.requiredLabel;
     const auto suspicion = suspicionTime(job, id.task, now);
     message.suspect_ms = static_cast<uint32_t>(suspicion.count());
     if (suspicion.count() > 0)
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -179,6 +179,14 @@
     return it != m_runs.end() && it->first.task == task ? it : m_runs.end();
 }
 
+bool RunGate::isSuitable(const wire::RunOrderT& order) const
+{
+    const auto& labels = m_server->labels;
+    return (order.service.empty() || order.service == m_server->service)
+        && (order.required_label.empty()
+            || std::find(labels.begin(), labels.end(), order.required_label) != labels.end());
+}
+
 wire::Refusal RunGate::refusalOf(EntryLink& link, const RunId& id, const wire::RunOrderT& order, TimePoint now) const
 {
     if (order.agent_incarnation != raw(m_self))
@@ -192,6 +200,8 @@
         return wire::Refusal::Closed;
     if (activeRunOf(id.task) != m_runs.end())
         return wire::Refusal::Occupied;
+    if (!isSuitable(order))
+        return wire::Refusal::Unsuitable;
     if (order.remaining_ms == 0)
         return wire::Refusal::Expired;
     if (order.max_per_server > 0) {
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -365,6 +365,20 @@
     cr_expect(fixture.answers.at(1).status == WorkStatus::Failed);
 }
 
+Test(Dispatcher, refusalsOfAnUnsuitableServerAreNoAttempts)
+{
+    DispatcherFixture fixture(1);
+    fixture.submit(1, stepOf(1, 1000));
+    constexpr size_t refusals = 5; // More than the route allows failures.
+    for (size_t i = 0; i < refusals; ++i) {
+        cr_assert_eq(fixture.orders.size(), i + 1);
+        fixture.end(fixture.orders.back(), wire::RunOutcome::NotStarted, Milliseconds(0), wire::Refusal::Unsuitable);
+    }
+    fixture.end(fixture.orders.back(), wire::RunOutcome::Done);
+    cr_assert(fixture.answers.contains(1));
+    cr_expect(fixture.answers.at(1).status == WorkStatus::Succeeded);
+}
+
 Test(Dispatcher, requiredLabelSelectsItsServerAtEveryPosition)
 {
     for (size_t i = 0; i < 3; ++i) {
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -39,7 +39,7 @@
         ServerReport report;
         report.instance = "i-1";
         report.startedMs = startedMs;
-        report.service = "service";
+        report.service = serverService;
         report.labels = labels;
         report.total = capacity;
         report.isDraining = isDraining;
@@ -221,6 +221,7 @@
     RunGate gate;
     TimePoint now = start;
     Resources capacity { 10000, 1000, 0 };
+    std::string serverService = "service"; ///< That the server announces.
     std::vector<std::string> labels;
     uint64_t sequence = 0;
     uint64_t lastPoll = 0;
@@ -2259,6 +2260,106 @@
             toString(fixture.total[link]).c_str());
 }
 
+/** Which run an entry orders by its old view of the server. */
+enum class OrderKind : uint8_t { First, NextStep, Repeat };
+
+struct OldViewRow {
+    char name[48];
+    OrderKind kind;
+    char service[12]; ///< Of the server that has come back.
+    char label[8];
+    bool isStarted;
+};
+
+ParameterizedTestParameters(RunGate, orderByAnOldViewStartsNothingOnAServerOfAnotherKind)
+{
+    static OldViewRow rows[] = {
+        { "first run, as before", OrderKind::First, "service", "b", true },
+        { "first run, without the label", OrderKind::First, "service", "a", false },
+        { "first run, of another service", OrderKind::First, "other", "b", false },
+        { "next step, as before", OrderKind::NextStep, "service", "b", true },
+        { "next step, without the label", OrderKind::NextStep, "service", "a", false },
+        { "next step, of another service", OrderKind::NextStep, "other", "b", false },
+        { "repeated run, as before", OrderKind::Repeat, "service", "b", true },
+        { "repeated run, without the label", OrderKind::Repeat, "service", "a", false },
+        { "repeated run, of another service", OrderKind::Repeat, "other", "b", false },
+    };
+    return cr_make_param_array(OldViewRow, rows, sizeof(rows) / sizeof(OldViewRow));
+}
+
+/** An entry that stood still orders before it reads the report of a server that has come back as another kind. */
+ParameterizedTest(OldViewRow* row, RunGate, orderByAnOldViewStartsNothingOnAServerOfAnotherKind)
+{
+    Fixture fixture;
+    fixture.labels = { "b" };
+    fixture.announce();
+    Dispatcher entry({}, {},
+        { [](const auto& candidates, const auto& request) { return choosePlacement(candidates, request, {}); },
+            [](const auto&, const auto&) { return Admission(); } });
+    const auto deliverToEntry = [&](auto message) {
+        wire::BodyUnion body;
+        body.Set(std::move(message));
+        entry.receive(firstLink, body, fixture.now, fixture.now);
+    };
+    const auto takeOrder = [&] {
+        for (auto& effect : entry.takeEffects()) {
+            if (auto* sent = std::get_if<SendMessage>(&effect); sent != nullptr && sent->body.AsRunOrder() != nullptr)
+                return std::move(sent->body);
+        }
+        return wire::BodyUnion();
+    };
+    entry.tick(fixture.now);
+    wire::HelloT hello;
+    hello.agent = "agent";
+    hello.incarnation = raw(self);
+    entry.agentLinked(firstLink, hello, fixture.now, fixture.now);
+    wire::RoomReportT report;
+    report.service = "service";
+    report.labels = fixture.labels;
+    report.state = wire::GateState::Open;
+    report.total = std::make_unique<wire::Room>(toWire(fixture.capacity));
+    report.free = std::make_unique<wire::Room>(toWire(fixture.capacity));
+    report.slowness = 1;
+    deliverToEntry(std::move(report));
+    WorkSpec spec;
+    spec.id = WorkId(1);
+    spec.steps.resize(row->kind == OrderKind::NextStep ? 2 : 1);
+    for (auto& step : spec.steps) {
+        step.count = 1;
+        step.resources = { 1000, 10, 0 };
+        step.estimate = Milliseconds(100);
+    }
+    spec.steps.back().requiredLabel = "b";
+    if (spec.steps.size() > 1)
+        spec.steps.back().dependsOn = { 0 };
+    RoutePolicy route;
+    route.service = "service";
+    route.maxFailures = 3;
+    entry.submit(spec, route, { WaiterId(1), fixture.now, Milliseconds(2000) }, fixture.now);
+    auto order = takeOrder();
+    if (row->kind != OrderKind::First) {
+        cr_assert(order.AsRunOrder() != nullptr, "%s", row->name);
+        wire::RunResultT result;
+        result.id = std::make_unique<wire::RunId>(*order.AsRunOrder()->id);
+        result.outcome = row->kind == OrderKind::Repeat ? wire::RunOutcome::Failed : wire::RunOutcome::Done;
+        result.free = std::make_unique<wire::Room>(toWire(fixture.capacity));
+        result.orders_seen = 1;
+        deliverToEntry(std::move(result));
+        order = takeOrder();
+    }
+    cr_assert(order.AsRunOrder() != nullptr, "%s", row->name);
+
+    fixture.serverService = row->service;
+    fixture.labels = { row->label };
+    fixture.announce(false, 2);
+    auto listing = listingOf({});
+    listing.startedMs = 2;
+    fixture.answerPoll(listing);
+    fixture.deliver(firstLink, order);
+    fixture.collectEffects();
+    cr_expect_eq(fixture.starts.size(), row->isStarted ? 1U : 0U, "%s", row->name);
+}
+
 struct LatePingRow {
     char name[40];
     int64_t startedMs;
