Tests of claims also fail when lost grants count as held

Two faults made by hand were not noticed by the tests of claims: a claim whose agents have both lost their links still counted as held, so that a run was repeated without one; and an entry that had taken over a claim waited for it, too.

--- a/tests/JobClaimsTest.cpp
+++ b/tests/JobClaimsTest.cpp
@@ -168,6 +168,7 @@
     claims.claim(third, job);
     claims.entryLost(first, lapse);
     cr_expect(claims.claim(second, job, first));
+    cr_expect((claims.waitingFor(second) == std::vector<ClaimOfEntry> { { job, third } }));
     cr_expect(claims.expire(lapse).empty());
     cr_expect_eq(claims.holderOf(job), second);
     cr_expect_not(claims.claim(first, job), "the predecessor must wait when it is back");
@@ -365,8 +366,6 @@
     void collectEffects()
     {
         for (auto& effect : dispatcher.takeEffects()) {
-            if (const auto* answer = std::get_if<AnswerCaller>(&effect))
-                answered.insert(raw(answer->job));
             const auto* send = std::get_if<SendMessage>(&effect);
             if (send == nullptr)
                 continue;
@@ -388,7 +387,6 @@
     Dispatcher dispatcher;
     std::set<size_t> unlinked;
     std::set<size_t> silent;
-    std::set<uint64_t> answered;
     std::vector<RunId> orders;
     std::map<RunId, size_t> agentByRun;
     std::vector<AskedClaim> claims;
@@ -770,6 +768,33 @@
     cr_expect_eq(fixture.orders.size(), 1U);
 }
 
+Test(JobClaims, aRunIsNotRepeatedWithoutAClaimWhenTheAgentsThatGrantedItAreGone)
+{
+    ClaimFixture fixture;
+    uint64_t id = 0;
+    std::vector<size_t> asked;
+    do { // Until a run isn't at an agent that keeps its job's claim.
+        cr_assert_lt(id, 32U);
+        fixture.submit(++id);
+        asked = fixture.asked(id);
+        for (const auto agent : asked)
+            fixture.answerClaim(agent, id, true);
+    } while (std::find(asked.begin(), asked.end(), fixture.agentByRun.at(fixture.orders.back())) != asked.end());
+    const auto run = fixture.orders.back();
+    for (const auto agent : asked)
+        fixture.unlink(agent);
+    fixture.advance(DispatcherLimits().relinkWait + Milliseconds(20));
+    fixture.end(run, wire::RunOutcome::Failed);
+    const auto isOrderedAgain
+        = [&] { return fixture.orders.back().task.job == WorkId(id) && fixture.orders.back() != run; };
+    cr_expect_not(isOrderedAgain(), "nobody keeps other entries from it");
+    const auto all = fixture.asked(id);
+    cr_assert_eq(all.size(), agentCount, "the other agents are asked");
+    fixture.answerClaim(all[2], id, true);
+    fixture.answerClaim(all[3], id, true);
+    cr_expect(isOrderedAgain());
+}
+
 struct KeeperRow {
     char name[32];
     std::array<bool, agentCount> keepsClaims;
