--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -41,11 +41,6 @@
     /** After the loss of a link, jobs wait this long at most for a new one before their first run: the agent tells of
      * orphaned runs on it. */
     Milliseconds relinkWait { 60 };
-    /** Agents tell when an entry that has lost its link links again within twice this time; claims lapse before. */
-    Milliseconds lostEntryRetention { 3000 };
-    /** A claim without an answer for this long is asked of further agents, or held without this answer if another one
-     * was granted. */
-    Milliseconds claimTimeout { 25 };
     Milliseconds suspensionThreshold { 100 }; ///< A process that did nothing for this long was suspended.
     /** A process whose pauses are all as long as that catches up on its links this often at most, so that jobs start
      * and silent agents are noticed in between; exceeds `linkSilence`. */
@@ -96,7 +91,6 @@
     uint64_t serverCrashes = 0; ///< Crashes of servers that agents reported.
     uint64_t isolations = 0; ///< Isolations of routes whose tasks crash servers.
     uint64_t ownerlessRuns = 0; ///< Runs that an agent reported as running although they are not wanted any more.
-    uint64_t refusedClaims = 0; ///< Claims of jobs that another entry held.
     uint64_t adoptedRuns = 0; ///< Runs of other entries that jobs submitted here wait for.
     /** Orphaned runs of other entries whose task was ordered here before they were told of. */
     uint64_t jobsElsewhere = 0;
@@ -126,11 +120,6 @@
     LinkId link {};
     bool isLinked = false;
     bool takesRelays = false; ///< It knows RelayedOrphans, unlike earlier releases.
-    bool takesClaims = false; ///< It knows JobClaim, unlike earlier releases.
-    bool isClaimOverdue = false; ///< It has not answered a claim in time, and nothing was heard of it since.
-    /** Entries that have lost their link to it and whose runs there were told, and when it told so. */
-    std::map<Incarnation, TimePoint> lostEntries;
-    uint64_t nameHash = 0; ///< Ranks the agents for claims, alike at all entries.
     bool isPreferred = true; ///< This entry orders from it first; see AgentShares.h.
     bool isForIsolatedRoutes = false; ///< While routes are isolated, its server runs their tasks and no others.
     wire::GateState state = wire::GateState::Closed;
@@ -301,59 +290,6 @@
         RunNumber firstRun { 1 }; ///< Run numbers start here, above those of an earlier job of the same id.
     };
 
-    enum class ClaimState : uint8_t {
-        Asked,
-        Granted,
-        Refused, ///< Another entry holds the claim; the agent answers again when it has ended.
-        Unlinked ///< The agent is asked again when it links again.
-    };
-
-    struct ClaimAgent {
-        ClaimState state = ClaimState::Asked;
-        Incarnation predecessor {}; ///< Entry that holds the claim there and has no link; zero if there is none.
-    };
-
-    /** Claim of a job, while it is open or has runs. */
-    struct Claim {
-        std::map<size_t, ClaimAgent> agents; ///< Agents that were asked for it.
-        TimePoint askedAt {}; ///< When the last ones were asked.
-        bool isHeld = false; ///< Runs of the job may be ordered.
-        size_t runs = 0; ///< Runs of the job that were ordered or adopted, and whose result has not arrived.
-    };
-
-    /** Whether runs of a job may be ordered. */
-    bool isClaimed(WorkId id) const;
-    /** The next agents to ask for a claim: the two that the job's id ranks first, of different failure domains if there
-     * are such. */
-    std::vector<size_t> chooseClaimAgents(WorkId id, const Claim& claim) const;
-    void requestClaim(WorkId id, TimePoint now);
-    /** Whether callers may have turned to this entry from another one: an entry has lost a link lately, or this one was
-     * suspended. Otherwise the first runs of a job don't wait for its claim. */
-    bool mayBeResubmission(TimePoint now) const;
-    void entriesDisturbed(TimePoint now);
-    /** Whether an agent that was asked should have answered. */
-    bool isClaimOverdue(const Claim& claim, TimePoint now) const;
-    /** Recomputes whether a claim is held. */
-    void updateClaim(WorkId id, TimePoint now);
-    /** Asks further agents for claims without an answer. */
-    void tickClaims(TimePoint now);
-    /** Takes over the claims that lost entries hold, if all their runs are known. */
-    void takeOverClaims(WorkId id, TimePoint now);
-    /** Whether an entry has lost its links to all agents, as far as these can tell, and its runs there are known. */
-    bool areRunsKnownOf(Incarnation entry, TimePoint now) const;
-    void onEntryState(size_t agent, const wire::EntryStateT& message, TimePoint now);
-    /** Returns whether the claim is held from now on. */
-    bool onClaimResult(size_t agent, const wire::JobClaimResultT& result, TimePoint now);
-    /** An agent has linked: tells it the claims that it was asked for. */
-    void renewClaims(size_t agent, TimePoint now);
-    /** An agent has lost its link. */
-    void suspendClaims(size_t agent, TimePoint now);
-    /** Gives up the claim of a job that is not open and has no runs. */
-    void releaseClaimIfOver(WorkId id, TimePoint now);
-    /** A run was ordered or adopted. */
-    void addRun(size_t agent, const RunId& id, TimePoint now);
-    /** A run is over; false if it was not known. */
-    bool removeRun(size_t agent, const RunId& id);
     /** Fills in a new job: its tasks, expected times, and the steps that are ready at once. */
     void initializeJob(Job& job, WorkSpec spec, RoutePolicy route, const Caller& caller, TimePoint now);
     /** A job that was submitted again waits for the ends of its earlier runs, which are being stopped, before its tasks
@@ -524,8 +460,6 @@
     std::map<std::string, LearnedSpeed> m_restoredSpeeds; ///< By agent; from the store.
     double m_meanSlowness = 1; ///< Mean over the agents, weighted by their processors.
     std::unordered_map<WorkId, Job> m_jobs;
-    std::unordered_map<WorkId, Claim> m_claims;
-    std::set<WorkId> m_unclaimedJobs; ///< Open jobs whose claim is not held.
     std::set<QueueKey> m_queue; ///< Keys of the jobs with ready tasks.
     std::vector<AgentView> m_agents; ///< By position; positions are never reused.
     std::unordered_map<std::string, size_t> m_agentByName;
@@ -557,7 +491,6 @@
     TimePoint m_lastTick {};
     TimePoint m_nextCatchUp {}; ///< Earliest time of the next one.
     TimePoint m_catchUpUntil {}; ///< Until then messages that arrived during a suspension may wait.
-    TimePoint m_entriesDisturbedUntil {}; ///< See mayBeResubmission.
     TimePoint m_settledAt {}; ///< When the discovery of agents counts as complete.
     size_t m_entryCount = 1;
     size_t m_entryPosition = 0; ///< Position of this entry in the order of all entries.
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -5,7 +5,6 @@
 #include <sequoia/AgentCore.h>
 #include <sequoia/CallTimeModel.h>
 #include <sequoia/CrashRecords.h>
-#include <sequoia/JobClaims.h>
 #include <sequoia/Metrics.h>
 #include <sequoia/Resources.h>
 #include <sequoia/SpeedModel.h>
@@ -62,9 +61,6 @@
      * couldn't be told to be of one or the other. */
     Milliseconds suspectDistance { 30 };
     size_t maxCrashes = 32; ///< At most this many crashes are remembered.
-    /** Entries remember half as long that another one has lost its link here; exceeds the time after which claims
-     * lapse. */
-    Milliseconds lostEntryRetention { 6000 };
     Milliseconds resultRetention { 10000 }; ///< How long results of runs are kept for entries that link again.
     /** Longest lease that an earlier process of this agent may have granted; set by the deployment. */
     Milliseconds maxLease { 1050 };
@@ -323,7 +319,6 @@
         Milliseconds ownerBound {}; ///< RunGateLimits::ownerBound with the figures of this entry.
         bool hasAgentTimes = false; ///< The entry sends them; otherwise `confirmed` is `lastHeard`.
         bool takesRelays = false; ///< The entry knows RelayedOrphans, unlike earlier releases.
-        bool takesClaims = false; ///< The entry knows JobClaimResult and EntryState, unlike earlier releases.
         TimePoint lastSent {};
         uint32_t ordersSeen = 0;
         size_t runs = 0;
@@ -369,14 +364,6 @@
     void callStart(const RunId& id, Run& run, TimePoint now);
     void onStops(LinkId link, const wire::RunStopT& message, TimePoint now);
     void onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
-    void onClaim(LinkId link, const wire::JobClaimT& message, TimePoint now);
-    void onRelease(LinkId link, const wire::JobReleaseT& message, TimePoint now);
-    void sendClaimResult(const ClaimOfEntry& claim, bool isGranted, TimePoint now);
-    /** Tells entries that they hold the claims that they have waited for. */
-    void sendGranted(const std::vector<ClaimOfEntry>& claims, TimePoint now);
-    /** Tells an entry that another one has lost its link, after telling of its runs, or has linked again. */
-    void sendEntryState(LinkId link, Incarnation entry, bool isLinked, TimePoint now);
-    void sendEntryStateToOthers(Incarnation entry, bool isLinked, TimePoint now);
     void stopRun(const RunId& id, Run& run, TimePoint now);
     /** An entry that didn't order a run asks for its end. */
     void addSuccessor(Run& run, EntryLink& link, TimePoint now);
@@ -536,9 +523,6 @@
     Resources m_used; ///< Sum over `m_runs`.
     std::map<LinkId, EntryLink> m_links;
     std::map<Incarnation, LostOwner> m_lostOwners;
-    JobClaims m_claims;
-    /** Entries that others know to have lost their link, and until when these remember it at the latest. */
-    std::map<Incarnation, TimePoint> m_lostEntries;
     SpeedModel m_speed;
     CallTimeModel m_callTime;
     std::array<WorkId, 8> m_sampledJobs {}; ///< Latest jobs of which a run was selected as a sample; a ring buffer.
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -107,9 +107,6 @@
     if (admission.decision == AdmissionDecision::Reject)
         return finish(id,
             { WorkStatus::NotRun, isIsolated(job, now) ? "route-isolated" : "overloaded", admission.retryAfter }, now);
-    if (m_claims[id].agents.empty())
-        requestClaim(id, now);
-    updateClaim(id, now);
     requeue(job, now);
     dispatchQueued(now);
 }
@@ -341,18 +338,15 @@
             giveUpCrashing(job.spec.id, now);
             continue;
         }
-        if ((isRelinkingAgents && !job.isStarted) || !isClaimed(job.spec.id))
+        if (isRelinkingAgents && !job.isStarted)
             continue;
         if (!placeJob(job, now) && !isIsolated(job, now))
             ++misses;
     }
     for (const auto id : std::exchange(m_abandonedJobs, {}))
         callersLeft(id, now);
-    const bool hasLinks = linkedAgents() > 0;
-    const bool isBacklogged = std::any_of(
-        m_queue.begin(), m_queue.end(), [&](const QueueKey& key) { return !hasLinks || isClaimed(key.job); });
-    m_load.setBacklogged(isBacklogged, now);
-    if (isBacklogged)
+    m_load.setBacklogged(!m_queue.empty(), now);
+    if (!m_queue.empty())
         sendDemands(now);
 }
 
@@ -506,7 +500,9 @@
         agent.suspects[id] = now + suspicion;
     agent.free -= spec.resources;
     agent.unacknowledgedOrders.emplace_back(++agent.ordersSent, spec.resources);
-    addRun(agentIndex, id, now);
+    if (agent.runs.empty())
+        agent.lastHeard = now; // The shorter silence limit of links with runs counts from here.
+    agent.runs.insert(id);
     job.trace.add({ "run-ordered", now, id, true, agent.name,
         { { "free", toString(agent.free) }, { "view_age_ms", msOf(now - agent.freeReportedAt) },
             { "slowness_percent", static_cast<int64_t>(agent.slowness * percent) },
@@ -517,8 +513,8 @@
 void Dispatcher::sendDemands(TimePoint now)
 {
     // Servers reserve nothing for isolated routes, most of them being closed to these.
-    const auto key = std::find_if(m_queue.begin(), m_queue.end(),
-        [&](const QueueKey& key) { return isClaimed(key.job) && !isIsolated(m_jobs.at(key.job), now); });
+    const auto key = std::find_if(
+        m_queue.begin(), m_queue.end(), [&](const QueueKey& key) { return !isIsolated(m_jobs.at(key.job), now); });
     if (key == m_queue.end())
         return;
     const auto& first = m_jobs.at(key->job);
@@ -594,8 +590,6 @@
         stopRuns(job, answer.reason == callerGoneReason || answer.reason == takenOverReason, now);
     learnRunTimes(job);
     m_jobs.erase(id);
-    m_unclaimedJobs.erase(id);
-    releaseClaimIfOver(id, now);
 }
 
 std::string Dispatcher::unfinishedText(const Job& job, TimePoint now) const
@@ -657,7 +651,6 @@
     if (m_settledAt == TimePoint())
         m_settledAt = now + m_limits.settleTime;
     tickLinks(now);
-    tickClaims(now);
     if (m_isPreferenceStale)
         updatePreferredAgents();
     updateIsolation(now);
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -1,6 +1,5 @@
 /** @file DispatcherAgents.cpp Agents of a dispatcher: links, messages, and what was learned of them. */
 #include <sequoia/AgentShares.h>
-#include <sequoia/Configuration.h>
 #include <sequoia/Dispatcher.h>
 
 #include <algorithm>
@@ -103,9 +102,6 @@
     agent.lastHeard = agent.lastReceived = now;
     agent.agentTime = agentTime;
     agent.takesRelays = hello.relays;
-    agent.takesClaims = hello.claims;
-    agent.isClaimOverdue = false;
-    agent.lostEntries.clear();
     agent.lastSent = now;
     agent.state = wire::GateState::Closed; // Until its first report.
     agent.ordersSent = 0;
@@ -125,8 +121,6 @@
         return orphan.first.agent == index && !orphan.second.isOver && orphan.first.incarnation != incarnation;
     });
     markRunsLost(index, ended, "agent-restarted", now);
-    if (agent.takesClaims)
-        renewClaims(index, now);
     if (isRestarted)
         dispatchQueued(now);
     if (!agent.runs.empty()) {
@@ -157,8 +151,6 @@
     agent.isLinked = false;
     m_isPreferenceStale = true;
     agent.unlinkedAt = now;
-    entriesDisturbed(now);
-    suspendClaims(index, now);
     for (auto& other : m_agents)
         other.relays = 0; // What was sent on this link may be lost with it.
     agent.relinkUntil = relinkUntil;
@@ -170,11 +162,8 @@
 size_t Dispatcher::agentNamed(const std::string& name)
 {
     const auto [it, isNew] = m_agentByName.try_emplace(name, m_agents.size());
-    if (isNew) {
-        auto& agent = m_agents.emplace_back();
-        agent.name = name;
-        agent.nameHash = hashText(name);
-    }
+    if (isNew)
+        m_agents.emplace_back().name = name;
     return it->second;
 }
 
@@ -182,14 +171,12 @@
 {
     for (const auto& id : ids) {
         auto& agent = m_agents[index];
-        removeRun(index, id);
+        agent.runs.erase(id);
         agent.foreignRuns.erase(id);
         agent.suspects.erase(id);
         auto* job = findJob(id.task.job);
-        if (job == nullptr) {
-            releaseClaimIfOver(id.task.job, now);
+        if (job == nullptr)
             continue;
-        }
         wire::RunResultT lost;
         lost.outcome = wire::RunOutcome::Lost;
         lost.reason = cause;
@@ -236,7 +223,6 @@
     m_effects.record(LogLevel::Warning, "suspended", { { "ms", toMilliseconds(pause).count() } });
     m_lastTick = now;
     m_catchUpUntil = now + m_limits.relinkWait;
-    entriesDisturbed(now);
     m_nextCatchUp = now + m_limits.catchUpInterval;
     for (auto& agent : m_agents)
         agent.lastHeard = std::max(agent.lastHeard, m_catchUpUntil - allowedSilence(agent));
@@ -273,7 +259,6 @@
     ++m_counters.messagesReceived;
     detectSuspension(now);
     m_agents[*index].lastHeard = m_agents[*index].lastReceived = now;
-    m_agents[*index].isClaimOverdue = false;
     m_agents[*index].agentTime = agentTime;
     switch (body.type) {
     case wire::Body::RoomReport:
@@ -292,12 +277,6 @@
         return onOrphanedRuns(*index, *body.AsOrphanedRuns(), now);
     case wire::Body::RelayedOrphans:
         return onRelayedOrphans(*body.AsRelayedOrphans(), now);
-    case wire::Body::EntryState:
-        return onEntryState(*index, *body.AsEntryState(), now);
-    case wire::Body::JobClaimResult:
-        if (!onClaimResult(*index, *body.AsJobClaimResult(), now))
-            return;
-        break;
     case wire::Body::RunResult:
         onResult(*index, *body.AsRunResult(), now);
         break;
@@ -355,7 +334,7 @@
         sendStop(index, { id }, findJob(id.task.job) == nullptr, now);
         return;
     }
-    if (!removeRun(index, id)) {
+    if (agent.runs.erase(id) == 0) {
         const auto orphan = m_orphanedRuns.find({ id, index, agent.incarnation });
         if (orphan != m_orphanedRuns.end() && result.refusal != wire::Refusal::Occupied)
             orphan->second.isOver = true;
@@ -367,7 +346,6 @@
     agent.suspects.erase(id);
     if (findTask(id.task) != nullptr)
         runEnded(*findJob(id.task.job), id, index, result, now);
-    releaseClaimIfOver(id.task.job, now);
 }
 
 } // namespace sequoia
--- a/src/DispatcherOrphans.cpp
+++ b/src/DispatcherOrphans.cpp
@@ -73,7 +73,9 @@
         return;
     ++m_counters.adoptedRuns;
     auto& agent = m_agents[agentIndex];
-    addRun(agentIndex, id, now);
+    if (agent.runs.empty())
+        agent.lastHeard = now; // The shorter silence limit of links with runs counts from here.
+    agent.runs.insert(id);
     agent.foreignRuns[id] = run;
     adoptRun(job, id, agentIndex, now);
     m_effects.record(LogLevel::Info, "run-adopted",
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -190,7 +190,6 @@
     hello.incarnation = raw(m_incarnation);
     hello.failure_domain = m_settings.failure_domain;
     hello.relays = true;
-    hello.claims = true;
     Frame frame;
     frame.body.Set(std::move(hello));
     setAgentTime(frame, suspendAwareNow());
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -231,7 +231,6 @@
     welcome.run_lapse_ms = static_cast<uint32_t>(m_settings.run_lapse_ms);
     welcome.caller_resend_ms = static_cast<uint32_t>(m_settings.caller_resend_ms);
     welcome.relays = true;
-    welcome.claims = true;
     Frame reply;
     reply.body.Set(std::move(welcome));
     setAgentTime(reply, agentTime);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -153,12 +153,6 @@
     case wire::Body::RelayedOrphans:
         relayOrphans(link, *body.AsRelayedOrphans(), now);
         break;
-    case wire::Body::JobClaim:
-        onClaim(link, *body.AsJobClaim(), now);
-        break;
-    case wire::Body::JobRelease:
-        onRelease(link, *body.AsJobRelease(), now);
-        break;
     case wire::Body::RunQuery:
         onQuery(link, body.AsRunQuery()->ids, now);
         break;
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -88,7 +88,6 @@
     m_stopBound = std::min(m_stopBound, limits.stopBound());
     link.hasAgentTimes = agentTime != TimePoint();
     link.takesRelays = welcome.relays;
-    link.takesClaims = welcome.claims;
     confirm(link, agentTime, now);
     link.lastSent = now;
     std::vector<RunId> orphans;
@@ -98,9 +97,6 @@
             orphans.push_back(runId);
     }
     m_lostOwners.erase(entry);
-    m_claims.entryLinked(entry);
-    if (m_lostEntries.erase(entry) > 0)
-        sendEntryStateToOthers(entry, true, now);
     if (welcome.server_life == m_serverStartedMs)
         m_speed.restore(static_cast<double>(welcome.slowness), welcome.samples);
     m_effects.record(LogLevel::Info, "entry-linked",
@@ -108,20 +104,13 @@
             { "runs", static_cast<int64_t>(link.runs) } });
     sendCrashes(id, now); // These precede the report, on which the entry sends orders.
     sendOrphans(id, orphans, now);
-    for (const auto& [lost, expires] : m_lostEntries)
-        sendEntryState(id, lost, false, now);
     sendReport(id, now);
 }
 
 void RunGate::linkClosed(LinkId id, TimePoint now)
 {
-    if (!m_links.contains(id))
-        return;
-    const auto entry = m_links.at(id).entry;
-    sendOrphansToOthers(removeLink(id, now), std::nullopt, now);
-    sendEntryStateToOthers(entry, false, now);
-    for (const auto& claim : m_claims.waitingFor(entry))
-        sendClaimResult(claim, false, now);
+    if (m_links.contains(id))
+        sendOrphansToOthers(removeLink(id, now), std::nullopt, now);
 }
 
 std::vector<RunId> RunGate::removeLink(LinkId id, TimePoint now)
@@ -134,8 +123,6 @@
         run.isOrphaned = true;
         orphans.push_back(runId);
     }
-    m_claims.entryLost(it->second.entry, now + it->second.ownerBound);
-    m_lostEntries[it->second.entry] = now + m_limits.lostEntryRetention;
     if (it->second.runs > 0)
         m_lostOwners.emplace(it->second.entry, LostOwner { now, it->second.confirmed, it->second.ownerBound });
     m_effects.record(LogLevel::Info, "entry-unlinked",
@@ -281,11 +268,9 @@
     }
     tickLinks(now);
     tickOwners(now);
-    sendGranted(m_claims.expire(now), now);
     tickStops(now);
     tickHealth(now);
     std::erase_if(m_endedRuns, [&](const auto& ended) { return ended.second.expires <= now; });
-    std::erase_if(m_lostEntries, [&](const auto& lost) { return lost.second <= now; });
     if (state(now) != m_reportedState)
         sendReports(now);
     recordSummary(now);
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -619,12 +619,10 @@
         welcome.entry = fmt::format("entry{}", entry);
         welcome.incarnation = m_incarnations[entry];
         welcome.relays = true;
-        welcome.claims = true;
         wire::HelloT hello;
         hello.agent = fmt::format("agent{}", agent);
         hello.incarnation = m_gateIncarnations[agent];
         hello.relays = true;
-        hello.claims = true;
         m_entries[entry]->agentLinked(id, hello, events.now(), events.now());
         m_gates[agent]->entryLinked(id, welcome, events.now(), events.now());
         applyEntryEffects(entry);
