An entry without a caller for a job leaves other entries' runs of it alone

What callers saw: the answer given-up (taken-over) while their job was running. Cause: Dispatcher adopted runs as it filled in a job, before it looked whether the request was read too late or its caller's connection had ended. Change: it looks first, and answers the job as not run.

--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -86,6 +86,9 @@
     initializeJob(job, std::move(spec), std::move(route), caller, now);
     if (job.deadline <= now) // Nothing has run. A caller that still waits can send the job again at once.
         return finish(id, { WorkStatus::NotRun, "read-too-late", {} }, now);
+    if (!hasCaller(job))
+        return callersLeft(id, now);
+    adoptRuns(job, now); // Another entry's runs of it may be for a caller that still waits, unless this one does.
     if (m_crashes.hasTaskGivenUp(id))
         return giveUpCrashing(id, now);
     if (const auto refusal = rejectionReason(job, now); !refusal.empty())
@@ -137,7 +140,6 @@
         if (job.spec.steps[i].dependsOn.empty())
             makeReady(job, i);
     }
-    adoptRuns(job, now);
 }
 
 bool Dispatcher::couldRun(const Job& job, size_t step, const AgentView& agent) const
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -699,6 +699,60 @@
         cr_expect_gt(raw(fixture.orders.back().run), raw(run.run), "%s", row->name);
 }
 
+/** Why nobody waits for a job when its request is read. */
+struct NoCallerRow {
+    char name[32];
+    bool hasLeft; ///< Its connection has ended; otherwise the request is older than its budget.
+    bool isRelayed; ///< The run is told by its entry instead of its agent.
+};
+
+ParameterizedTestParameters(Dispatcher, jobWithoutCallerStopsNoRunsOfOtherEntries)
+{
+    static NoCallerRow rows[] = {
+        { "caller left", true, false },
+        { "caller left, relayed run", true, true },
+        { "read too late", false, false },
+        { "read too late, relayed run", false, true },
+    };
+    return cr_make_param_array(NoCallerRow, rows, sizeof(rows) / sizeof(NoCallerRow));
+}
+
+ParameterizedTest(NoCallerRow* row, Dispatcher, jobWithoutCallerStopsNoRunsOfOtherEntries)
+{
+    DispatcherFixture fixture;
+    const RunId run { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(5) };
+    if (row->isRelayed) {
+        wire::RelayedOrphansT relayed;
+        auto runs = std::make_unique<wire::AgentRunsT>();
+        runs->agent = "agent0";
+        runs->agent_incarnation = 100;
+        runs->lapse_ms = 1250;
+        runs->ids.push_back(toWire(run));
+        relayed.agents.push_back(std::move(runs));
+        fixture.deliver(1, std::move(relayed));
+    } else {
+        wire::OrphanedRunsT orphans;
+        orphans.ids.push_back(toWire(run));
+        fixture.deliver(0, std::move(orphans));
+    }
+    constexpr Milliseconds budget { 2000 };
+    if (row->hasLeft)
+        fixture.left.insert(1);
+    else
+        fixture.age = budget;
+    fixture.submit(1, stepOf(1, 1000), budget);
+    fixture.advance(Milliseconds(40));
+    cr_expect(fixture.stops.empty(), "%s: the caller may wait for this run at another entry", row->name);
+    cr_expect(fixture.orders.empty(), "%s", row->name);
+    cr_expect(fixture.answers.contains(1) && fixture.answers[1].status == WorkStatus::NotRun, "%s", row->name);
+    fixture.left.clear();
+    fixture.age = {};
+    fixture.submit(1, stepOf(1, 1000), budget);
+    cr_expect(fixture.orders.empty(), "%s: the run is forgotten", row->name);
+    cr_assert_eq(fixture.stops.size(), 1U, "%s", row->name);
+    cr_expect(fixture.stops.back() == run, "%s", row->name);
+}
+
 Test(Dispatcher, orphanedRunsAreRememberedUntilTheirCallersHaveSentAgain)
 {
     DispatcherFixture fixture;
