--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -88,7 +88,7 @@
         return finish(id, { WorkStatus::NotRun, "read-too-late", {} }, now);
     if (!hasCaller(job))
         return callersLeft(id, now);
-    adoptRuns(job, now); // Another entry's runs of it may be for a caller that still waits, unless this one does.
+    adoptRuns(job, now); // Stops runs of other entries, whose callers may still wait unless they have come here.
     if (m_crashes.hasTaskGivenUp(id))
         return giveUpCrashing(id, now);
     if (const auto refusal = rejectionReason(job, now); !refusal.empty())
