Starts reach no other process of a backend server

The search for what else lets an agent start a run on a server that no longer suits it found this fault.

What callers would see: a task runs on a server without its required label, or a second time beside its replacement. A server that crashes and is back at the same address under the same id has other labels perhaps, and knows no fence. Between the crash and the next answered poll the gate still trusts the report of the process before. A start opened a new connection then, which the next process accepted: the id matches, and it has no fence to refuse the call.

Change: a start names the process that it is meant for. The driver sends it only if the last reply came from that process, and only on a connection that has answered before, or on a new one while such a connection is open: the kernel closes the connections of a process that has ended before another one can listen at its address. Otherwise nothing is sent, the run counts as not started, and the entry places it elsewhere.

--- a/include/sequoia/AsyncHttp.h
+++ b/include/sequoia/AsyncHttp.h
@@ -134,6 +134,15 @@
 
 using HttpResult = std::variant<HttpReply, HttpFault>;
 
+/** On which connections a request may be sent. */
+enum class PeerRequirement : uint8_t {
+    Any,
+    /** Only to the process that has answered before: on a connection with an earlier answer, or on a new one while such
+     * a connection is open. An address may be taken over by another process, which closes the connections of the one
+     * before. */
+    SameProcess
+};
+
 class AsyncHttpClientState;
 
 /** Client of one address with a pool of persistent connections, without pipelining. Thread-safe. */
@@ -141,7 +150,8 @@
 public:
     AsyncHttpClient(HttpLoop& loop, const std::string& address, size_t maxConnections);
     /** Sends a request, after others if all connections are busy. `done` is called once, on the loop's thread. */
-    void call(HttpRequest request, Milliseconds timeout, std::function<void(HttpResult)> done);
+    void call(HttpRequest request, Milliseconds timeout, std::function<void(HttpResult)> done,
+        PeerRequirement peer = PeerRequirement::Any);
 
 private:
     std::shared_ptr<AsyncHttpClientState> m_state;
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -152,6 +152,7 @@
     RunId id;
     std::string payload;
     std::string instance;
+    int64_t serverStartedMs = 0; ///< Start time of the server's process that the run is meant for, ms since 1970.
     int64_t fence = 0; ///< Fencing token; the server ignores a call with a lower one than it has seen.
     /** End of the lease, by this agent's clock, which goes on while the process is suspended. */
     TimePoint leaseEnd {};
--- a/src/AsyncHttp.cpp
+++ b/src/AsyncHttp.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <map>
 #include <mutex>
 #include <poll.h>
 #include <set>
@@ -458,9 +459,9 @@
 
     asio::io_context& context() { return m_context; }
 
-    void call(HttpRequest request, Milliseconds timeout, std::function<void(HttpResult)> done)
+    void call(HttpRequest request, Milliseconds timeout, std::function<void(HttpResult)> done, PeerRequirement peer)
     {
-        Call next { std::move(request), Clock::now() + timeout, std::move(done) };
+        Call next { std::move(request), Clock::now() + timeout, std::move(done), peer };
         if (m_activeConnections >= m_maxConnections) {
             m_pendingCalls.push_back(std::move(next));
             return;
@@ -476,6 +477,7 @@
         HttpRequest request;
         TimePoint deadline {};
         std::function<void(HttpResult)> done;
+        PeerRequirement peer {};
     };
 
     /** Performs a call and then pending ones until there are none. */
@@ -495,13 +497,15 @@
     asio::awaitable<HttpResult> perform(Call& call)
     {
         auto stream = takeIdle();
+        const bool hasAnswered = stream != nullptr;
         if (!stream) {
             stream = std::make_unique<beast::tcp_stream>(m_context);
             stream->expires_at(call.deadline);
             auto [ec] = co_await stream->async_connect(m_endpoint, completionToken);
             if (ec == asio::error::connection_refused)
                 co_return hasOpenConnection() ? HttpFault::NotSent : HttpFault::Refused;
-            if (ec)
+            // Checked after connecting: by then the connections of a process that has ended are closed.
+            if (ec || (call.peer == PeerRequirement::SameProcess && !hasAnsweredConnection()))
                 co_return HttpFault::NotSent;
             stream->socket().set_option(tcp::no_delay(true), ec);
         }
@@ -514,7 +518,7 @@
         request.body() = std::move(call.request.body);
         request.prepare_payload();
         stream->expires_at(call.deadline);
-        const ActiveStream active(m_activeStreams, *stream);
+        const ActiveStream active(m_activeStreams, *stream, hasAnswered);
         auto [sendError, sent] = co_await http::async_write(*stream, request, completionToken);
         if (sendError)
             co_return HttpFault::NoAnswer;
@@ -534,12 +538,15 @@
         co_return reply;
     }
 
+    /** Connections of calls without an answer yet, and whether an earlier call on them was answered. */
+    using ActiveStreams = std::map<beast::tcp_stream*, bool>;
+
     /** Registers the connection of a call as long as the call lasts. */
     class ActiveStream {
     public:
-        ActiveStream(std::set<beast::tcp_stream*>& streams, beast::tcp_stream& stream)
+        ActiveStream(ActiveStreams& streams, beast::tcp_stream& stream, bool hasAnswered)
             : m_streams(streams)
-            , m_position(streams.insert(&stream).first)
+            , m_position(streams.emplace(&stream, hasAnswered).first)
         {
         }
         ~ActiveStream() { m_streams.erase(m_position); }
@@ -547,18 +554,27 @@
         ActiveStream& operator=(const ActiveStream&) = delete;
 
     private:
-        std::set<beast::tcp_stream*>& m_streams;
-        std::set<beast::tcp_stream*>::iterator m_position;
+        ActiveStreams& m_streams;
+        ActiveStreams::iterator m_position;
     };
 
+    static bool isOpen(beast::tcp_stream& stream) { return !hasPeerClosed(stream.socket().native_handle()); }
+
+    /** Whether a connection with an answered call is left that the peer has not closed: the process that answered
+     * lives. */
+    bool hasAnsweredConnection()
+    {
+        return std::any_of(m_idleStreams.begin(), m_idleStreams.end(), [](const Stream& idle) { return isOpen(*idle); })
+            || std::any_of(m_activeStreams.begin(), m_activeStreams.end(),
+                [](const auto& active) { return active.second && isOpen(*active.first); });
+    }
+
     /** Whether a connection is left that the peer has not closed: its process lives, though it accepts no new ones. */
     bool hasOpenConnection()
     {
-        const auto isOpen = [](beast::tcp_stream& stream) { return !hasPeerClosed(stream.socket().native_handle()); };
-        return std::any_of(
-                   m_idleStreams.begin(), m_idleStreams.end(), [&](const Stream& idle) { return isOpen(*idle); })
-            || std::any_of(
-                m_activeStreams.begin(), m_activeStreams.end(), [&](auto* active) { return isOpen(*active); });
+        return hasAnsweredConnection()
+            || std::any_of(m_activeStreams.begin(), m_activeStreams.end(),
+                [](const auto& active) { return isOpen(*active.first); });
     }
 
     /** Takes an idle connection that the peer has not closed; null if there is none. */
@@ -582,7 +598,7 @@
     size_t m_maxConnections;
     size_t m_activeConnections = 0;
     std::vector<Stream> m_idleStreams;
-    std::set<beast::tcp_stream*> m_activeStreams; ///< Connections of calls without an answer yet.
+    ActiveStreams m_activeStreams;
     std::deque<Call> m_pendingCalls;
 };
 
@@ -591,11 +607,12 @@
 {
 }
 
-void AsyncHttpClient::call(HttpRequest request, Milliseconds timeout, std::function<void(HttpResult)> done)
+void AsyncHttpClient::call(
+    HttpRequest request, Milliseconds timeout, std::function<void(HttpResult)> done, PeerRequirement peer)
 {
-    asio::post(
-        m_state->context(), [state = m_state, request = std::move(request), timeout, done = std::move(done)]() mutable {
-            state->call(std::move(request), timeout, std::move(done));
+    asio::post(m_state->context(),
+        [state = m_state, request = std::move(request), timeout, done = std::move(done), peer]() mutable {
+            state->call(std::move(request), timeout, std::move(done), peer);
         });
 }
 
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -287,7 +287,8 @@
     ++run.startCalls;
     run.startCalled = now;
     m_startFence = m_fence;
-    m_effects.add(StartRun { id, run.payload, run.instance, m_fence, grantLease(now), m_callTime.timeout(now) });
+    m_effects.add(StartRun {
+        id, run.payload, run.instance, run.serverStartedMs, m_fence, grantLease(now), m_callTime.timeout(now) });
 }
 
 void RunGate::startAnswered(const RunId& id, StartOutcome outcome, TimePoint now)
--- a/tests/ServerDriverTest.cpp
+++ b/tests/ServerDriverTest.cpp
@@ -59,7 +59,7 @@
     {
         auto answered = started.get_future();
         driver->start(
-            { { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(1) }, "", "", 0, leaseEnd, callTimeout });
+            { { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(1) }, "", "", 1, 0, leaseEnd, callTimeout });
         return answered.get();
     }
 
@@ -131,6 +131,111 @@
     cr_expect_leq(fixture.until.load(), endByServer.count(), "%s: no later than the agent reckons with", row->name);
 }
 
+namespace {
+
+/** A process of a backend server. Its connections are closed when it ends. */
+class ServerProcess {
+public:
+    ServerProcess(const std::string& listenAddress, int64_t startedMs)
+        : m_startedMs(startedMs)
+        , address(m_server.listen(listenAddress))
+    {
+        m_loop.start();
+    }
+    ~ServerProcess() { m_loop.stop(); }
+    ServerProcess(const ServerProcess&) = delete;
+    ServerProcess& operator=(const ServerProcess&) = delete;
+
+    std::atomic<int> starts { 0 };
+
+private:
+    void serve(const HttpServerRequest& call, const HttpExchangePtr& exchange)
+    {
+        const auto body = Json::parse(call.body);
+        starts += body.contains("task") ? 1 : 0;
+        const Json reply { { "clock_ms", 1000 }, { "born", m_startedMs }, { "running", Json::array() },
+            { "ended", Json::array() } };
+        if (body.value("wait_ms", 0) == 0)
+            exchange->reply({ 200, reply.dump(), "application/json", {} });
+        else
+            m_waiting.push_back(exchange);
+    }
+
+    int64_t m_startedMs;
+    FailureGuard m_failures { {}, { [](std::string_view, const std::string&) {}, [] {}, Clock::now } };
+    HttpLoop m_loop { m_failures };
+    std::vector<HttpExchangePtr> m_waiting;
+    AsyncHttpServer m_server { m_loop, {},
+        [this](const HttpServerRequest& call, const HttpExchangePtr& exchange) { serve(call, exchange); } };
+
+public:
+    std::string address;
+};
+
+struct NextProcessRow {
+    char name[64];
+    bool isReplaced; ///< Another process of the server, started at 2 ms, takes the place of the first one, of 1 ms.
+    bool isPolled; ///< The present process has answered a poll.
+    bool isPollWaiting; ///< A poll holds the only connection.
+    int64_t startedMs; ///< Process that the start is meant for.
+    bool isSent;
+};
+
+} // namespace
+
+ParameterizedTestParameters(ServerDriver, startsReachNoOtherProcessOfTheServer)
+{
+    static NextProcessRow rows[] = {
+        { "same process, idle connection", false, true, false, 1, true },
+        { "same process, new connection", false, true, true, 1, true },
+        { "next process, not polled yet", true, false, false, 1, false },
+        { "next process, polled, start for the one before", true, true, false, 1, false },
+        { "next process, polled, start for it", true, true, false, 2, true },
+        { "next process, polled, start for it, new connection", true, true, true, 2, true },
+    };
+    return cr_make_param_array(NextProcessRow, rows, sizeof(rows) / sizeof(NextProcessRow));
+}
+
+// A server that is replaced under the same id and address may have other labels, and knows no fence: a start that was
+// ordered by what is known of the process before must not reach it.
+ParameterizedTest(NextProcessRow* row, ServerDriver, startsReachNoOtherProcessOfTheServer, .timeout = 30)
+{
+    FailureGuard failures { {}, { [](std::string_view, const std::string&) {}, [] {}, Clock::now } };
+    Log log { "test", LogLevel::Error, 0 };
+    HttpLoop loop { failures };
+    loop.start();
+    auto process = std::make_unique<ServerProcess>("127.0.0.1:0", 1);
+    const auto address = process->address;
+    std::promise<StartOutcome> started;
+    std::promise<PollOutcome> polled;
+    ServerDriver driver(loop, address, 4, log,
+        ServerResultHooks { [&](RunId, StartOutcome outcome) { started.set_value(outcome); }, {},
+            [&](uint64_t, PollOutcome outcome, Listing) { std::exchange(polled, {}).set_value(outcome); },
+            suspendAwareNow });
+    const auto poll = [&] {
+        auto answered = polled.get_future();
+        driver.poll({ 1, 0, std::nullopt, Milliseconds(0), callTimeout, 0, "" });
+        cr_assert(answered.get() == PollOutcome::Listed, "%s", row->name);
+    };
+    poll();
+    if (row->isReplaced) {
+        process.reset();
+        process = std::make_unique<ServerProcess>(address, 2);
+    }
+    if (row->isPolled)
+        poll();
+    if (row->isPollWaiting)
+        driver.poll({ 2, 0, std::nullopt, Milliseconds(1000), callTimeout, 0, "" });
+    auto answered = started.get_future();
+    driver.start({ { { WorkId(1), StepIndex(0), TaskIndex(0) }, RunNumber(1) }, "", "i-1", row->startedMs, 0,
+        suspendAwareNow() + callTimeout, callTimeout });
+    const auto outcome = answered.get();
+    cr_expect_eq(outcome == StartOutcome::Started, row->isSent, "%s", row->name);
+    cr_expect(row->isSent || outcome == StartOutcome::Unreachable, "%s: certain that it has not run", row->name);
+    cr_expect_eq(process->starts.load(), row->isSent ? 1 : 0, "%s", row->name);
+    loop.stop();
+}
+
 Test(ServerDriver, pollTellsWhetherTheServerHasTheExpectedId, .timeout = 30)
 {
     Fixture fixture;
