Limit what arrives between the parts of an HTTP message

Beast's parser limits header and body, but the buffer grew with trailers and chunk extensions until they ended, and cpp-httplib read lines after the header for ever. readMessage in src/AsyncHttp.cpp parses one element at a time and counts the bytes that belong neither to the header nor to the body (setting max_trailer_bytes, 8,192); a server answers 431, a client's call ends as NoAnswer. BoundedStream in src/HttpService.cpp counts what cpp-httplib reads from a socket.

Requests with extensions and trailers within the limit have their rows in AsyncHttp::limitsWhatIsBetweenChunks.

--- a/include/sequoia/AsyncHttp.h
+++ b/include/sequoia/AsyncHttp.h
@@ -85,11 +85,14 @@
     size_t maxConnections = 3000; ///< Further connections are closed right after they are accepted.
     size_t maxHeaderBytes = 16384;
     size_t maxBodyBytes = 1U << 20U;
+    size_t maxTrailerBytes = 8192; ///< Of the trailers and chunk extensions of a request, together.
     Milliseconds idleTimeout { 15000 }; ///< For the next request on an open connection.
     Milliseconds readTimeout { 5000 }; ///< For reading a request, and for writing a reply.
     /** Interval at which the server looks for bytes on its sockets, so that it knows since when they may have been
      * there; zero: it doesn't. */
     Milliseconds arrivalPeriod { 0 };
+    /** Told of a request that is beyond the limits or malformed, with the status of its reply; on the loop's thread. */
+    std::function<void(int status, const std::string& reason)> onRefusal {};
 };
 
 class AsyncHttpServerState;
--- a/include/sequoia/HttpService.h
+++ b/include/sequoia/HttpService.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <httplib.h>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -16,6 +17,8 @@
     size_t maxConnections = 512; ///< Served concurrently; further ones wait in a queue.
     size_t maxBodyBytes = 4U << 20U;
     Milliseconds readTimeout { 5000 }; ///< Longest pause within a message and before the next request.
+    size_t maxTrailerBytes = 8192; ///< Of a line of trailers or chunk extensions, and of all beyond smallest chunks.
+    size_t maxHeaderBytes = 65536;
 };
 
 /** Errors of HttpService::bind. */
@@ -29,7 +32,7 @@
     HttpService(const HttpService&) = delete;
     HttpService& operator=(const HttpService&) = delete;
 
-    httplib::Server& server() { return m_server; }
+    httplib::Server& server() { return *m_server; }
     /** Binds `host:port`; port 0 selects a free one. Returns the bound address or throws HttpError. */
     std::string bind(const std::string& address);
     /** Starts to serve the bound address, on threads of its own. */
@@ -42,7 +45,7 @@
     void stop();
 
 private:
-    httplib::Server m_server;
+    std::unique_ptr<httplib::Server> m_server;
     std::thread m_thread;
     int m_listener = -1; ///< File descriptor of the listening socket.
     std::atomic<bool> m_isStopping { false };
--- a/include/sequoia/PlatformAgentProcess.h
+++ b/include/sequoia/PlatformAgentProcess.h
@@ -57,6 +57,7 @@
     void apply(PollServer& action) { m_server.poll(action); }
     template <typename Action> void apply(Action& action) { m_effects.apply(action); }
 
+    AsyncHttpLimits serverLimits();
     void serveMetrics(const HttpExchangePtr& exchange);
     std::string metricsText() const;
 
--- a/include/sequoia/PlatformEntryProcess.h
+++ b/include/sequoia/PlatformEntryProcess.h
@@ -52,7 +52,8 @@
     };
 
     void post(std::function<void()> work) { m_control.post(std::move(work)); }
-    AsyncHttpLimits callerLimits() const;
+    AsyncHttpLimits serverLimits();
+    AsyncHttpLimits callerLimits();
     DispatcherHooks dispatcherHooks();
     LinkHooks linkHooks();
     LearnedPublisherHooks learnedHooks();
--- a/src/AgentMain.cpp
+++ b/src/AgentMain.cpp
@@ -60,7 +60,7 @@
             , m_log(settings.name, parseLogLevel(settings.log_level), static_cast<size_t>(settings.timeline_events))
             , m_incarnation(drawIncarnation())
             , m_http({ static_cast<size_t>(settings.http_threads), static_cast<size_t>(settings.max_body_bytes),
-                  Milliseconds(settings.http_read_timeout_ms) })
+                  Milliseconds(settings.http_read_timeout_ms), static_cast<size_t>(settings.max_trailer_bytes) })
             , m_core(m_incarnation, limitsOf(settings))
             , m_pool(static_cast<size_t>(settings.max_connections), static_cast<size_t>(settings.max_body_bytes),
                   [this](const TaskKey& task, BackendResult result) {
--- a/src/AsyncHttp.cpp
+++ b/src/AsyncHttp.cpp
@@ -63,6 +63,57 @@
         return 400;
     }
 
+    /** Bytes of `n` beyond the size line of a chunk without extensions, with the line ends around it. */
+    size_t beyondChunkLine(size_t n)
+    {
+        constexpr size_t chunkLineBytes = 32;
+        return n - std::min(n, chunkLineBytes);
+    }
+
+    /**
+     * Reads a message. The parser limits header and body, but keeps trailers and chunk extensions until they end. What
+     * arrives between chunks and after the last one is limited to `maxTrailerBytes` in all; beyond that the error is
+     * http::error::header_limit.
+     */
+    template <bool isRequest>
+    asio::awaitable<error_code> readMessage(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+        http::parser<isRequest, http::string_body>& parser, size_t maxTrailerBytes)
+    {
+        constexpr size_t maxReadBytes = 65536;
+        size_t trailerBytes = 0;
+        bool isMoreNeeded = buffer.size() == 0;
+        while (!parser.is_done()) {
+            if (isMoreNeeded) {
+                const auto space = buffer.prepare(beast::read_size(buffer, maxReadBytes));
+                auto [ec, n] = co_await stream.async_read_some(space, completionToken);
+                buffer.commit(n);
+                if (ec == asio::error::eof) {
+                    if (!parser.got_some())
+                        co_return http::error::end_of_stream;
+                    ec = {};
+                    parser.put_eof(ec);
+                }
+                if (ec || parser.is_done())
+                    co_return ec;
+            }
+            const bool isHeaderDone = parser.is_header_done();
+            const auto bodyBytes = parser.get().body().size();
+            error_code ec;
+            // Without `eager`, each call parses one element at most: the header, the line of a chunk, or body bytes.
+            const auto n = parser.put(buffer.data(), ec);
+            buffer.consume(n);
+            isMoreNeeded = ec == http::error::need_more || buffer.size() == 0;
+            if (ec && ec != http::error::need_more)
+                co_return ec;
+            if (!isHeaderDone)
+                continue;
+            trailerBytes += beyondChunkLine(n - (parser.get().body().size() - bodyBytes));
+            if (trailerBytes + (ec ? beyondChunkLine(buffer.size()) : 0) > maxTrailerBytes)
+                co_return http::error::header_limit;
+        }
+        co_return error_code();
+    }
+
     /** Exchange of one request. Its connection's coroutine waits for the reply. */
     class Exchange : public HttpExchange, public std::enable_shared_from_this<Exchange> {
     public:
@@ -355,12 +406,14 @@
         }
         const auto arrival = arrivalOn(connection);
         stream.expires_after(m_limits.readTimeout);
-        auto [ec, n] = co_await http::async_read(stream, buffer, parser, completionToken);
+        const auto ec = co_await readMessage(stream, buffer, parser, m_limits.maxTrailerBytes);
         if (ec == http::error::end_of_stream || ec == beast::error::timeout || ec == asio::error::connection_reset
             || ec == asio::error::operation_aborted)
             co_return false;
         if (ec) {
             HttpReply refusal { statusOf(ec), "{\"error\":\"" + ec.message() + "\"}", "application/json", {} };
+            if (m_limits.onRefusal)
+                m_limits.onRefusal(refusal.status, ec.message());
             co_await write(stream, std::move(refusal), false);
             co_return false;
         }
@@ -525,8 +578,7 @@
         beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
         parser.body_limit(maxReplyBytes);
-        auto [readError, received] = co_await http::async_read(*stream, buffer, parser, completionToken);
-        if (readError)
+        if (co_await readMessage(*stream, buffer, parser, maxReplyTrailerBytes))
             co_return HttpFault::NoAnswer;
         const bool staysOpen = parser.keep_alive();
         auto response = parser.release();
@@ -590,6 +642,7 @@
     }
 
     static constexpr uint64_t maxReplyBytes = 16U << 20U;
+    static constexpr size_t maxReplyTrailerBytes = 8192;
 
     asio::io_context& m_context;
     FailureGuard& m_failures;
--- a/src/EntryMain.cpp
+++ b/src/EntryMain.cpp
@@ -58,7 +58,7 @@
                       [this](const auto& address) { requestRelink(address); }, [](const JobKey&, const JobAnswer&) {},
                       m_failures })
             , m_http({ static_cast<size_t>(settings.http_threads), static_cast<size_t>(settings.max_body_bytes),
-                  Milliseconds(settings.http_read_timeout_ms) })
+                  Milliseconds(settings.http_read_timeout_ms), static_cast<size_t>(settings.max_trailer_bytes) })
         {
             if (!settings.store_address.empty())
                 m_store.emplace(settings.store_address, storeTimeout);
--- a/src/HttpService.cpp
+++ b/src/HttpService.cpp
@@ -1,10 +1,13 @@
 /** @file HttpService.cpp Thread pool that grows on demand, and a graceful stop. */
 #include <sequoia/HttpService.h>
 
+#include <array>
 #include <condition_variable>
 #include <fmt/format.h>
 #include <list>
 #include <mutex>
+#include <netdb.h>
+#include <poll.h>
 
 namespace sequoia {
 
@@ -73,6 +76,164 @@
         bool m_isStopped = false;
     };
 
+    /**
+     * Connection of a server, which limits what the library reads of a request: the library itself limits only the
+     * length of a single header line and a declared body. A read beyond a limit fails, which ends the request.
+     */
+    class BoundedStream : public httplib::Stream {
+    public:
+        BoundedStream(socket_t socket, const HttpLimits& limits)
+            : m_socket(socket)
+            , m_limits(limits)
+        {
+        }
+
+        /** Waits for the next request; false if none comes in time. */
+        bool waitForRequest()
+        {
+            m_isInHeader = true;
+            m_headerBytes = m_bodyBytes = m_framingBytes = m_lineBytes = 0;
+            return m_begin < m_end || is_readable();
+        }
+        /** Whether a read has failed, so that the rest of the request is unread. */
+        bool hasFailed() const { return m_hasFailed; }
+
+        bool is_readable() const override { return isReady(POLLIN, m_limits.readTimeout); }
+        /** As in the library's own stream, false if the peer has closed its side. */
+        bool is_writable() const override
+        {
+            char byte = 0;
+            return isReady(POLLOUT, m_limits.readTimeout)
+                && (!isReady(POLLIN, Milliseconds(0)) || ::recv(m_socket, &byte, 1, MSG_PEEK) > 0);
+        }
+        ssize_t read(char* out, size_t size) override
+        {
+            if (m_begin == m_end && !fill())
+                return fail();
+            const auto n = std::min(size, m_end - m_begin);
+            std::copy_n(m_buf.data() + m_begin, n, out);
+            m_begin += n;
+            return count(out, n, size) ? static_cast<ssize_t>(n) : fail();
+        }
+        ssize_t write(const char* data, size_t size) override
+        {
+            return is_writable() ? ::send(m_socket, data, size, MSG_NOSIGNAL) : -1;
+        }
+        void get_remote_ip_and_port(std::string& ip, int& port) const override { addressOf(::getpeername, ip, port); }
+        void get_local_ip_and_port(std::string& ip, int& port) const override { addressOf(::getsockname, ip, port); }
+        socket_t socket() const override { return m_socket; }
+
+    private:
+        bool isReady(short event, Milliseconds timeout) const
+        {
+            pollfd wanted { m_socket, event, 0 };
+            int n = 0;
+            do {
+                n = ::poll(&wanted, 1, static_cast<int>(timeout.count()));
+            } while (n < 0 && errno == EINTR);
+            return n > 0;
+        }
+
+        bool fill()
+        {
+            if (!is_readable())
+                return false;
+            const auto n = ::recv(m_socket, m_buf.data(), m_buf.size(), 0);
+            m_begin = 0;
+            m_end = n > 0 ? static_cast<size_t>(n) : 0;
+            return n > 0;
+        }
+
+        ssize_t fail()
+        {
+            m_hasFailed = true;
+            return -1;
+        }
+
+        /** Counts what the library reads; false beyond a limit. It reads lines byte by byte, and bodies in blocks. */
+        bool count(const char* data, size_t n, size_t wanted)
+        {
+            if (!m_isInHeader && wanted > 1) {
+                m_lineBytes = 0;
+                m_bodyBytes += n;
+                return m_bodyBytes <= excessBodies * m_limits.maxBodyBytes;
+            }
+            for (const char c : std::string_view(data, n)) {
+                if (c != '\n') {
+                    ++m_lineBytes;
+                    m_lastByte = c;
+                    continue;
+                }
+                const bool isBlank = m_lineBytes == 0 || (m_lineBytes == 1 && m_lastByte == '\r');
+                m_headerBytes += m_lineBytes + 1;
+                m_isInHeader = m_isInHeader && !isBlank;
+                m_lineBytes = 0;
+            }
+            if (m_isInHeader)
+                return m_headerBytes + m_lineBytes <= m_limits.maxHeaderBytes;
+            m_framingBytes += n;
+            return m_lineBytes <= m_limits.maxTrailerBytes
+                && m_framingBytes <= m_limits.maxTrailerBytes + bytesPerSmallestChunk * m_limits.maxBodyBytes;
+        }
+
+        template <typename Query> void addressOf(Query query, std::string& ip, int& port) const
+        {
+            sockaddr_storage address {};
+            socklen_t size = sizeof address;
+            std::array<char, NI_MAXHOST> host {};
+            std::array<char, NI_MAXSERV> service {};
+            auto* raw = reinterpret_cast<sockaddr*>(&address);
+            if (query(m_socket, raw, &size) != 0
+                || ::getnameinfo(raw, size, host.data(), host.size(), service.data(), service.size(),
+                       NI_NUMERICHOST | NI_NUMERICSERV)
+                    != 0)
+                return;
+            ip = host.data();
+            port = std::atoi(service.data());
+        }
+
+        static constexpr size_t bytesPerSmallestChunk = 6; // Of a body in chunks of one byte.
+        static constexpr size_t excessBodies = 2; // A body somewhat too long is read, so that its refusal arrives.
+
+        socket_t m_socket;
+        HttpLimits m_limits;
+        std::array<char, 4096> m_buf {};
+        size_t m_begin = 0;
+        size_t m_end = 0;
+        bool m_isInHeader = true;
+        bool m_hasFailed = false;
+        size_t m_headerBytes = 0; ///< Of the lines that have ended.
+        size_t m_bodyBytes = 0;
+        size_t m_framingBytes = 0; ///< Lines after the header, and body bytes that were read one by one.
+        size_t m_lineBytes = 0; ///< Of the current line.
+        char m_lastByte = 0;
+    };
+
+    /** The library's server on bounded streams. */
+    class BoundedServer : public httplib::Server {
+    public:
+        explicit BoundedServer(const HttpLimits& limits)
+            : m_limits(limits)
+        {
+        }
+
+    private:
+        bool process_and_close_socket(socket_t socket) override
+        {
+            BoundedStream stream(socket, m_limits);
+            bool isOpen = true;
+            while (isOpen && svr_sock_ != INVALID_SOCKET && stream.waitForRequest()) {
+                bool isClosed = false;
+                isOpen = process_request(stream, false, isClosed, nullptr) && !isClosed && !stream.hasFailed();
+            }
+            ::shutdown(socket, SHUT_RDWR);
+            ::close(socket);
+            return isOpen;
+        }
+
+        HttpLimits m_limits;
+    };
+
 } // namespace
 
 bool isConnectFailure(httplib::Error error)
@@ -96,21 +257,22 @@
 }
 
 HttpService::HttpService(HttpLimits limits)
+    : m_server(std::make_unique<BoundedServer>(limits))
 {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(limits.readTimeout);
-    m_server.new_task_queue = [limits] { return new DynamicThreadPool(limits.maxConnections); };
-    m_server.set_socket_options([this](socket_t socket) {
+    m_server->new_task_queue = [limits] { return new DynamicThreadPool(limits.maxConnections); };
+    m_server->set_socket_options([this](socket_t socket) {
         m_listener = socket;
         const int enable = 1;
         setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enable, sizeof enable);
     });
-    m_server.set_tcp_nodelay(true);
-    m_server.set_keep_alive_max_count(maxKeepAliveRequests);
-    m_server.set_keep_alive_timeout(seconds.count());
-    m_server.set_read_timeout(limits.readTimeout);
-    m_server.set_write_timeout(limits.readTimeout);
-    m_server.set_payload_max_length(limits.maxBodyBytes);
-    m_server.set_post_routing_handler([this](const httplib::Request&, httplib::Response& response) {
+    m_server->set_tcp_nodelay(true);
+    m_server->set_keep_alive_max_count(maxKeepAliveRequests);
+    m_server->set_keep_alive_timeout(seconds.count());
+    m_server->set_read_timeout(limits.readTimeout);
+    m_server->set_write_timeout(limits.readTimeout);
+    m_server->set_payload_max_length(limits.maxBodyBytes);
+    m_server->set_post_routing_handler([this](const httplib::Request&, httplib::Response& response) {
         if (m_isStopping)
             response.set_header("Connection", "close");
     });
@@ -125,8 +287,8 @@
         throw HttpError::BadAddress;
     auto [host, port] = *parts;
     if (port == 0)
-        port = m_server.bind_to_any_port(host);
-    else if (!m_server.bind_to_port(host, port))
+        port = m_server->bind_to_any_port(host);
+    else if (!m_server->bind_to_port(host, port))
         port = -1;
     if (port < 0)
         throw HttpError::AddressInUse;
@@ -144,15 +306,15 @@
 {
     // The library listens with a backlog of five, which drops connections in a burst. Calling listen again raises it.
     ::listen(m_listener, listenBacklog);
-    m_thread = std::thread([this] { m_server.listen_after_bind(); });
-    while (!m_server.is_running())
+    m_thread = std::thread([this] { m_server->listen_after_bind(); });
+    while (!m_server->is_running())
         std::this_thread::yield();
 }
 
 void HttpService::stop()
 {
     beginStop();
-    m_server.stop();
+    m_server->stop();
     if (m_thread.joinable())
         m_thread.join();
 }
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -66,9 +66,9 @@
     , m_dialer(
           dialerLimits(), [this](const std::string& address) { return m_links.dial(address); },
           [this](LinkId link) { m_links.close(link); })
-    , m_reportServer(m_loop, {}, ports.makeReportHandler(m_log, serverReportHooks()))
-    , m_metricsServer(
-          m_loop, {}, [this](const HttpServerRequest&, const HttpExchangePtr& exchange) { serveMetrics(exchange); })
+    , m_reportServer(m_loop, serverLimits(), ports.makeReportHandler(m_log, serverReportHooks()))
+    , m_metricsServer(m_loop, serverLimits(),
+          [this](const HttpServerRequest&, const HttpExchangePtr& exchange) { serveMetrics(exchange); })
     , m_server(ports.connectServer(m_loop, settings.server_address, static_cast<size_t>(settings.server_connections),
           m_log, serverResultHooks()))
     , m_store(ports.connectStore(m_loop, settings.store_address, m_log, [this](auto work) { post(std::move(work)); }))
@@ -260,6 +260,16 @@
         std::visit([this](auto& action) { apply(action); }, effect);
 }
 
+AsyncHttpLimits PlatformAgentProcess::serverLimits()
+{
+    AsyncHttpLimits limits;
+    limits.maxTrailerBytes = static_cast<size_t>(m_settings.max_trailer_bytes);
+    limits.onRefusal = [this](int status, const std::string& reason) {
+        m_log.event(LogLevel::Info, "request-refused", { { "status", status }, { "reason", reason } });
+    };
+    return limits;
+}
+
 void PlatformAgentProcess::serveMetrics(const HttpExchangePtr& exchange)
 {
     post([this, exchange] { exchange->reply({ 200, metricsText(), std::string(metricsContentType), {} }); });
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -62,12 +62,12 @@
     , m_effects(m_links, m_log)
     , m_routes(ports.readConfiguration, m_log)
     , m_callerServer(m_loop, callerLimits(), ports.makeCallerHandler(m_log, jobInterface()))
-    , m_readinessServer(
-          m_loop, {}, [this](const HttpServerRequest&, const HttpExchangePtr& exchange) { serveReadiness(exchange); })
-    , m_peerServer(m_loop, {},
+    , m_readinessServer(m_loop, serverLimits(),
+          [this](const HttpServerRequest&, const HttpExchangePtr& exchange) { serveReadiness(exchange); })
+    , m_peerServer(m_loop, serverLimits(),
           [this](const HttpServerRequest& call, const HttpExchangePtr& exchange) { servePeer(call, exchange); })
-    , m_metricsServer(
-          m_loop, {}, [this](const HttpServerRequest&, const HttpExchangePtr& exchange) { serveMetrics(exchange); })
+    , m_metricsServer(m_loop, serverLimits(),
+          [this](const HttpServerRequest&, const HttpExchangePtr& exchange) { serveMetrics(exchange); })
     , m_store(ports.connectStore(m_loop, settings.store_address, m_log, [this](auto work) { post(std::move(work)); }))
     , m_configurationWatcher(ports.configurationKey, m_store, m_log, {},
           { [this, key = ports.configurationKey](const auto& items) {
@@ -133,9 +133,19 @@
     post([this, seeds = settings.seeds] { m_seeds = seeds; });
 }
 
-AsyncHttpLimits PlatformEntryProcess::callerLimits() const
+AsyncHttpLimits PlatformEntryProcess::serverLimits()
 {
     AsyncHttpLimits limits;
+    limits.maxTrailerBytes = static_cast<size_t>(m_settings.max_trailer_bytes);
+    limits.onRefusal = [this](int status, const std::string& reason) {
+        m_log.event(LogLevel::Info, "request-refused", { { "status", status }, { "reason", reason } });
+    };
+    return limits;
+}
+
+AsyncHttpLimits PlatformEntryProcess::callerLimits()
+{
+    auto limits = serverLimits();
     limits.maxConnections = static_cast<size_t>(m_settings.max_connections);
     limits.maxBodyBytes = static_cast<size_t>(m_settings.max_body_bytes);
     limits.arrivalPeriod = arrivalPeriod;
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -186,6 +186,50 @@
         cr_expect(reply.starts_with(std::string("HTTP/1.1 ") + row->status), "%s: %s", row->name, reply.c_str());
 }
 
+/** What is added to a chunked body of "xy" in two chunks. */
+struct ChunkedBodyRow {
+    char name[24];
+    int extensionBytes;
+    int trailerBytes;
+    char status[4];
+    bool isServedByService; ///< HttpService limits single extensions.
+};
+
+ParameterizedTestParameters(AsyncHttp, limitsWhatIsBetweenChunks)
+{
+    static ChunkedBodyRow rows[] = {
+        { "plain", 0, 0, "200", true },
+        { "within the limit", 2000, 2000, "200", true },
+        { "long trailers", 0, 9000, "431", true },
+        { "long extension", 9000, 0, "431", false },
+        { "long together", 3000, 3000, "431", true },
+    };
+    return cr_make_param_array(ChunkedBodyRow, rows, sizeof(rows) / sizeof(ChunkedBodyRow));
+}
+
+/** Trailers and chunk extensions within the limit must not change how a request is served. */
+ParameterizedTest(ChunkedBodyRow* row, AsyncHttp, limitsWhatIsBetweenChunks, .timeout = 20)
+{
+    const auto extension = ";a=1" + std::string(static_cast<size_t>(row->extensionBytes), 'a');
+    const auto request = "POST /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n1"
+        + extension + "\r\nx\r\n1" + extension + "\r\ny\r\n0\r\n";
+    const auto trailer = "T: " + std::string(static_cast<size_t>(row->trailerBytes), 'a') + "\r\n";
+    EchoServer echo;
+    RawConnection connection(echo.address);
+    connection.send(request + trailer + "\r\n");
+    const auto reply = connection.readAll();
+    cr_expect(reply.starts_with(std::string("HTTP/1.1 ") + row->status), "%s: %s", row->name, reply.c_str());
+    const bool isServed = reply.ends_with("POST /x xy");
+    cr_expect_eq(isServed, std::string(row->status) == "200", "%s: %s", row->name, reply.c_str());
+
+    HttpService service(HttpLimits {});
+    service.server().Post("/x", [](const auto& call, auto& answer) { answer.set_content(call.body, "text/plain"); });
+    RawConnection other(service.start("127.0.0.1:0"));
+    other.send(request + "\r\n"); // The library refuses any trailers with 400.
+    const auto answer = other.readAll();
+    cr_expect_eq(answer.ends_with("\r\n\r\nxy"), row->isServedByService, "%s: %s", row->name, answer.c_str());
+}
+
 Test(AsyncHttp, servesSeveralRequestsOnOneConnection, .timeout = 20)
 {
     EchoServer echo;
