--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -114,6 +114,7 @@
 /** A run in progress in a server's listing. */
 struct ListedRun {
     RunId id;
+    std::optional<uint32_t> percent {}; ///< How much of its task is done, 0 to 100; empty if the server doesn't tell.
 };
 
 /** How a run in a server's listing ended; `Lapsed` is an ended lease. */
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -246,6 +246,34 @@
     cr_expect_eq(problemPlace(decodeListing(text)), std::string(row->place), "%s", row->name);
 }
 
+/** The percent of a listed run; an odd one must not hide the run, nor count as progress. */
+struct PercentRow {
+    char name[24];
+    char row[48]; ///< What follows task and run.
+    int percent; ///< -1 if it is unknown.
+};
+
+ParameterizedTestParameters(Codec, percentsOfRunsAreRead)
+{
+    static PercentRow rows[] = { { "some", R"(,"",41)", 41 }, { "none of it", R"(,"",0)", 0 },
+        { "all of it", R"(,"",100)", 100 }, { "more fields behind", R"(,"",7,"x",1)", 7 }, { "absent", R"(,"")", -1 },
+        { "no fields", "", -1 }, { "above", R"(,"",101)", -1 }, { "negative", R"(,"",-1)", -1 },
+        { "fraction", R"(,"",4.5)", -1 }, { "text", R"(,"","41")", -1 }, { "null", R"(,"",null)", -1 },
+        { "beyond 32 bits", R"(,"",4294967297)", -1 } };
+    return cr_make_param_array(PercentRow, rows, sizeof(rows) / sizeof(PercentRow));
+}
+
+ParameterizedTest(PercentRow* row, Codec, percentsOfRunsAreRead)
+{
+    const auto decoded = decodeListing(R"({"clock_ms":48,"born":17,"ended":[],"running":[["5c0e7a21d94b36f8.0.1.17",2)"
+        + std::string(row->row) + "]]}");
+    cr_assert(std::holds_alternative<Listing>(decoded), "%s: %s", row->name, problemPlace(decoded).c_str());
+    const auto& running = std::get<Listing>(decoded).running;
+    cr_assert_eq(running.size(), 1U, "%s", row->name);
+    cr_expect_eq(
+        running.front().percent ? static_cast<int>(*running.front().percent) : -1, row->percent, "%s", row->name);
+}
+
 struct OddRunRow {
     char name[40];
     bool isEnded; ///< Otherwise a row of a run in progress.
