Simulation: long tasks, and percents in listings

JobKind::longShare and longFactor make some tasks longer than their estimate tells, and Scenario::listsPercent makes servers tell the progress of runs. Both are off by default, so that earlier scenarios draw the same random numbers.

--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -128,6 +128,8 @@
         struct Run {
             Resources resources;
             uint64_t token;
+            TimePoint started {};
+            Milliseconds time {}; ///< Zero if it makes no progress.
         };
         std::map<RunId, Run> m_runs;
         std::map<TaskId, RunNumber> m_highest; ///< Highest run stopped or ended, by task.
@@ -186,6 +188,7 @@
         EventQueue events;
 
         SimulatedJob& job(WorkId id) { return m_jobs.at(id); }
+        bool listsPercent() const { return m_scenario.listsPercent; }
         bool guardsCapacity() const { return m_scenario.guardsCapacity; }
         void countStartWithoutRoom() { ++m_report.startsWithoutRoom; }
         bool chance(double share) { return share > 0 && std::uniform_real_distribution<>(0, 1)(m_generator) < share; }
@@ -338,7 +341,7 @@
             m_simulation.violation(fmt::format("server {} overcommitted: {}", m_index, toString(m_used)));
         m_simulation.taskBegins(id.task, m_index);
         const auto token = ++m_lastToken;
-        m_runs[id] = { job.resources, token };
+        m_runs[id] = { job.resources, token, m_simulation.events.now() };
         if (job.crashingTask == raw(id.task.index))
             m_simulation.crashLater(m_index, id.task);
         if (isHanging)
@@ -346,6 +349,7 @@
         const bool fails = job.alwaysFails || isFailing;
         const auto work = FloatMs(job.work.at(raw(id.task.index))) * m_slowness * slowFactor;
         const auto time = isFailing ? Milliseconds(5) : toMilliseconds(job.alwaysFails ? work / 2 : work);
+        m_runs[id].time = time;
         m_simulation.events.add(m_simulation.events.now() + time,
             [this, id, token, fails] { end(id, token, fails ? EndKind::Failed : EndKind::Done); });
         return StartOutcome::Started;
@@ -384,8 +388,14 @@
         Listing out;
         out.startedMs = m_startedMs;
         out.clock = clock();
+        const auto percentOf = [&](const Run& run) -> std::optional<uint32_t> {
+            if (!m_simulation.listsPercent())
+                return std::nullopt;
+            const auto elapsed = m_simulation.events.now() - run.started;
+            return run.time.count() == 0 ? 0 : static_cast<uint32_t>(100 * elapsed / Clock::duration(run.time));
+        };
         for (const auto& [id, run] : m_runs)
-            out.running.push_back({ id });
+            out.running.push_back({ id, percentOf(run) });
         out.ended = m_ended;
         return out;
     }
@@ -953,7 +963,8 @@
         Milliseconds longest {};
         for (int64_t i = 0; i < width; ++i) {
             const double factor = 1 + std::uniform_real_distribution<>(-taskSpread, taskSpread)(m_generator);
-            job.work.emplace_back(std::max<int64_t>(std::llround(work * factor), 1));
+            const double tail = chance(kind.longShare) ? kind.longFactor : 1;
+            job.work.emplace_back(std::max<int64_t>(std::llround(work * factor * tail), 1));
             longest = std::max(longest, job.work.back());
         }
         const double error = std::exp(std::normal_distribution<>(0, m_scenario.estimateSpread)(m_generator));
@@ -1090,7 +1101,14 @@
             auto onTick = std::make_shared<std::function<void()>>();
             *onTick = [this, i, onTick, tick] {
                 if (!isSuspended(i))
-                    withGate(i, [this](RunGate& gate) { gate.tick(events.now()); });
+                    withGate(i, [this, i](RunGate& gate) {
+                        gate.tick(events.now());
+                        if (gate.health().health() == Health::Quarantined)
+                            m_report.firstQuarantine.try_emplace(i, toMilliseconds(events.now() - simulationStart));
+                        const auto trueSlowness = m_scenario.slowness[i % m_scenario.slowness.size()];
+                        m_report.slowestView
+                            = std::max(m_report.slowestView, gate.slowness(events.now()) / trueSlowness);
+                    });
                 events.add(events.now() + tick, *onTick);
             };
             events.add(simulationStart + Milliseconds(i % 20), *onTick);
@@ -1200,6 +1218,7 @@
             m_report.orders += entry->counters().orders;
             m_report.refusedOrders += entry->counters().refusedOrders();
             m_report.isolations += entry->counters().isolations;
+            m_report.stragglers += entry->counters().stragglers;
         }
         for (const auto& gate : m_gates)
             m_report.wastedRuns += gate ? gate->counters().stopped + gate->counters().lost : 0;
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -24,6 +24,8 @@
     uint32_t priority = 0; ///< Priority of its route.
     double crashingShare
         = 0; ///< Share of jobs with one task that crashes its server, between `crashesFrom` and `crashesUntil`.
+    double longShare = 0; ///< Share of tasks that take `longFactor` times as long, which estimates don't tell.
+    double longFactor = 7;
 };
 
 /** Fault that some servers have for a time. */
@@ -95,6 +97,7 @@
     std::vector<Burst> bursts;
     std::vector<ServerFault> faults;
     std::vector<CapacityChange> capacityChanges;
+    bool listsPercent = false; ///< Servers list how much of its task each run has done.
     bool guardsCapacity = false; ///< Servers reject starts that don't fit; otherwise they start whatever they are told.
     Milliseconds crashesFrom { 5000 }; ///< Jobs with a task that crashes servers arrive from here on, see JobKind.
     Milliseconds crashesUntil { 15000 };
@@ -173,6 +176,9 @@
     uint64_t orders = 0;
     uint64_t refusedOrders = 0;
     uint64_t wastedRuns = 0; ///< Runs stopped or lost.
+    uint64_t stragglers = 0; ///< Runs that entries stopped as stragglers.
+    std::map<size_t, Milliseconds> firstQuarantine; ///< By server: when its agent first put it into quarantine.
+    double slowestView = 1; ///< Highest slowness that an agent took its server for, over its true one.
     uint64_t startsWithoutRoom = 0; ///< Starts that servers rejected as they didn't fit.
     uint64_t crashes = 0; ///< Servers that a task crashed.
     uint64_t isolations = 0; ///< Isolations of routes, over all entries.
