Long tasks are told from stuck servers by the progress that servers list

A run that took more than twice its expected time was stopped and repeated elsewhere, and three in a row put its server into quarantine. With 3 in 100 tasks seven times as long this stopped good runs and blamed good servers.

RunProgress decides from the percents in listings whether a run makes progress, and from the other runs on the server whether the task is long or the server slow. RunGate blames a server only for runs without progress, or if the server is slow, and tells entries of runs that take long in a new field of RoomUpdate. Dispatcher leaves such a run where it is unless its task would end sooner from the start elsewhere. Servers without percents are judged as before.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -7,6 +7,7 @@
 #include <sequoia/JobTrace.h>
 #include <sequoia/LoadModel.h>
 #include <sequoia/ResubmissionDetector.h>
+#include <sequoia/RunProgress.h>
 #include <sequoia/TaskPlacement.h>
 #include <sequoia/Work.h>
 
@@ -52,6 +53,7 @@
     double stragglerFactor = 2;
     Milliseconds runNumberRetention { 20000 }; ///< Run numbers of ended jobs are kept for this time.
     Milliseconds stragglerMargin { 40 }; ///< See `stragglerFactor`.
+    RunProgressLimits progress; ///< When runs that take long are left where they are; see RunProgress.h.
     ResubmissionDetectorLimits resubmission; ///< Detection of resubmitted requests.
     CrashLimits crashes; ///< Blame for crashes of servers.
     /** Share of the agents whose servers run the tasks of isolated routes, and no others meanwhile. */
@@ -88,6 +90,8 @@
     uint64_t failedRuns = 0;
     uint64_t lostRuns = 0; ///< Runs that were stopped, or that ended without a result.
     uint64_t stragglers = 0; ///< Runs stopped as stragglers.
+    uint64_t progressReports = 0; ///< Runs that take long, as agents told.
+    uint64_t keptStragglers = 0; ///< Runs that weren't stopped as stragglers because of their progress.
     uint64_t serverCrashes = 0; ///< Crashes of servers that agents reported.
     uint64_t isolations = 0; ///< Isolations of routes whose tasks crash servers.
     uint64_t ownerlessRuns = 0; ///< Runs that an agent reported as running although they are not wanted any more.
@@ -234,6 +238,13 @@
 
     enum class TaskState : uint8_t { Blocked, Ready, Ordered, Done };
 
+    /** Progress of a run that takes long. */
+    struct TaskProgress {
+        TimePoint reportedAt {};
+        ReportedProgress report; ///< As of then.
+        bool isKept = false; ///< It was left running although it took long.
+    };
+
     struct Task {
         TaskState state = TaskState::Blocked;
         RunNumber run {}; ///< Number of its latest run.
@@ -242,6 +253,7 @@
         size_t agent = 0; ///< Agent of its latest run.
         TimePoint orderedAt {}; ///< When its latest run was ordered.
         bool isStopping = false; ///< Its latest run is being stopped as a straggler.
+        std::optional<TaskProgress> progress; ///< What its agent has told of its latest run; empty if nothing.
         uint32_t stragglerStops = 0; ///< Runs stopped as stragglers; each doubles the time allowed for the next.
         /** Agents where a run of this task failed, was lost, was a straggler, or was refused other than as NoRoom. */
         std::vector<size_t> avoidedAgents;
@@ -434,7 +446,10 @@
     /** Longest run time, at slowness 1, of a step's finished tasks and of its runs on other servers so far. */
     Microseconds observedRunTime(const Job& job, size_t step, const Task& task, TimePoint now) const;
     /** Whether a run takes too long, and another server could still finish the task before the deadline. */
-    bool isStraggler(const Job& job, size_t step, const Task& task, TimePoint now) const;
+    bool isStraggler(const Job& job, size_t step, Task& task, TimePoint now);
+    /** Whether a run that takes too long is left running, as its progress shows that this is better. */
+    bool isKept(const Job& job, size_t step, Task& task, TimePoint now);
+    void onProgress(size_t agent, const std::vector<wire::RunProgress>& runs, TimePoint now);
     void recordSummary(TimePoint now);
     template <typename Message> void send(AgentView& agent, Message message, TimePoint now)
     {
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -7,6 +7,7 @@
 #include <sequoia/CrashRecords.h>
 #include <sequoia/Metrics.h>
 #include <sequoia/Resources.h>
+#include <sequoia/RunProgress.h>
 #include <sequoia/SpeedModel.h>
 #include <sequoia/Work.h>
 
@@ -70,6 +71,7 @@
     Milliseconds summaryPeriod { 5000 }; ///< Interval of the summary in the log.
     /** Quarantine of a server whose runs fail. */
     AgentLimits health { .quarantinePause = Milliseconds(300), .quarantinePauseMax = Milliseconds(1200) };
+    RunProgressLimits progress; ///< When runs count as stuck, and their server as slow.
 
     /** A run has to be over this long after this agent sent the last message that the run's owner has answered: then
      * the owner, which had the link when it received that message, or an entry that gets the job again may start its
@@ -194,6 +196,9 @@
     uint64_t incarnations = 0; ///< Incarnations of the server that were seen.
     uint64_t refutedServerEnds = 0; ///< Ends of the server's process that a later listing of that process refuted.
     std::map<std::string, uint64_t> outlivedRuns; ///< Runs that were listed after their end, by the reason of the end.
+    std::map<std::string, uint64_t> stuckRuns; ///< Runs held against the server as stuck or slow, by the reason.
+    uint64_t longRuns = 0; ///< Runs that take long because of their task, on a server at its usual speed.
+    uint64_t progressReports = 0; ///< Runs that take long, as entries were told.
     uint64_t messagesSent = 0;
 
     /** Orders refused, for any reason. */
@@ -262,6 +267,19 @@
         Stopping ///< Being stopped; it holds its resources until a listing shows its end.
     };
 
+    /** Progress of a run as its owner was told. */
+    struct ToldProgress {
+        TimePoint end {}; ///< Predicted end.
+        Milliseconds work {};
+        bool isStuck = false;
+    };
+
+    /** Run time of a run that takes long for an unknown cause. */
+    struct SpeedSample {
+        Milliseconds expected {};
+        Microseconds ran {};
+    };
+
     struct Run {
         RunState state = RunState::Starting;
         Resources resources;
@@ -289,6 +307,10 @@
         bool isListed = false; ///< A listing has shown it running.
         bool isSample = false; ///< Its run time is a sample for `m_speed`; only one run of a job is.
         bool isStuck = false; ///< It has taken much longer than expected, which was reported to `m_health`.
+        RunProgress progress;
+        bool isOverdue = false; ///< It makes progress, but takes longer than a run without progress may.
+        SlowCause cause = SlowCause::Unknown; ///< Why it takes long, once that is known.
+        std::optional<ToldProgress> told; ///< What its owner was told on its present link.
 
         /** Whether a start call without an answer may still arrive at the server. */
         bool mayStartLate() const { return started == TimePoint() || startCalls > 1; }
@@ -421,7 +443,8 @@
     void sendUpdate(LinkId id, EntryLink& link, TimePoint now);
     /** Returns true, and remembers the job, if no run of it was ordered here recently. */
     bool selectSample(WorkId job);
-    void updateSpeedEstimate(Run& run, TimePoint now);
+    /** Takes the time from the start of a run to `end` as a sample of the server's speed. */
+    void updateSpeedEstimate(Run& run, TimePoint end, TimePoint now);
     /** Whether a report of the process in use is older than one that was accepted before. */
     bool isLate(const ServerReport& report, TimePoint now);
     /** Whether the report of a process other than the one in use replaces it at once; otherwise a listing decides. */
@@ -459,6 +482,16 @@
     void tickOwners(TimePoint now);
     void tickStops(TimePoint now);
     void tickHealth(TimePoint now);
+    RunTimes timesOf(const Run& run, double slowness, TimePoint now) const;
+    /** What the other runs on the server, and its latest ones, show about a run that takes long. */
+    SlowRunEvidence evidenceOn(const RunId& id, const Run& run, double slowness, TimePoint now) const;
+    void recordNormalRun(const Run& run);
+    /** Judges why a run that makes progress takes long: the server is blamed only if it is slow. */
+    void judgeLongRun(const RunId& id, Run& run, double slowness, TimePoint now);
+    /** Holds a run against the server that takes too long. */
+    void recordStuck(const RunId& id, Run& run, const std::string& reason, TimePoint end, TimePoint now);
+    /** Tells entries of their runs that take long and make progress, so that they don't stop them. */
+    void reportProgress(TimePoint now);
     void recordSummary(TimePoint now);
     /** Key of a run's job in the health gate, which counts jobs with failures. */
     static JobKey healthKey(const RunId& id);
@@ -527,6 +560,11 @@
     std::map<Incarnation, LostOwner> m_lostOwners;
     SpeedModel m_speed;
     CallTimeModel m_callTime;
+    bool m_listsPercent = false; ///< The present incarnation of the server tells how far its runs are.
+    /** Jobs whose run took long for an unknown cause and has ended, since a run was normal. Several of them show that
+     * the server is slow even if it has one run at a time. */
+    std::map<WorkId, SpeedSample> m_unexplained;
+    TimePoint m_lastNormalOrder {}; ///< When the latest run was ordered that took no longer than a normal one.
     std::array<WorkId, 8> m_sampledJobs {}; ///< Latest jobs of which a run was selected as a sample; a ring buffer.
     size_t m_nextSampled = 0;
     uint64_t m_pollNumber = 0;
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -2,6 +2,7 @@
 #include <sequoia/Dispatcher.h>
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace sequoia {
@@ -478,6 +479,7 @@
     task.agent = agentIndex;
     task.orderedAt = now;
     task.isStopping = false;
+    task.progress.reset();
     const RunId id { { job.spec.id, StepIndex(index), TaskIndex(position) }, task.run };
     if (job.orders == 0)
         job.firstOrderAt = now;
@@ -763,7 +765,40 @@
     return longest;
 }
 
-bool Dispatcher::isStraggler(const Job& job, size_t step, const Task& task, TimePoint now) const
+bool Dispatcher::isKept(const Job& job, size_t index, Task& task, TimePoint now)
+{
+    if (!task.progress)
+        return false;
+    const auto& spec = job.spec.steps[index];
+    std::optional<double> elsewhere;
+    for (size_t i = 0; i < m_agents.size(); ++i) {
+        const auto& agent = m_agents[i];
+        const bool isAvoided
+            = std::find(task.avoidedAgents.begin(), task.avoidedAgents.end(), i) != task.avoidedAgents.end();
+        if (i == task.agent || isAvoided || !agent.acceptsRunsOf(job.route.service)
+            || !agent.hasLabel(spec.requiredLabel) || !spec.resources.fitsIn(agent.free))
+            continue;
+        const auto slowness = agent.slowness * std::exp(agent.slownessSpread); // As far as it is known.
+        elsewhere = std::min(elsewhere.value_or(slowness), slowness);
+    }
+    auto report = task.progress->report;
+    report.age = toMilliseconds(now - task.progress->reportedAt);
+    // A stop takes about as long as the margin until it is known that the run is over.
+    const auto handover = m_placementLimits.overhead + m_limits.stragglerMargin;
+    if (!isBetterLeft(report, elsewhere, handover, m_limits.progress))
+        return false;
+    if (!std::exchange(task.progress->isKept, true)) {
+        ++m_counters.keptStragglers;
+        m_effects.record(LogLevel::Debug, "straggler-kept",
+            { { "job", job.spec.id }, { "agent", m_agents[task.agent].name }, { "ms", msOf(now - task.orderedAt) },
+                { "expected_ms", job.steps[index].expected.count() },
+                { "remaining_ms", (report.remaining - report.age).count() }, { "work_ms", report.work.count() },
+                { "elsewhere_percent", static_cast<int64_t>(elsewhere.value_or(0) * percent) } });
+    }
+    return true;
+}
+
+bool Dispatcher::isStraggler(const Job& job, size_t step, Task& task, TimePoint now)
 {
     if (task.state != TaskState::Ordered || task.isStopping || job.steps[step].expected.count() == 0)
         return false;
@@ -773,8 +808,8 @@
     constexpr uint32_t maxDoublings = 8;
     const double factor = m_limits.stragglerFactor * (1U << std::min(task.stragglerStops, maxDoublings));
     const auto allowed = estimate * std::max(agent.slowness, 1.0) * factor + m_limits.stragglerMargin;
-    if (now - task.orderedAt < allowed || !agent.isLinked
-        || now + estimate + m_placementLimits.overhead >= job.deadline)
+    if (now - task.orderedAt < allowed || !agent.isLinked || now + estimate + m_placementLimits.overhead >= job.deadline
+        || isKept(job, step, task, now))
         return false;
     for (size_t i = 0; i < m_agents.size(); ++i) {
         const bool isAvoided
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -268,6 +268,7 @@
         const auto& update = *body.AsRoomUpdate();
         ++m_counters.resourceUpdates;
         updateResources(m_agents[*index], update, now);
+        onProgress(*index, update.progress, now);
         break;
     }
     case wire::Body::ServerCrash:
@@ -310,6 +311,20 @@
         refuseWhatFitsNoServer(now);
 }
 
+void Dispatcher::onProgress(size_t index, const std::vector<wire::RunProgress>& runs, TimePoint now)
+{
+    for (const auto& run : runs) {
+        const auto id = fromWire(run.id());
+        auto* task = findTask(id.task);
+        if (!isWanted(id) || task->agent != index)
+            continue;
+        ++m_counters.progressReports;
+        const bool wasKept = task->progress && task->progress->isKept;
+        task->progress = { now,
+            { Milliseconds(0), Milliseconds(run.remaining_ms()), Milliseconds(run.work_ms()), run.stuck() }, wasKept };
+    }
+}
+
 bool Dispatcher::isWanted(const RunId& id)
 {
     const auto* task = findTask(id.task);
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -280,6 +280,11 @@
     out.counter("runs_failed_total", "Runs that failed.", n.failed);
     out.counter("runs_stopped_total", "Runs that were stopped.", n.stopped);
     out.counter("runs_lost_total", "Runs whose end was not seen.", n.lost);
+    for (const auto& [reason, count] : n.stuckRuns)
+        out.counter("runs_stuck_total", "Runs held against the server as stuck or slow, by reason.", count,
+            { { "reason", reason } });
+    out.counter("runs_long_total", "Runs that took long because of their task.", n.longRuns);
+    out.counter("progress_reports_total", "Runs that take long, as entries were told.", n.progressReports);
     out.counter("starts_repeated_total", "Start calls that were sent again.", n.repeatedStarts);
     out.counter("starts_unanswered_total", "Starts without an answer.", n.unansweredStarts);
     out.counter("looks_total", "Looks at the backend server.", n.polls);
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -360,6 +360,8 @@
     out.counter("runs_failed_total", "Runs that failed.", n.failedRuns);
     out.counter("runs_lost_total", "Runs whose end was not seen.", n.lostRuns);
     out.counter("runs_stuck_total", "Runs stopped because they took too long.", n.stragglers);
+    out.counter("runs_kept_total", "Runs that took too long and were left running.", n.keptStragglers);
+    out.counter("progress_reports_total", "Runs that take long, as agents told.", n.progressReports);
     out.counter("server_crashes_total", "Crashes of servers that agents reported.", n.serverCrashes);
     out.counter("route_isolations_total", "Isolations of routes whose tasks crash servers.", n.isolations);
     out.gauge("routes_isolated", "1 while a route is isolated.", m_core.hasIsolatedRoutes() ? 1 : 0);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -250,6 +250,7 @@
     run.payload = order.payload;
     run.owner = link.entry;
     run.estimate = Milliseconds(order.estimate_ms);
+    run.progress = RunProgress(m_limits.progress);
     run.ordered = now;
     run.serverStartedMs = m_serverStartedMs;
     // All calls for a run carry one id: a process with another one refuses them all. That it refuses a stop with an id
@@ -386,12 +387,12 @@
     return true;
 }
 
-void RunGate::updateSpeedEstimate(Run& run, TimePoint now)
+void RunGate::updateSpeedEstimate(Run& run, TimePoint end, TimePoint now)
 {
     if (!std::exchange(run.isSample, false))
         return;
     const auto begin = run.started == TimePoint() ? run.ordered : run.started;
-    m_speed.learn(run.estimate, toMicroseconds(now - begin), now);
+    m_speed.learn(run.estimate, toMicroseconds(end - begin), now);
 }
 
 void RunGate::endRun(
@@ -499,6 +500,8 @@
         { "ms", toMilliseconds(now - run.ordered).count() } };
     if (const auto confirmed = confirmedOf(run); confirmed != TimePoint())
         fields.push_back({ "confirmed_ms_ago", toMilliseconds(now - confirmed).count() });
+    if (const auto percent = run.progress.percent())
+        fields.push_back({ "percent", static_cast<int64_t>(*percent) });
     m_effects.record(level, kind, std::move(fields));
 }
 
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -91,8 +91,10 @@
     confirm(link, agentTime, now);
     link.lastSent = now;
     std::vector<RunId> orphans;
-    for (const auto& [runId, run] : m_runs) {
+    for (auto& [runId, run] : m_runs) {
         link.runs += concerns(run, entry) ? 1 : 0;
+        if (run.owner == entry)
+            run.told.reset(); // What was sent on an earlier link may be lost.
         if (run.owner != entry && run.isOrphaned)
             orphans.push_back(runId);
     }
@@ -349,32 +351,147 @@
     }
 }
 
+RunTimes RunGate::timesOf(const Run& run, double slowness, TimePoint now) const
+{
+    return { toMicroseconds(run.estimate * std::max(slowness, 1.0)), toMicroseconds(now - run.ordered),
+        toMicroseconds(m_lastListed - run.ordered), m_listsPercent };
+}
+
 void RunGate::tickHealth(TimePoint now)
 {
-    // A run that exceeds its expected time this far shows that the server hangs or is very slow.
-    constexpr double stuckFactor = 2;
-    constexpr Milliseconds stuckMargin { 40 };
     // A listing from before a run was due doesn't show whether it has ended since, as the answer to a poll may be lost.
     // The run then counts as stuck only after a newer listing, for which a poll is sent.
     bool isPollDue = false;
+    // What one slow run shows must not make the others of this tick look as expected.
+    const auto slownessBefore = slowness(now);
     for (auto& [id, run] : m_runs) {
         if (run.state != RunState::Running || run.isStuck || run.estimate.count() == 0)
             continue;
-        const auto expected = run.estimate * std::max(slowness(now), 1.0);
-        const auto due = run.ordered + toMicroseconds(expected) + Microseconds(stuckMargin);
-        isPollDue |= now > due && m_lastListed < due && m_lastPoll < due;
-        const auto stuckFrom = run.ordered + toMicroseconds(expected * stuckFactor) + Microseconds(stuckMargin);
-        if (now <= stuckFrom || m_lastListed < due)
-            continue;
-        run.isStuck = true;
-        recordRun(LogLevel::Info, "run-stuck", id, run, "", now);
-        updateSpeedEstimate(run, now);
-        m_health.recordFailure(healthKey(id), "runs are stuck", now);
+        const auto times = timesOf(run, run.progress.percent() ? slownessBefore : slowness(now), now);
+        const auto wanted = run.ordered + run.progress.listingWanted(times);
+        isPollDue |= now > wanted && m_lastListed < wanted && m_lastPoll < wanted;
+        switch (run.progress.judge(times)) {
+        case RunPace::InTime:
+            break;
+        case RunPace::Progressing:
+            judgeLongRun(id, run, slownessBefore, now);
+            break;
+        case RunPace::Stuck:
+            recordStuck(id, run, run.progress.percent() ? "no-progress" : "", now, now);
+            break;
+        }
     }
+    reportProgress(now);
     if (isPollDue)
         poll(Milliseconds(0), now);
     if (m_health.beginTrial(now))
         m_effects.record(LogLevel::Info, "quarantine-trial", { { "reason", m_health.reason() } });
 }
 
+SlowRunEvidence RunGate::evidenceOn(const RunId& id, const Run& run, double slowness, TimePoint now) const
+{
+    constexpr Milliseconds orderSpread { 20 }; // Tasks of a job are ordered together, but arrive one after the other.
+    const auto since = run.ordered - orderSpread;
+    SlowRunEvidence evidence;
+    evidence.hasSlowedDown = run.progress.hasSlowedDown(toMicroseconds(m_lastListed - run.ordered));
+    evidence.hasNormalRun = m_lastNormalOrder >= since;
+    std::set<WorkId> slowJobs { id.task.job };
+    for (const auto& [job, sample] : m_unexplained)
+        slowJobs.insert(job);
+    evidence.slowRuns = static_cast<uint32_t>(m_unexplained.size());
+    for (const auto& [otherId, other] : m_runs) {
+        if (other.state != RunState::Running || other.estimate.count() == 0)
+            continue;
+        const auto times = timesOf(other, slowness, now);
+        evidence.hasNormalRun
+            |= (other.ordered >= since && other.progress.isNormal(times)) || other.progress.isNormalLately(times);
+        if (other.cause == SlowCause::Task || !other.progress.isSlow(times))
+            continue;
+        slowJobs.insert(otherId.task.job);
+        ++evidence.slowRuns;
+    }
+    evidence.slowJobs = static_cast<uint32_t>(slowJobs.size());
+    return evidence;
+}
+
+void RunGate::recordNormalRun(const Run& run)
+{
+    m_lastNormalOrder = std::max(m_lastNormalOrder, run.ordered);
+    m_unexplained.clear();
+}
+
+void RunGate::judgeLongRun(const RunId& id, Run& run, double slowness, TimePoint now)
+{
+    run.isOverdue = true;
+    if (run.cause != SlowCause::Unknown)
+        return;
+    const auto evidence = evidenceOn(id, run, slowness, now);
+    run.cause = causeOf(evidence, m_limits.progress);
+    if (run.cause == SlowCause::Task) {
+        run.isSample = false; // Its run time tells nothing about the server.
+        ++m_counters.longRuns;
+        recordRun(LogLevel::Debug, "run-long", id, run, "", now);
+    } else if (run.cause == SlowCause::Server) {
+        for (const auto& [job, sample] : m_unexplained) {
+            if (sample.expected.count() > 0)
+                m_speed.learn(sample.expected, sample.ran, now);
+        }
+        for (auto& [job, sample] : m_unexplained)
+            sample = {}; // The job still counts, but its sample was used.
+        const auto predicted = run.progress.predictedTime(toMicroseconds(m_lastListed - run.ordered));
+        recordStuck(id, run, "slow-server", std::max(now, run.ordered + predicted.value_or(Microseconds(0))), now);
+    }
+}
+
+void RunGate::recordStuck(const RunId& id, Run& run, const std::string& reason, TimePoint end, TimePoint now)
+{
+    run.isStuck = true;
+    ++m_counters.stuckRuns[reason];
+    recordRun(LogLevel::Info, "run-stuck", id, run, reason, now);
+    updateSpeedEstimate(run, end, now);
+    m_health.recordFailure(healthKey(id), "runs are stuck", now);
+}
+
+void RunGate::reportProgress(TimePoint now)
+{
+    if (!m_listsPercent)
+        return;
+    constexpr double mentionedShare = 0.75; // Entries may judge by an older slowness, and the prediction may be off.
+    constexpr double changedShare = 0.25; // A prediction that is off by more of the time left is corrected.
+    std::map<LinkId, std::vector<wire::RunProgress>> reports;
+    for (auto& [id, run] : m_runs) {
+        if (run.state != RunState::Running || run.estimate.count() == 0)
+            continue;
+        const auto times = timesOf(run, slowness(now), now);
+        const auto predicted = run.progress.predictedTime(times.lastListed);
+        if (!predicted || times.lastListed < times.expected + m_limits.progress.margin / 2)
+            continue;
+        const auto allowed = times.expected * m_limits.progress.stuckFactor + m_limits.progress.margin;
+        const auto link = linkOf(run.owner);
+        if (!link || (!run.told && *predicted <= allowed * mentionedShare))
+            continue;
+        const bool isServerSlow = run.cause == SlowCause::Server;
+        ToldProgress report { run.ordered + *predicted,
+            isServerSlow ? run.estimate : toMilliseconds(*predicted / slowness(now)), run.isStuck && !isServerSlow };
+        if (run.told && run.told->isStuck == report.isStuck
+            && std::chrono::abs(report.work - run.told->work) <= run.told->work * changedShare
+            && std::chrono::abs(report.end - run.told->end) <= std::max<Clock::duration>(
+                   m_limits.progress.margin, toMicroseconds((report.end - now) * changedShare)))
+            continue;
+        run.told = report;
+        ++m_counters.progressReports;
+        reports[*link].emplace_back(toWire(id),
+            static_cast<uint32_t>(std::max<int64_t>(toMilliseconds(report.end - now).count(), 0)),
+            static_cast<uint32_t>(report.work.count()), static_cast<uint8_t>(run.progress.percent().value_or(0)),
+            report.isStuck);
+    }
+    for (auto& [id, runs] : reports) {
+        wire::RoomUpdateT update;
+        update.progress = std::move(runs);
+        auto& link = m_links.at(id);
+        fillResources(update, link, now);
+        send(id, std::move(update), now);
+    }
+}
+
 } // namespace sequoia
--- a/src/RunGatePolls.cpp
+++ b/src/RunGatePolls.cpp
@@ -191,6 +191,7 @@
         const auto seenBefore = m_seenUpTo;
         processEnds(listing, now);
         processRunning(number, listing, now);
+        reportProgress(now);
         if (isReplaced)
             poll(Milliseconds(0), now); // Brings the fence, and decides the runs that were started after this poll.
         // A new end answers all waiting polls: those without an answer by now are on their way or lost.
@@ -251,7 +252,13 @@
         if (it == m_runs.end())
             continue;
         if (end.kind == EndKind::Done) {
-            updateSpeedEstimate(it->second, now);
+            const auto times = timesOf(it->second, slowness(now), now);
+            if (times.elapsed <= times.expected * m_limits.progress.normalFactor)
+                recordNormalRun(it->second);
+            if (it->second.isOverdue && it->second.cause == SlowCause::Unknown)
+                m_unexplained[end.id.task.job] = { it->second.estimate, times.elapsed };
+            else
+                updateSpeedEstimate(it->second, now, now);
             m_effects.record(LogLevel::Debug, "run-done",
                 { { "job", end.id.task.job }, { "task", toString(end.id.task) },
                     { "estimate_ms", it->second.estimate.count() },
@@ -350,6 +357,9 @@
         if (it != m_runs.end()) {
             it->second.isListed = true;
             it->second.serverStartedMs = m_serverStartedMs;
+            if (isNewest)
+                it->second.progress.listed(listed.percent, toMicroseconds(now - it->second.ordered));
+            m_listsPercent |= listed.percent.has_value();
             continue;
         }
         if (!isNewest)
--- a/src/RunGateServer.cpp
+++ b/src/RunGateServer.cpp
@@ -146,6 +146,11 @@
     m_unreadableEndListed = {};
     m_pendingPolls.clear(); // The process before doesn't answer them any more.
     m_speed.reset(); // The new incarnation may run on another kind of VM.
+    m_listsPercent = false;
+    m_lastNormalOrder = {};
+    m_unexplained.clear();
+    for (auto& [id, run] : m_runs)
+        run.progress = RunProgress(m_limits.progress); // What starts late starts anew.
     if (isFirst)
         return;
     // A process that was replaced while it answered, as by a release, accuses nobody.
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -91,6 +91,8 @@
         Milliseconds clock() const;
         void setClockBegin(Milliseconds begin) { m_clockBegin = begin; }
         void renew(TimePoint leaseEnd);
+        /** The present runs take longer from now on; none of them fails. */
+        void slowRunsDown(double factor);
         /** Changes the capacity to a part of the server's size. A smaller one is judged once it was announced. */
         void scale(double factor);
         /** The agent was told the present capacity: starts that arrive from now on must fit. */
@@ -130,7 +132,9 @@
             uint64_t token;
             TimePoint started {};
             Milliseconds time {}; ///< Zero if it makes no progress.
+            double doneBefore = 0; ///< Share of the task that was done at `started`.
         };
+        double doneShareOf(const Run& run) const;
         std::map<RunId, Run> m_runs;
         std::map<TaskId, RunNumber> m_highest; ///< Highest run stopped or ended, by task.
         std::vector<ListedEnd> m_ended;
@@ -391,8 +395,7 @@
         const auto percentOf = [&](const Run& run) -> std::optional<uint32_t> {
             if (!m_simulation.listsPercent())
                 return std::nullopt;
-            const auto elapsed = m_simulation.events.now() - run.started;
-            return run.time.count() == 0 ? 0 : static_cast<uint32_t>(100 * elapsed / Clock::duration(run.time));
+            return static_cast<uint32_t>(100 * doneShareOf(run));
         };
         for (const auto& [id, run] : m_runs)
             out.running.push_back({ id, percentOf(run) });
@@ -417,6 +420,25 @@
             end(m_runs.begin()->first, m_runs.begin()->second.token, EndKind::Lapsed);
     }
 
+    double SimulatedServer::doneShareOf(const Run& run) const
+    {
+        return run.time.count() == 0
+            ? 0
+            : run.doneBefore + FloatMs(m_simulation.events.now() - run.started) / FloatMs(run.time);
+    }
+
+    void SimulatedServer::slowRunsDown(double factor)
+    {
+        for (auto& [id, run] : m_runs) {
+            run.doneBefore = doneShareOf(run);
+            run.started = m_simulation.events.now();
+            run.time = toMilliseconds(run.time * factor);
+            run.token = ++m_lastToken;
+            m_simulation.events.add(run.started + toMicroseconds(run.time * (1 - run.doneBefore)),
+                [this, id = id, token = run.token] { end(id, token, EndKind::Done); });
+        }
+    }
+
     void SimulatedServer::scale(double factor)
     {
         m_total = { static_cast<int64_t>(static_cast<double>(m_size.cpu) * factor),
@@ -1106,8 +1128,10 @@
                         if (gate.health().health() == Health::Quarantined)
                             m_report.firstQuarantine.try_emplace(i, toMilliseconds(events.now() - simulationStart));
                         const auto trueSlowness = m_scenario.slowness[i % m_scenario.slowness.size()];
-                        m_report.slowestView
-                            = std::max(m_report.slowestView, gate.slowness(events.now()) / trueSlowness);
+                        constexpr double farSlower = 2.5;
+                        if (gate.health().health() == Health::Quarantined
+                            || gate.slowness(events.now()) > farSlower * trueSlowness)
+                            m_report.firstBlame.try_emplace(i, toMilliseconds(events.now() - simulationStart));
                     });
                 events.add(events.now() + tick, *onTick);
             };
@@ -1151,10 +1175,13 @@
             for (const auto i : fault.servers) {
                 events.add(at(fault.at), [this, i, fault] {
                     auto& server = *m_servers[i];
+                    m_report.firstBlame.erase(i);
                     server.isUnreachable = fault.kind == ServerFaultKind::Unreachable;
                     server.isHanging = fault.kind == ServerFaultKind::Hang;
                     server.isFailing = fault.kind == ServerFaultKind::Fail;
                     server.slowFactor = fault.kind == ServerFaultKind::Slow ? fault.factor : 1;
+                    if (fault.kind == ServerFaultKind::Slow && fault.slowsRunning)
+                        server.slowRunsDown(fault.factor);
                     if (fault.kind == ServerFaultKind::Replaced) {
                         const auto waiting = std::exchange(server.onEnd, {});
                         server.crash();
@@ -1220,8 +1247,11 @@
             m_report.isolations += entry->counters().isolations;
             m_report.stragglers += entry->counters().stragglers;
         }
-        for (const auto& gate : m_gates)
+        for (const auto& gate : m_gates) {
             m_report.wastedRuns += gate ? gate->counters().stopped + gate->counters().lost : 0;
+            m_report.progressReports += gate ? gate->counters().progressReports : 0;
+            m_report.longRuns += gate ? gate->counters().longRuns : 0;
+        }
         m_report.strandedShare = m_strandedSamples > 0 ? m_stranded / static_cast<double>(m_strandedSamples) : 0;
         for (size_t k = 0; k < m_scenario.kinds.size(); ++k) {
             std::vector<const SimulatedJob*> ofKind;
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -44,6 +44,7 @@
     Milliseconds at {};
     Milliseconds length {};
     double factor = 6; ///< Factor on run times, for Slow.
+    bool slowsRunning = false; ///< Runs at work become slow as well, not only those that start.
 };
 
 /** Period in which servers offer a part of their capacity; runs at work go on. */
@@ -177,8 +178,12 @@
     uint64_t refusedOrders = 0;
     uint64_t wastedRuns = 0; ///< Runs stopped or lost.
     uint64_t stragglers = 0; ///< Runs that entries stopped as stragglers.
+    uint64_t progressReports = 0; ///< Runs that take long, as agents told entries.
+    uint64_t longRuns = 0; ///< Runs that agents took for long tasks.
     std::map<size_t, Milliseconds> firstQuarantine; ///< By server: when its agent first put it into quarantine.
-    double slowestView = 1; ///< Highest slowness that an agent took its server for, over its true one.
+    /** By server: when its agent first put it into quarantine, or took it for far slower than it is without a fault;
+     * with a fault, the first time since that began. */
+    std::map<size_t, Milliseconds> firstBlame;
     uint64_t startsWithoutRoom = 0; ///< Starts that servers rejected as they didn't fit.
     uint64_t crashes = 0; ///< Servers that a task crashed.
     uint64_t isolations = 0; ///< Isolations of routes, over all entries.
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -522,6 +522,64 @@
         "the task must be repeated on another server");
 }
 
+/** What an agent tells of a run of 100 ms at 150 ms; its server and the other one may differ in speed. */
+struct KeptRow {
+    char name[48];
+    uint32_t remainingMs;
+    uint32_t workMs;
+    bool isStuck;
+    float otherSlowness;
+    bool isOtherFull;
+    int stoppedAtMs; ///< At the latest; -1 if it is never stopped before 760 ms.
+};
+
+ParameterizedTestParameters(Dispatcher, runsThatProgressAreStoppedOnlyIfTheyCanEndSoonerElsewhere)
+{
+    static KeptRow rows[] = {
+        { "long task", 550, 700, false, 1, false, -1 },
+        { "long task, the other server is much faster", 550, 700, false, 0.4F, false, 260 },
+        { "long task, the other server is little faster", 550, 700, false, 0.6F, false, -1 },
+        { "long task, the faster server is full", 550, 700, false, 0.4F, true, -1 },
+        { "slow server", 550, 100, false, 1, false, 260 },
+        { "slow server, the end is near", 150, 100, false, 1, false, -1 },
+        { "no progress any more", 550, 700, true, 1, false, 260 },
+        { "should have ended long ago", 100, 700, false, 1, false, 420 },
+    };
+    return cr_make_param_array(KeptRow, rows, sizeof(rows) / sizeof(KeptRow));
+}
+
+ParameterizedTest(KeptRow* row, Dispatcher, runsThatProgressAreStoppedOnlyIfTheyCanEndSoonerElsewhere)
+{
+    DispatcherFixture fixture(2);
+    fixture.submit(1, stepOf(1, 9000, Milliseconds(100)), Milliseconds(10000));
+    cr_assert_eq(fixture.orders.size(), 1U);
+    const auto since = fixture.now;
+    const auto run = fixture.orders.front();
+    const auto agent = fixture.agentByRun.at(run);
+    fixture.advance(Milliseconds(140));
+    wire::RoomUpdateT other;
+    other.free = std::make_unique<wire::Room>(row->isOtherFull ? 1000 : agentCpu, 1000, 1);
+    other.orders_seen = 1000;
+    other.slowness = row->otherSlowness;
+    fixture.deliver(1 - agent, std::move(other));
+    wire::RoomUpdateT update;
+    update.free = std::make_unique<wire::Room>(1000, 900, 1);
+    update.orders_seen = 1;
+    update.slowness = 1;
+    update.progress.emplace_back(toWire(run), row->remainingMs, row->workMs, uint8_t(20), row->isStuck);
+    fixture.deliver(agent, std::move(update));
+    int stoppedAt = -1;
+    const bool endsInTime = row->stoppedAtMs < 0;
+    const auto end = endsInTime ? Milliseconds(140 + row->remainingMs) : Milliseconds(760);
+    while (fixture.now - since < end && stoppedAt < 0) {
+        fixture.advance(Milliseconds(20));
+        if (!fixture.stops.empty())
+            stoppedAt = static_cast<int>(toMilliseconds(fixture.now - since).count());
+    }
+    cr_expect(endsInTime ? stoppedAt < 0 : stoppedAt > 0 && stoppedAt <= row->stoppedAtMs, "%s: stopped after %d ms",
+        row->name, stoppedAt);
+}
+
 Test(Dispatcher, restartOfAnAgentEndsItsRuns)
 {
     DispatcherFixture fixture(2);
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -247,6 +247,8 @@
     std::vector<TaskId> accused; ///< In the last message of a crash.
     std::vector<uint32_t> accusedAges; ///< Of the same runs, ms.
     std::map<LinkId, Resources> free;
+    std::map<RunId, std::pair<wire::RunProgress, TimePoint>> progress; ///< First report of each run that takes long.
+    size_t progressReports = 0;
     std::map<LinkId, Resources> total;
     std::string service; ///< In the last report.
     std::map<LinkId, TimePoint> lastSent; ///< The agent time of the last message on each link.
@@ -277,9 +279,13 @@
             total[send.link] = fromWire(report->total.get());
             service = report->service;
             free[send.link] = fromWire(report->free.get());
-        } else if (const auto* update = send.body.AsRoomUpdate())
+        } else if (const auto* update = send.body.AsRoomUpdate()) {
             free[send.link] = fromWire(update->free.get());
-        else if (const auto* message = send.body.AsOrphanedRuns()) {
+            for (const auto& run : update->progress) {
+                progress.try_emplace(fromWire(run.id()), run, now);
+                ++progressReports;
+            }
+        } else if (const auto* message = send.body.AsOrphanedRuns()) {
             for (const auto& id : message->ids)
                 orphans[send.link].push_back(fromWire(id));
         } else if (const auto* message = send.body.AsRelayedOrphans())
@@ -1458,6 +1464,104 @@
     cr_expect(fixture.outcome(runId(4)) == wire::RunOutcome::Done);
 }
 
+/** Runs of 100 ms, each of another job, of which some take longer, at a server that may tell how far they are. */
+struct PaceRow {
+    char name[48];
+    uint64_t slowRuns;
+    uint64_t normalRuns;
+    double factor; ///< Time of the slow runs over the expected one.
+    int slowFromMs; ///< From then on all runs progress at a tenth of their speed.
+    int haltsAtMs; ///< From then on no run makes progress.
+    bool listsPercent;
+    int listingMs; ///< The server answers polls after this time, or at once if a poll asks for that.
+    int stuckAtMs; ///< When the first run counts as stuck, at the latest; -1 for never.
+    int closedAtMs; ///< When the server is put into quarantine, at the latest; -1 for never.
+};
+
+ParameterizedTestParameters(RunGate, longRunsAreToldFromStuckOnes)
+{
+    constexpr int never = 1 << 20;
+    static PaceRow rows[] = {
+        { "long task", 1, 3, 7, never, never, true, 20, -1, -1 },
+        { "long task, few listings", 1, 3, 7, never, never, true, 150, -1, -1 },
+        { "most tasks are long", 3, 1, 7, never, never, true, 20, -1, -1 },
+        { "long task with nothing beside it", 1, 0, 7, never, never, true, 20, -1, -1 },
+        { "two long tasks with nothing beside them", 2, 0, 7, never, never, true, 150, -1, -1 },
+        { "no percent", 4, 0, 7, never, never, false, 20, 260, 580 },
+        { "no percent, few listings", 4, 0, 7, never, never, false, 150, 260, 580 },
+        { "no progress", 4, 0, 1, never, 0, true, 20, 260, 580 },
+        { "no progress, few listings", 4, 0, 1, never, 0, true, 150, 260, 580 },
+        { "halts at 60 ms", 4, 0, 1, never, 60, true, 20, 260, 580 },
+        { "halts at 90 ms, few listings", 4, 0, 1, never, 90, true, 150, 260, 580 },
+        { "eight times slower", 4, 0, 8, never, never, true, 20, 260, 580 },
+        { "eight times slower, few listings", 4, 0, 8, never, never, true, 150, 280, 580 }, // A tick later.
+        { "long task halts at 400 ms", 1, 3, 7, never, 400, true, 20, 680, -1 },
+        { "slow after a normal run", 3, 1, 1.2, 80, never, true, 20, 260, 580 },
+    };
+    return cr_make_param_array(PaceRow, rows, sizeof(rows) / sizeof(PaceRow));
+}
+
+ParameterizedTest(PaceRow* row, RunGate, longRunsAreToldFromStuckOnes)
+{
+    Fixture fixture;
+    const auto since = fixture.now;
+    const auto n = row->slowRuns + row->normalRuns;
+    for (uint64_t job = 1; job <= n; ++job) {
+        fixture.order(firstLink, runId(job), 2000);
+        fixture.answerStart(runId(job), StartOutcome::Started);
+    }
+    std::set<uint64_t> ended;
+    int stuckAt = -1;
+    int closedAt = -1;
+    auto lastAnswer = since;
+    while (fixture.now - since < Milliseconds(850)) {
+        fixture.now += Milliseconds(20);
+        fixture.sendHeartbeats();
+        fixture.shortestWait = Milliseconds::max();
+        fixture.gate.tick(fixture.now);
+        fixture.collectEffects();
+        const auto elapsed = static_cast<int>(toMilliseconds(fixture.now - since).count());
+        if (stuckAt < 0 && fixture.events.contains("run-stuck"))
+            stuckAt = elapsed;
+        if (closedAt < 0 && fixture.reportedState == wire::GateState::Closed)
+            closedAt = elapsed;
+        Listing listing = listingOf({});
+        for (uint64_t job = 1; job <= n; ++job) {
+            const double time = job <= row->slowRuns ? 100 * row->factor : 80;
+            const int atFullSpeed = std::min({ elapsed, row->haltsAtMs, row->slowFromMs });
+            const int worked = atFullSpeed + std::max(std::min(elapsed, row->haltsAtMs) - row->slowFromMs, 0) / 10;
+            if (worked < time) {
+                const auto percent = static_cast<uint32_t>(100 * worked / time);
+                listing.running.push_back({ runId(job), row->listsPercent ? std::optional(percent) : std::nullopt });
+            } else if (ended.insert(job).second)
+                listing.ended.push_back({ ended.size(), runId(job), EndKind::Done });
+        }
+        const bool isAnswered = !listing.ended.empty() || fixture.shortestWait.count() == 0
+            || fixture.now - lastAnswer >= Milliseconds(row->listingMs);
+        if (!isAnswered)
+            continue;
+        lastAnswer = fixture.now;
+        fixture.answerPoll(listing);
+    }
+    cr_expect(row->stuckAtMs < 0 ? stuckAt < 0 : stuckAt > 0 && stuckAt <= row->stuckAtMs, "%s: stuck after %d ms",
+        row->name, stuckAt);
+    cr_expect(row->closedAtMs < 0 ? closedAt < 0 : closedAt > 0 && closedAt <= row->closedAtMs,
+        "%s: closed after %d ms", row->name, closedAt);
+    if (row->stuckAtMs < 0)
+        cr_expect_lt(
+            fixture.gate.slowness(fixture.now), 1.5, "%s: slowness %f", row->name, fixture.gate.slowness(fixture.now));
+    if (row->stuckAtMs >= 0)
+        return;
+    cr_assert(fixture.progress.contains(runId(1)), "%s: the entry isn't told of the run", row->name);
+    // An entry may stop the run from 240 ms on. Each report after the first one corrects it.
+    const auto& [report, when] = fixture.progress.at(runId(1));
+    const auto toldAt = toMilliseconds(when - since);
+    cr_expect_lt(toldAt.count(), 240, "%s", row->name);
+    const auto total = static_cast<double>((toldAt + Milliseconds(report.remaining_ms())).count());
+    cr_expect(std::abs(total / (100 * row->factor) - 1) < 0.15, "%s: end told for %f ms", row->name, total);
+    cr_expect_leq(fixture.progressReports, 2 * row->slowRuns, "%s: %zu reports", row->name, fixture.progressReports);
+}
+
 Test(RunGate, leasesAreNotRenewedWhileTheServerDoesNotAnswer)
 {
     Fixture fixture;
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -484,6 +484,101 @@
         report.servedShare(), 0.95, "served %f, share of the value %f", report.servedShare(), report.valueShare());
 }
 
+/** Load of servers with long tasks: 3 in 100 take seven times as long, and estimates don't tell which ones. */
+Scenario longTasksScenario(uint64_t seed, double load)
+{
+    Scenario scenario;
+    scenario.name = "long tasks";
+    scenario.seed = seed;
+    scenario.slowness = { 1.0, 1.3 };
+    scenario.sizes = { 1 };
+    scenario.serverCpu = 32000;
+    scenario.load = load;
+    scenario.listsPercent = true;
+    scenario.kinds = { { "check-in", 29, 8, 32, Milliseconds(51), Milliseconds(204), 3300, 0.00485, 0, 0 },
+        { "release", 85, 2, 8, Milliseconds(170), Milliseconds(680), 3300, 0.00167, 0, 1 },
+        { "purchase", 5.3, 4, 16, Milliseconds(760), Milliseconds(3040), 3300, 0.0267, 0, 2 } };
+    for (auto& kind : scenario.kinds)
+        kind.longShare = 0.03;
+    return scenario;
+}
+
+/** Long tasks on good servers must be left to end there, and no server may be taken for a slow or stuck one. */
+struct LongTaskRow {
+    char name[24];
+    double load;
+};
+
+ParameterizedTestParameters(ClusterSimulation, longTasksAreNotTakenForStuck)
+{
+    static LongTaskRow rows[] = { { "usual load", 1 }, { "low load", 0.15 }, { "high load", 1.3 } };
+    return cr_make_param_array(LongTaskRow, rows, sizeof(rows) / sizeof(LongTaskRow));
+}
+
+ParameterizedTest(LongTaskRow* row, ClusterSimulation, longTasksAreNotTakenForStuck, .timeout = 120)
+{
+    for (uint64_t seed = 1; seed <= 3; ++seed) {
+        const auto report = simulate(longTasksScenario(seed, row->load));
+        const auto name = nameOf(seed, row->name);
+        expectNoViolations(report, name);
+        cr_expect_eq(
+            report.stragglers, 0U, "%s: %d runs were stopped", name.c_str(), static_cast<int>(report.stragglers));
+        cr_expect_geq(report.longRuns, 1U, "%s: the scenario has no long tasks", name.c_str());
+        // 3 in 100 tasks are long, and some of the others exceed their estimates as much.
+        cr_expect_leq(static_cast<double>(report.progressReports), 0.12 * static_cast<double>(report.orders),
+            "%s: %d progress reports for %d orders", name.c_str(), static_cast<int>(report.progressReports),
+            static_cast<int>(report.orders));
+        cr_expect(report.firstBlame.empty(), "%s: %zu servers were blamed", name.c_str(), report.firstBlame.size());
+    }
+}
+
+/** Servers that hang or are slow must be found as fast as by run times alone, although long tasks are left running. */
+struct BadServerRow {
+    char name[40];
+    ServerFaultKind fault;
+    double longShare; ///< Share of long tasks while the servers list percents; there are none without.
+};
+
+ParameterizedTestParameters(ClusterSimulation, badServersAreFoundAsFastWithPercents)
+{
+    static BadServerRow rows[] = {
+        { "hangs", ServerFaultKind::Hang, 0 },
+        { "eight times slower", ServerFaultKind::Slow, 0 },
+        { "eight times slower, long tasks", ServerFaultKind::Slow, 0.03 },
+    };
+    return cr_make_param_array(BadServerRow, rows, sizeof(rows) / sizeof(BadServerRow));
+}
+
+ParameterizedTest(BadServerRow* row, ClusterSimulation, badServersAreFoundAsFastWithPercents, .timeout = 120)
+{
+    constexpr size_t server = 2;
+    constexpr Milliseconds faultAt { 5000 };
+    constexpr Milliseconds tolerance { 20 }; // A tick.
+    constexpr uint64_t seeds = 100; // The time differs by some 100 ms from one to the next.
+    const auto meanTime = [&](bool listsPercent) {
+        Milliseconds sum {};
+        for (uint64_t seed = 1; seed <= seeds; ++seed) {
+            auto scenario = longTasksScenario(seed, 1);
+            scenario.length = Milliseconds(7000);
+            scenario.faults = { { row->fault, { server }, faultAt, Milliseconds(4000), 8, true } };
+            scenario.listsPercent = listsPercent;
+            for (auto& kind : scenario.kinds)
+                kind.longShare = listsPercent ? row->longShare : 0;
+            const auto report = simulate(scenario);
+            expectNoViolations(report, nameOf(seed, row->name));
+            const auto found = report.firstBlame.find(server);
+            cr_expect(found != report.firstBlame.end(), "%s, seed %d: not found", row->name, static_cast<int>(seed));
+            sum += found == report.firstBlame.end() ? scenario.length : found->second - faultAt;
+        }
+        return static_cast<int>((sum / seeds).count());
+    };
+    const auto byProgress = meanTime(true);
+    const auto byTimeAlone = meanTime(false);
+    cr_log_info("%s: found after %d ms, by run times alone after %d ms", row->name, byProgress, byTimeAlone);
+    cr_expect_leq(byProgress, byTimeAlone + tolerance.count(), "%s: found after %d ms, by run times alone after %d ms",
+        row->name, byProgress, byTimeAlone);
+}
+
 /** Callers of reset connections send their jobs again, while the agents that run them have lost their links, too. */
 struct ResetRow {
     char name[24];
