Mutants: the progress of runs, with a test row for a single listing

A run that has been in one listing only must not count as making progress when its time is over; without this rule no test failed. The new row catches it.

--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -1474,6 +1474,7 @@
     int haltsAtMs; ///< From then on no run makes progress.
     bool listsPercent;
     int listingMs; ///< The server answers polls after this time, or at once if a poll asks for that.
+    int silentMs; ///< Until then it answers none.
     int stuckAtMs; ///< When the first run counts as stuck, at the latest; -1 for never.
     int closedAtMs; ///< When the server is put into quarantine, at the latest; -1 for never.
 };
@@ -1482,21 +1483,22 @@
 {
     constexpr int never = 1 << 20;
     static PaceRow rows[] = {
-        { "long task", 1, 3, 7, never, never, true, 20, -1, -1 },
-        { "long task, few listings", 1, 3, 7, never, never, true, 150, -1, -1 },
-        { "most tasks are long", 3, 1, 7, never, never, true, 20, -1, -1 },
-        { "long task with nothing beside it", 1, 0, 7, never, never, true, 20, -1, -1 },
-        { "two long tasks with nothing beside them", 2, 0, 7, never, never, true, 150, -1, -1 },
-        { "no percent", 4, 0, 7, never, never, false, 20, 260, 580 },
-        { "no percent, few listings", 4, 0, 7, never, never, false, 150, 260, 580 },
-        { "no progress", 4, 0, 1, never, 0, true, 20, 260, 580 },
-        { "no progress, few listings", 4, 0, 1, never, 0, true, 150, 260, 580 },
-        { "halts at 60 ms", 4, 0, 1, never, 60, true, 20, 260, 580 },
-        { "halts at 90 ms, few listings", 4, 0, 1, never, 90, true, 150, 260, 580 },
-        { "eight times slower", 4, 0, 8, never, never, true, 20, 260, 580 },
-        { "eight times slower, few listings", 4, 0, 8, never, never, true, 150, 280, 580 }, // A tick later.
-        { "long task halts at 400 ms", 1, 3, 7, never, 400, true, 20, 680, -1 },
-        { "slow after a normal run", 3, 1, 1.2, 80, never, true, 20, 260, 580 },
+        { "long task", 1, 3, 7, never, never, true, 20, 0, -1, -1 },
+        { "long task, few listings", 1, 3, 7, never, never, true, 150, 0, -1, -1 },
+        { "most tasks are long", 3, 1, 7, never, never, true, 20, 0, -1, -1 },
+        { "long task with nothing beside it", 1, 0, 7, never, never, true, 20, 0, -1, -1 },
+        { "two long tasks with nothing beside them", 2, 0, 7, never, never, true, 150, 0, -1, -1 },
+        { "no percent", 4, 0, 7, never, never, false, 20, 0, 260, 580 },
+        { "no percent, few listings", 4, 0, 7, never, never, false, 150, 0, 260, 580 },
+        { "no progress", 4, 0, 1, never, 0, true, 20, 0, 260, 580 },
+        { "no progress, few listings", 4, 0, 1, never, 0, true, 150, 0, 260, 580 },
+        { "halts at 60 ms", 4, 0, 1, never, 60, true, 20, 0, 260, 580 },
+        { "halts at 90 ms, few listings", 4, 0, 1, never, 90, true, 150, 0, 260, 580 },
+        { "eight times slower", 4, 0, 8, never, never, true, 20, 0, 260, 580 },
+        { "eight times slower, few listings", 4, 0, 8, never, never, true, 150, 0, 280, 580 }, // A tick later.
+        { "long task halts at 400 ms", 1, 3, 7, never, 400, true, 20, 0, 680, -1 },
+        { "halts at 50 ms, a single listing", 1, 0, 1, never, 50, true, 20, 230, 300, -1 },
+        { "slow after a normal run", 3, 1, 1.2, 80, never, true, 20, 0, 260, 580 },
     };
     return cr_make_param_array(PaceRow, rows, sizeof(rows) / sizeof(PaceRow));
 }
@@ -1536,6 +1538,8 @@
             } else if (ended.insert(job).second)
                 listing.ended.push_back({ ended.size(), runId(job), EndKind::Done });
         }
+        if (elapsed < row->silentMs)
+            continue;
         const bool isAnswered = !listing.ended.empty() || fixture.shortestWait.count() == 0
             || fixture.now - lastAnswer >= Milliseconds(row->listingMs);
         if (!isAnswered)
