--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -91,6 +91,8 @@
         Milliseconds clock() const;
         void setClockBegin(Milliseconds begin) { m_clockBegin = begin; }
         void renew(TimePoint leaseEnd);
+        /** The present runs take longer from now on; none of them fails. */
+        void slowRunsDown(double factor);
         /** Changes the capacity to a part of the server's size. A smaller one is judged once it was announced. */
         void scale(double factor);
         /** The agent was told the present capacity: starts that arrive from now on must fit. */
@@ -128,7 +130,11 @@
         struct Run {
             Resources resources;
             uint64_t token;
+            TimePoint started {};
+            Milliseconds time {}; ///< Zero if it makes no progress.
+            double doneBefore = 0; ///< Share of the task that was done at `started`.
         };
+        double doneShareOf(const Run& run) const;
         std::map<RunId, Run> m_runs;
         std::map<TaskId, RunNumber> m_highest; ///< Highest run stopped or ended, by task.
         std::vector<ListedEnd> m_ended;
@@ -186,6 +192,7 @@
         EventQueue events;
 
         SimulatedJob& job(WorkId id) { return m_jobs.at(id); }
+        bool listsPercent() const { return m_scenario.listsPercent; }
         bool guardsCapacity() const { return m_scenario.guardsCapacity; }
         void countStartWithoutRoom() { ++m_report.startsWithoutRoom; }
         bool chance(double share) { return share > 0 && std::uniform_real_distribution<>(0, 1)(m_generator) < share; }
@@ -338,7 +345,7 @@
             m_simulation.violation(fmt::format("server {} overcommitted: {}", m_index, toString(m_used)));
         m_simulation.taskBegins(id.task, m_index);
         const auto token = ++m_lastToken;
-        m_runs[id] = { job.resources, token };
+        m_runs[id] = { job.resources, token, m_simulation.events.now() };
         if (job.crashingTask == raw(id.task.index))
             m_simulation.crashLater(m_index, id.task);
         if (isHanging)
@@ -346,6 +353,7 @@
         const bool fails = job.alwaysFails || isFailing;
         const auto work = FloatMs(job.work.at(raw(id.task.index))) * m_slowness * slowFactor;
         const auto time = isFailing ? Milliseconds(5) : toMilliseconds(job.alwaysFails ? work / 2 : work);
+        m_runs[id].time = time;
         m_simulation.events.add(m_simulation.events.now() + time,
             [this, id, token, fails] { end(id, token, fails ? EndKind::Failed : EndKind::Done); });
         return StartOutcome::Started;
@@ -384,8 +392,13 @@
         Listing out;
         out.startedMs = m_startedMs;
         out.clock = clock();
+        const auto percentOf = [&](const Run& run) -> std::optional<uint32_t> {
+            if (!m_simulation.listsPercent())
+                return std::nullopt;
+            return static_cast<uint32_t>(100 * doneShareOf(run));
+        };
         for (const auto& [id, run] : m_runs)
-            out.running.push_back({ id });
+            out.running.push_back({ id, percentOf(run) });
         out.ended = m_ended;
         return out;
     }
@@ -407,6 +420,25 @@
             end(m_runs.begin()->first, m_runs.begin()->second.token, EndKind::Lapsed);
     }
 
+    double SimulatedServer::doneShareOf(const Run& run) const
+    {
+        return run.time.count() == 0
+            ? 0
+            : run.doneBefore + FloatMs(m_simulation.events.now() - run.started) / FloatMs(run.time);
+    }
+
+    void SimulatedServer::slowRunsDown(double factor)
+    {
+        for (auto& [id, run] : m_runs) {
+            run.doneBefore = doneShareOf(run);
+            run.started = m_simulation.events.now();
+            run.time = toMilliseconds(run.time * factor);
+            run.token = ++m_lastToken;
+            m_simulation.events.add(run.started + toMicroseconds(run.time * (1 - run.doneBefore)),
+                [this, id = id, token = run.token] { end(id, token, EndKind::Done); });
+        }
+    }
+
     void SimulatedServer::scale(double factor)
     {
         m_total = { static_cast<int64_t>(static_cast<double>(m_size.cpu) * factor),
@@ -953,7 +985,8 @@
         Milliseconds longest {};
         for (int64_t i = 0; i < width; ++i) {
             const double factor = 1 + std::uniform_real_distribution<>(-taskSpread, taskSpread)(m_generator);
-            job.work.emplace_back(std::max<int64_t>(std::llround(work * factor), 1));
+            const double tail = chance(kind.longShare) ? kind.longFactor : 1;
+            job.work.emplace_back(std::max<int64_t>(std::llround(work * factor * tail), 1));
             longest = std::max(longest, job.work.back());
         }
         const double error = std::exp(std::normal_distribution<>(0, m_scenario.estimateSpread)(m_generator));
@@ -1090,7 +1123,16 @@
             auto onTick = std::make_shared<std::function<void()>>();
             *onTick = [this, i, onTick, tick] {
                 if (!isSuspended(i))
-                    withGate(i, [this](RunGate& gate) { gate.tick(events.now()); });
+                    withGate(i, [this, i](RunGate& gate) {
+                        gate.tick(events.now());
+                        if (gate.health().health() == Health::Quarantined)
+                            m_report.firstQuarantine.try_emplace(i, toMilliseconds(events.now() - simulationStart));
+                        const auto trueSlowness = m_scenario.slowness[i % m_scenario.slowness.size()];
+                        constexpr double farSlower = 2.5;
+                        if (gate.health().health() == Health::Quarantined
+                            || gate.slowness(events.now()) > farSlower * trueSlowness)
+                            m_report.firstBlame.try_emplace(i, toMilliseconds(events.now() - simulationStart));
+                    });
                 events.add(events.now() + tick, *onTick);
             };
             events.add(simulationStart + Milliseconds(i % 20), *onTick);
@@ -1133,10 +1175,13 @@
             for (const auto i : fault.servers) {
                 events.add(at(fault.at), [this, i, fault] {
                     auto& server = *m_servers[i];
+                    m_report.firstBlame.erase(i);
                     server.isUnreachable = fault.kind == ServerFaultKind::Unreachable;
                     server.isHanging = fault.kind == ServerFaultKind::Hang;
                     server.isFailing = fault.kind == ServerFaultKind::Fail;
                     server.slowFactor = fault.kind == ServerFaultKind::Slow ? fault.factor : 1;
+                    if (fault.kind == ServerFaultKind::Slow && fault.slowsRunning)
+                        server.slowRunsDown(fault.factor);
                     if (fault.kind == ServerFaultKind::Replaced) {
                         const auto waiting = std::exchange(server.onEnd, {});
                         server.crash();
@@ -1200,9 +1245,13 @@
             m_report.orders += entry->counters().orders;
             m_report.refusedOrders += entry->counters().refusedOrders();
             m_report.isolations += entry->counters().isolations;
+            m_report.stragglers += entry->counters().stragglers;
         }
-        for (const auto& gate : m_gates)
+        for (const auto& gate : m_gates) {
             m_report.wastedRuns += gate ? gate->counters().stopped + gate->counters().lost : 0;
+            m_report.progressReports += gate ? gate->counters().progressReports : 0;
+            m_report.longRuns += gate ? gate->counters().longRuns : 0;
+        }
         m_report.strandedShare = m_strandedSamples > 0 ? m_stranded / static_cast<double>(m_strandedSamples) : 0;
         for (size_t k = 0; k < m_scenario.kinds.size(); ++k) {
             std::vector<const SimulatedJob*> ofKind;
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -24,6 +24,8 @@
     uint32_t priority = 0; ///< Priority of its route.
     double crashingShare
         = 0; ///< Share of jobs with one task that crashes its server, between `crashesFrom` and `crashesUntil`.
+    double longShare = 0; ///< Share of tasks that take `longFactor` times as long, which estimates don't tell.
+    double longFactor = 7;
 };
 
 /** Fault that some servers have for a time. */
@@ -42,6 +44,7 @@
     Milliseconds at {};
     Milliseconds length {};
     double factor = 6; ///< Factor on run times, for Slow.
+    bool slowsRunning = false; ///< Runs at work become slow as well, not only those that start.
 };
 
 /** Period in which servers offer a part of their capacity; runs at work go on. */
@@ -95,6 +98,7 @@
     std::vector<Burst> bursts;
     std::vector<ServerFault> faults;
     std::vector<CapacityChange> capacityChanges;
+    bool listsPercent = false; ///< Servers list how much of its task each run has done.
     bool guardsCapacity = false; ///< Servers reject starts that don't fit; otherwise they start whatever they are told.
     Milliseconds crashesFrom { 5000 }; ///< Jobs with a task that crashes servers arrive from here on, see JobKind.
     Milliseconds crashesUntil { 15000 };
@@ -173,6 +177,13 @@
     uint64_t orders = 0;
     uint64_t refusedOrders = 0;
     uint64_t wastedRuns = 0; ///< Runs stopped or lost.
+    uint64_t stragglers = 0; ///< Runs that entries stopped as stragglers.
+    uint64_t progressReports = 0; ///< Runs that take long, as agents told entries.
+    uint64_t longRuns = 0; ///< Runs that agents took for long tasks.
+    std::map<size_t, Milliseconds> firstQuarantine; ///< By server: when its agent first put it into quarantine.
+    /** By server: when its agent first put it into quarantine, or took it for far slower than it is without a fault;
+     * with a fault, the first time since that began. */
+    std::map<size_t, Milliseconds> firstBlame;
     uint64_t startsWithoutRoom = 0; ///< Starts that servers rejected as they didn't fit.
     uint64_t crashes = 0; ///< Servers that a task crashed.
     uint64_t isolations = 0; ///< Isolations of routes, over all entries.
