Count the extensions of every chunk

Extensions shorter than the free 32 bytes of a chunk's line were not counted, so that a body of 1 MiB in chunks of one byte could bring 12 MB of them.

--- a/src/AsyncHttp.cpp
+++ b/src/AsyncHttp.cpp
@@ -81,6 +81,10 @@
     {
         constexpr size_t maxReadBytes = 65536;
         size_t trailerBytes = 0;
+        size_t extensionBytes = 0; // Of the chunk whose line was parsed last.
+        auto onChunk
+            = [&](uint64_t, beast::string_view extensions, error_code&) { extensionBytes = extensions.size(); };
+        parser.on_chunk_header(onChunk);
         bool isMoreNeeded = buffer.size() == 0;
         while (!parser.is_done()) {
             if (isMoreNeeded) {
@@ -107,7 +111,8 @@
                 co_return ec;
             if (!isHeaderDone)
                 continue;
-            trailerBytes += beyondChunkLine(n - (parser.get().body().size() - bodyBytes));
+            const auto framingBytes = n - (parser.get().body().size() - bodyBytes);
+            trailerBytes += std::max(beyondChunkLine(framingBytes), std::exchange(extensionBytes, 0));
             if (trailerBytes + (ec ? beyondChunkLine(buffer.size()) : 0) > maxTrailerBytes)
                 co_return http::error::header_limit;
         }
