Limit the time that a request to sequoia-entry or sequoia-agent may take to arrive

Only the pause between two bytes was limited, so that a body that came byte by byte held a thread without end. The whole request now has six times http_read_timeout_ms (30 s by default).

--- a/src/HttpService.cpp
+++ b/src/HttpService.cpp
@@ -93,7 +93,9 @@
         {
             m_isInHeader = true;
             m_headerBytes = m_bodyBytes = m_framingBytes = m_lineBytes = 0;
-            return m_begin < m_end || is_readable();
+            const bool isReady = m_begin < m_end || is_readable();
+            m_deadline = Clock::now() + pausesPerRequest * m_limits.readTimeout;
+            return isReady;
         }
         /** Whether a read has failed, so that the rest of the request is unread. */
         bool hasFailed() const { return m_hasFailed; }
@@ -136,7 +138,7 @@
 
         bool fill()
         {
-            if (!is_readable())
+            if (Clock::now() >= m_deadline || !is_readable())
                 return false;
             const auto n = ::recv(m_socket, m_buf.data(), m_buf.size(), 0);
             m_begin = 0;
@@ -195,8 +197,11 @@
         static constexpr size_t bytesPerSmallestChunk = 6; // Of a body in chunks of one byte.
         static constexpr size_t excessBodies = 2; // A body somewhat too long is read, so that its refusal arrives.
 
+        static constexpr int pausesPerRequest = 6;
+
         socket_t m_socket;
         HttpLimits m_limits;
+        TimePoint m_deadline {}; ///< For reading the current request.
         std::array<char, 4096> m_buf {};
         size_t m_begin = 0;
         size_t m_end = 0;
