Limit the connections of all HTTP ports

Each port of sequoia-platform-entry and sequoia-platform-agent but that of callers took 3,000 connections, and sequoia-entry and sequoia-agent kept any number of accepted connections waiting for a thread, so that idle connections could take all descriptors. Now 48 are served on each of these ports, and as many wait as there are threads (at least 64); further ones are closed.

--- a/src/HttpService.cpp
+++ b/src/HttpService.cpp
@@ -18,17 +18,28 @@
     constexpr size_t maxKeepAliveRequests = 1U << 30U;
     constexpr std::string_view unreachableHost = "127.0.0.1"; // With port 0, to which no connection can be opened.
 
+    /** Whether a task of the server on this thread closes its connection at once. */
+    thread_local bool isConnectionRefused = false;
+
     /** Task queue of the server: starts threads on demand, up to a limit, and ends idle ones. */
     class DynamicThreadPool : public httplib::TaskQueue {
     public:
         explicit DynamicThreadPool(size_t maxThreads)
             : m_maxThreads(maxThreads)
+            , m_maxWaiting(std::max(maxThreads, minWaiting))
         {
         }
 
         void enqueue(std::function<void()> task) override
         {
             std::unique_lock lock(m_mutex);
+            if (m_tasks.size() >= m_maxWaiting) {
+                lock.unlock();
+                isConnectionRefused = true;
+                task();
+                isConnectionRefused = false;
+                return;
+            }
             m_tasks.push_back(std::move(task));
             if (m_idleThreads < m_tasks.size() && m_threads < m_maxThreads) {
                 ++m_threads;
@@ -66,7 +77,10 @@
             m_ended.notify_all();
         }
 
+        static constexpr size_t minWaiting = 64; // For bursts on a server with few threads.
+
         size_t m_maxThreads;
+        size_t m_maxWaiting; ///< Each waiting connection takes a file descriptor.
         std::mutex m_mutex;
         std::condition_variable m_changed;
         std::condition_variable m_ended;
@@ -226,7 +240,7 @@
         bool process_and_close_socket(socket_t socket) override
         {
             BoundedStream stream(socket, m_limits);
-            bool isOpen = true;
+            bool isOpen = !isConnectionRefused;
             while (isOpen && svr_sock_ != INVALID_SOCKET && stream.waitForRequest()) {
                 bool isClosed = false;
                 isOpen = process_request(stream, false, isClosed, nullptr) && !isClosed && !stream.hasFailed();
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds peerTimeout { 300 };
     constexpr Milliseconds arrivalPeriod { 50 };
     constexpr int ticksPerLinkCleanup = 50;
+    /** On each port but that of callers, so that these ports leave descriptors for callers, links and the store. */
+    constexpr size_t maxPeerConnections = 48;
     constexpr std::string_view configurationPath = "/v1/configuration";
 
     DispatcherLimits dispatcherLimits(const RoomEntrySettings& settings)
@@ -136,6 +138,7 @@
 AsyncHttpLimits PlatformEntryProcess::serverLimits()
 {
     AsyncHttpLimits limits;
+    limits.maxConnections = maxPeerConnections;
     limits.maxTrailerBytes = static_cast<size_t>(m_settings.max_trailer_bytes);
     limits.onRefusal = [this](int status, const std::string& reason) {
         m_log.event(LogLevel::Info, "request-refused", { { "status", status }, { "reason", reason } });
