Limit the bodies that a server is reading, together

Each body was limited, but not what all connections hold of bodies that have not ended: 3,000 times 1 MiB. Beyond 16 MiB, or one body of the largest size, a server answers 503 with Retry-After and closes the connection; nothing has run then.

--- a/include/sequoia/AsyncHttp.h
+++ b/include/sequoia/AsyncHttp.h
@@ -86,6 +86,8 @@
     size_t maxHeaderBytes = 16384;
     size_t maxBodyBytes = 1U << 20U;
     size_t maxTrailerBytes = 8192; ///< Of the trailers and chunk extensions of a request, together.
+    /** Of all requests together that are being read; beyond it a request gets 503. One is always allowed. */
+    size_t maxPartialBodyBytes = 16U << 20U;
     Milliseconds idleTimeout { 15000 }; ///< For the next request on an open connection.
     Milliseconds readTimeout { 5000 }; ///< For reading a request, and for writing a reply.
     /** Interval at which the server looks for bytes on its sockets, so that it knows since when they may have been
--- a/src/AsyncHttp.cpp
+++ b/src/AsyncHttp.cpp
@@ -24,6 +24,7 @@
 
 namespace {
 
+    constexpr int statusBusy = 503;
     constexpr auto completionToken = asio::as_tuple(asio::use_awaitable);
 
     tcp::endpoint endpointOf(const std::string& address)
@@ -60,6 +61,8 @@
             return 413;
         if (ec == http::error::header_limit)
             return 431;
+        if (ec == asio::error::no_buffer_space)
+            return statusBusy;
         return 400;
     }
 
@@ -70,15 +73,48 @@
         return n - std::min(n, chunkLineBytes);
     }
 
+    /** Bytes of the bodies that the connections of a server are reading. */
+    struct BodyBudget {
+        size_t max = 0;
+        size_t used = 0;
+    };
+
+    /** Share of one request in a budget, as long as its body is being read. */
+    class BodyShare {
+    public:
+        explicit BodyShare(BodyBudget* budget)
+            : m_budget(budget)
+        {
+        }
+        ~BodyShare() { resize(0); }
+        BodyShare(const BodyShare&) = delete;
+        BodyShare& operator=(const BodyShare&) = delete;
+
+        /** Sets the size of the share; false if the budget is exceeded. */
+        bool resize(size_t n)
+        {
+            if (m_budget == nullptr)
+                return true;
+            m_budget->used += n - m_bytes;
+            m_bytes = n;
+            return m_budget->used <= m_budget->max;
+        }
+
+    private:
+        BodyBudget* m_budget;
+        size_t m_bytes = 0;
+    };
+
     /**
      * Reads a message. The parser limits header and body, but keeps trailers and chunk extensions until they end. What
      * arrives between chunks and after the last one is limited to `maxTrailerBytes` in all; beyond that the error is
-     * http::error::header_limit.
+     * http::error::header_limit. Without room in the budget, if there is one, it is asio::error::no_buffer_space.
      */
     template <bool isRequest>
     asio::awaitable<error_code> readMessage(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-        http::parser<isRequest, http::string_body>& parser, size_t maxTrailerBytes)
+        http::parser<isRequest, http::string_body>& parser, size_t maxTrailerBytes, BodyBudget* budget)
     {
+        BodyShare share(budget);
         constexpr size_t maxReadBytes = 65536;
         size_t trailerBytes = 0;
         size_t extensionBytes = 0; // Of the chunk whose line was parsed last.
@@ -111,6 +147,8 @@
                 co_return ec;
             if (!isHeaderDone)
                 continue;
+            if (!parser.is_done() && !share.resize(parser.get().body().size()))
+                co_return asio::error::no_buffer_space;
             const auto framingBytes = n - (parser.get().body().size() - bodyBytes);
             trailerBytes += std::max(beyondChunkLine(framingBytes), std::exchange(extensionBytes, 0));
             if (trailerBytes + (ec ? beyondChunkLine(buffer.size()) : 0) > maxTrailerBytes)
@@ -253,6 +291,7 @@
         : m_context(loop.context())
         , m_failures(loop.guard())
         , m_limits(limits)
+        , m_bodyBudget { std::max(limits.maxPartialBodyBytes, limits.maxBodyBytes) }
         , m_handler(std::move(handler))
         , m_acceptor(loop.context())
     {
@@ -411,12 +450,14 @@
         }
         const auto arrival = arrivalOn(connection);
         stream.expires_after(m_limits.readTimeout);
-        const auto ec = co_await readMessage(stream, buffer, parser, m_limits.maxTrailerBytes);
+        const auto ec = co_await readMessage(stream, buffer, parser, m_limits.maxTrailerBytes, &m_bodyBudget);
         if (ec == http::error::end_of_stream || ec == beast::error::timeout || ec == asio::error::connection_reset
             || ec == asio::error::operation_aborted)
             co_return false;
         if (ec) {
             HttpReply refusal { statusOf(ec), "{\"error\":\"" + ec.message() + "\"}", "application/json", {} };
+            if (refusal.status == statusBusy)
+                refusal.headers.emplace_back("Retry-After", "1");
             if (m_limits.onRefusal)
                 m_limits.onRefusal(refusal.status, ec.message());
             co_await write(stream, std::move(refusal), false);
@@ -473,6 +514,7 @@
     asio::io_context& m_context;
     FailureGuard& m_failures;
     AsyncHttpLimits m_limits;
+    BodyBudget m_bodyBudget;
     AsyncHttpServer::Handler m_handler;
     tcp::acceptor m_acceptor;
     std::set<ServerConnection*> m_idleConnections; ///< Those that wait for their next request.
@@ -583,7 +625,7 @@
         beast::flat_buffer buffer;
         http::response_parser<http::string_body> parser;
         parser.body_limit(maxReplyBytes);
-        if (co_await readMessage(*stream, buffer, parser, maxReplyTrailerBytes))
+        if (co_await readMessage(*stream, buffer, parser, maxReplyTrailerBytes, nullptr))
             co_return HttpFault::NoAnswer;
         const bool staysOpen = parser.keep_alive();
         auto response = parser.release();
