--- a/src/HttpService.cpp
+++ b/src/HttpService.cpp
@@ -18,17 +18,28 @@
     constexpr size_t maxKeepAliveRequests = 1U << 30U;
     constexpr std::string_view unreachableHost = "127.0.0.1"; // With port 0, to which no connection can be opened.
 
+    /** Whether a task of the server on this thread closes its connection at once. */
+    thread_local bool isConnectionRefused = false;
+
     /** Task queue of the server: starts threads on demand, up to a limit, and ends idle ones. */
     class DynamicThreadPool : public httplib::TaskQueue {
     public:
         explicit DynamicThreadPool(size_t maxThreads)
             : m_maxThreads(maxThreads)
+            , m_maxWaiting(std::max(maxThreads, minWaiting))
         {
         }
 
         void enqueue(std::function<void()> task) override
         {
             std::unique_lock lock(m_mutex);
+            if (m_tasks.size() >= m_maxWaiting) {
+                lock.unlock();
+                isConnectionRefused = true;
+                task();
+                isConnectionRefused = false;
+                return;
+            }
             m_tasks.push_back(std::move(task));
             if (m_idleThreads < m_tasks.size() && m_threads < m_maxThreads) {
                 ++m_threads;
@@ -66,7 +77,10 @@
             m_ended.notify_all();
         }
 
+        static constexpr size_t minWaiting = 64; // For bursts on a server with few threads.
+
         size_t m_maxThreads;
+        size_t m_maxWaiting; ///< Each waiting connection takes a file descriptor.
         std::mutex m_mutex;
         std::condition_variable m_changed;
         std::condition_variable m_ended;
@@ -93,7 +107,9 @@
         {
             m_isInHeader = true;
             m_headerBytes = m_bodyBytes = m_framingBytes = m_lineBytes = 0;
-            return m_begin < m_end || is_readable();
+            const bool isReady = m_begin < m_end || is_readable();
+            m_deadline = Clock::now() + pausesPerRequest * m_limits.readTimeout;
+            return isReady;
         }
         /** Whether a read has failed, so that the rest of the request is unread. */
         bool hasFailed() const { return m_hasFailed; }
@@ -136,7 +152,7 @@
 
         bool fill()
         {
-            if (!is_readable())
+            if (Clock::now() >= m_deadline || !is_readable())
                 return false;
             const auto n = ::recv(m_socket, m_buf.data(), m_buf.size(), 0);
             m_begin = 0;
@@ -195,8 +211,11 @@
         static constexpr size_t bytesPerSmallestChunk = 6; // Of a body in chunks of one byte.
         static constexpr size_t excessBodies = 2; // A body somewhat too long is read, so that its refusal arrives.
 
+        static constexpr int pausesPerRequest = 6;
+
         socket_t m_socket;
         HttpLimits m_limits;
+        TimePoint m_deadline {}; ///< For reading the current request.
         std::array<char, 4096> m_buf {};
         size_t m_begin = 0;
         size_t m_end = 0;
@@ -221,7 +240,7 @@
         bool process_and_close_socket(socket_t socket) override
         {
             BoundedStream stream(socket, m_limits);
-            bool isOpen = true;
+            bool isOpen = !isConnectionRefused;
             while (isOpen && svr_sock_ != INVALID_SOCKET && stream.waitForRequest()) {
                 bool isClosed = false;
                 isOpen = process_request(stream, false, isClosed, nullptr) && !isClosed && !stream.hasFailed();
