--- a/src/SettingsTables.cpp
+++ b/src/SettingsTables.cpp
@@ -170,6 +170,9 @@
         number<S>("stop_timeout_ms", &S::stop_timeout_ms, 5250, 0, hourMs,
             "Maximum duration of a graceful stop, ms; must be below the time after which the platform kills the "
             "process."),
+        number<S>("evacuation_bound_ms", &S::evacuation_bound_ms, 0, 0, hourMs,
+            "Time within which no more tasks start in a failure domain that the operators want evacuated, ms; 0: such "
+            "requests are not followed. Set by the deployment."),
         text<S>("log_level", &S::log_level, "info", logLevels, "Lowest level of the events that are printed."),
     };
     return rows;
