Gates start nothing in an evacuated failure domain

An entry without contact to the store, or one that was suspended, goes on ordering from a failure domain that the operators want evacuated. The gate therefore keeps the state of the highest store version that any entry has told. While its own domain is in it, the gate is closed with the reason evacuated: orders are refused and start calls without an answer are not repeated; runs, polls and leases go on. The comparison of states is a class of its own, so that entries use the same one.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -5,6 +5,7 @@
 #include <sequoia/AgentCore.h>
 #include <sequoia/CallTimeModel.h>
 #include <sequoia/CrashRecords.h>
+#include <sequoia/Evacuations.h>
 #include <sequoia/Metrics.h>
 #include <sequoia/Resources.h>
 #include <sequoia/SpeedModel.h>
@@ -189,6 +190,7 @@
     uint64_t repeatedStarts = 0; ///< Start calls that were sent again.
     uint64_t unansweredStarts = 0; ///< Start calls without an answer.
     uint64_t crashes = 0; ///< Crashes of the server with runs on it.
+    uint64_t evacuations = 0; ///< Evacuations of the agent's failure domain.
     uint64_t polls = 0;
     uint64_t incarnations = 0; ///< Incarnations of the server that were seen.
     uint64_t refutedServerEnds = 0; ///< Ends of the server's process that a later listing of that process refuted.
@@ -212,7 +214,8 @@
 class RunGate {
 public:
     /** `startedAt` is the VM's time, from which the fence begins: higher than that of the agent's process before. */
-    RunGate(Incarnation self, RunGateLimits limits, std::chrono::system_clock::time_point startedAt);
+    RunGate(Incarnation self, RunGateLimits limits, std::chrono::system_clock::time_point startedAt,
+        std::string failureDomain = {});
 
     /** The server announced itself. Returns false if the report is older than one that was processed before. */
     bool serverAnnounced(const ServerReport& report, TimePoint now);
@@ -243,6 +246,9 @@
     double slowness(TimePoint now) const { return m_speed.slowness(now); }
     wire::GateState state(TimePoint now) const;
     std::string closedReason(TimePoint now) const;
+    /** Whether the agent's failure domain is evacuated, as far as entries have told. */
+    bool isEvacuated() const { return m_evacuations.contains(m_failureDomain); }
+    const Evacuations& evacuations() const { return m_evacuations; }
     const HealthGate& health() const { return m_health; }
     const RunGateCounters& counters() const { return m_counters; }
     /** Times from the order to the end of runs, by outcome. */
@@ -365,6 +371,8 @@
     void callStart(const RunId& id, Run& run, TimePoint now);
     void onStops(LinkId link, const wire::RunStopT& message, TimePoint now);
     void onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
+    /** An entry tells which failure domains are evacuated. */
+    void onEvacuations(LinkId link, const wire::EvacuationsT& message, TimePoint now);
     void stopRun(const RunId& id, Run& run, TimePoint now);
     /** An entry that didn't order a run asks for its end. */
     void addSuccessor(Run& run, EntryLink& link, TimePoint now);
@@ -481,6 +489,8 @@
 
     Incarnation m_self;
     RunGateLimits m_limits;
+    std::string m_failureDomain;
+    Evacuations m_evacuations; ///< The newest that any entry has told.
     Milliseconds m_stopBound; ///< RunGateLimits::stopBound with the shortest delay that an entry has told.
     HealthGate m_health;
     EffectListOf<GateEffect> m_effects;
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -60,7 +60,7 @@
     , m_log(settings.name, parseLogLevel(settings.log_level), 0,
           [this](const std::string& line, LogLevel level) { m_output.write(line, level < LogLevel::Warning); })
     , m_incarnation(drawIncarnation())
-    , m_core(m_incarnation, gateLimits(settings), std::chrono::system_clock::now())
+    , m_core(m_incarnation, gateLimits(settings), std::chrono::system_clock::now(), settings.failure_domain)
     , m_links(linkHooks(), linkLimits(), m_log.clock())
     , m_effects(m_links, m_log)
     , m_dialer(
@@ -190,6 +190,7 @@
     hello.incarnation = raw(m_incarnation);
     hello.failure_domain = m_settings.failure_domain;
     hello.relays = true;
+    hello.evacuations = true;
     Frame frame;
     frame.body.Set(std::move(hello));
     setAgentTime(frame, suspendAwareNow());
@@ -285,6 +286,9 @@
     out.counter("looks_total", "Looks at the backend server.", n.polls);
     out.counter("server_lives_total", "Lives of the backend server.", n.incarnations);
     out.counter("server_crashes_total", "Crashes of the server with runs on it.", n.crashes);
+    out.counter("evacuations_total", "Evacuations of the agent's failure domain.", n.evacuations);
+    out.gauge("domains_evacuated", "Failure domains in which no task may start.",
+        static_cast<double>(m_core.evacuations().domains().size()));
     out.counter("server_ends_refuted_total", "Ends of the server's process that its later listing refuted.",
         n.refutedServerEnds);
     for (const auto& [reason, count] : n.outlivedRuns)
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -33,9 +33,11 @@
 
 } // namespace
 
-RunGate::RunGate(Incarnation self, RunGateLimits limits, std::chrono::system_clock::time_point startedAt)
+RunGate::RunGate(
+    Incarnation self, RunGateLimits limits, std::chrono::system_clock::time_point startedAt, std::string failureDomain)
     : m_self(self)
     , m_limits(limits)
+    , m_failureDomain(std::move(failureDomain))
     , m_stopBound(limits.stopBound())
     , m_health(limits.health)
     , m_callTime({ .min = limits.startTimeout / 2, .max = limits.startTimeout })
@@ -58,6 +60,8 @@
 
 std::string RunGate::closedReason(TimePoint now) const
 {
+    if (isEvacuated())
+        return std::string(evacuatedReason); // First, as entries don't count the server's capacity then.
     if (m_isDraining)
         return "agent-stopping";
     if (!m_server)
@@ -156,6 +160,9 @@
     case wire::Body::RunQuery:
         onQuery(link, body.AsRunQuery()->ids, now);
         break;
+    case wire::Body::Evacuations:
+        onEvacuations(link, *body.AsEvacuations(), now);
+        break;
     case wire::Body::Demand: {
         const auto& demand = *body.AsDemand();
         auto& entry = it->second;
@@ -193,7 +200,8 @@
         return wire::Refusal::OtherLife;
     const auto gateState = state(now);
     if (gateState == wire::GateState::Closed)
-        return m_health.health() == Health::Quarantined ? wire::Refusal::Unhealthy : wire::Refusal::Closed;
+        return m_health.health() == Health::Quarantined && !isEvacuated() ? wire::Refusal::Unhealthy
+                                                                          : wire::Refusal::Closed;
     if (gateState == wire::GateState::Trial && !m_runs.empty())
         return wire::Refusal::Unhealthy;
     if (grantableLease(link.confirmed + link.ownerBound, now) < m_limits.minLease())
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -241,6 +241,22 @@
     }
 }
 
+void RunGate::onEvacuations(LinkId link, const wire::EvacuationsT& message, TimePoint now)
+{
+    const bool wasEvacuated = isEvacuated();
+    m_evacuations.update(message.domains, StoreVersion(message.version));
+    if (isEvacuated() == wasEvacuated)
+        return;
+    m_counters.evacuations += isEvacuated() ? 1 : 0;
+    m_effects.record(isEvacuated() ? LogLevel::Warning : LogLevel::Info, "evacuation",
+        { { "domain", m_failureDomain }, { "state", isEvacuated() ? "begun" : "ended" },
+            { "store_version", static_cast<int64_t>(message.version) },
+            { "cause", fmt::format("entry {:016x}", raw(m_links.at(link).entry)) },
+            { "runs", static_cast<int64_t>(m_runs.size()) } });
+    reserveFreed(std::nullopt, now);
+    sendReports(now);
+}
+
 void RunGate::drain(TimePoint now)
 {
     detectSuspension(now);
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -5,6 +5,8 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <sstream>
+
 using namespace sequoia;
 
 namespace {
@@ -22,7 +24,7 @@
 public:
     explicit Fixture(RunGateLimits limits = {}, std::optional<Milliseconds> clock = {})
         : limits(limits)
-        , gate(self, limits, wallStart)
+        , gate(self, limits, wallStart, "east")
     {
         announce();
         gate.tick(now);
@@ -174,6 +176,18 @@
         collectEffects();
     }
 
+    /** An entry tells which failure domains are evacuated; the gate's own one is "east". */
+    void evacuate(LinkId link, uint64_t version, std::vector<std::string> domains)
+    {
+        wire::EvacuationsT message;
+        message.version = version;
+        message.domains = std::move(domains);
+        wire::BodyUnion body;
+        body.Set(std::move(message));
+        deliver(link, body);
+        collectEffects();
+    }
+
     void answerStart(const RunId& id, StartOutcome outcome)
     {
         gate.startAnswered(id, outcome, now);
@@ -249,6 +263,7 @@
     std::map<LinkId, Resources> free;
     std::map<LinkId, Resources> total;
     std::string service; ///< In the last report.
+    std::map<LinkId, std::string> reportedReason; ///< In the last report on each link.
     std::map<LinkId, TimePoint> lastSent; ///< The agent time of the last message on each link.
     std::map<LinkId, TimePoint> mutedSince; ///< From then on nothing arrives at the entry, which goes on sending.
     std::map<std::string, std::vector<LogField>> events; ///< The last line of each kind.
@@ -274,6 +289,7 @@
             free[send.link] = fromWire(result->free.get());
         } else if (const auto* report = send.body.AsRoomReport()) {
             reportedState = report->state;
+            reportedReason[send.link] = report->reason;
             total[send.link] = fromWire(report->total.get());
             service = report->service;
             free[send.link] = fromWire(report->free.get());
@@ -2637,3 +2653,102 @@
         std::chrono::nanoseconds(std::chrono::seconds(10)).count(), "an agent that is busy for long loses its links");
     cr_expect(fixture.gate.state(fixture.now) == wire::GateState::Closed);
 }
+
+struct EvacuationRow {
+    char name[56];
+    char messages[64]; ///< Link, store version and domains of each, as in "1:5:east,west 2:6:".
+    bool isRefused;
+};
+
+ParameterizedTestParameters(RunGate, startsNothingInAnEvacuatedDomainWhoeverOrders)
+{
+    static EvacuationRow rows[] = {
+        { "nothing told", "", false },
+        { "own domain", "1:5:east", true },
+        { "another domain", "1:5:west", false },
+        { "two domains", "1:5:east,west", true },
+        { "one of two withdrawn", "1:5:east,west 1:6:west", false },
+        { "withdrawn", "1:5:east 1:6:", false },
+        { "withdrawn, told by the other entry", "1:5:east 2:6:", false },
+        { "repeated", "1:5:east 1:6: 2:7:east", true },
+        { "entry without the store knows an older state", "1:6:east 2:5:", true },
+        { "suspended entry knows a withdrawn request", "1:6: 2:5:east", false },
+        { "states of one version differ", "1:5:east 2:5:", true },
+        { "states of one version differ, the other way round", "1:5: 2:5:east", true },
+        { "domain without a name", "1:5:,", false },
+    };
+    return cr_make_param_array(EvacuationRow, rows, sizeof(rows) / sizeof(EvacuationRow));
+}
+
+/** Entries that haven't heard of the request, or whose store answers late, go on ordering. */
+ParameterizedTest(EvacuationRow* row, RunGate, startsNothingInAnEvacuatedDomainWhoeverOrders)
+{
+    Fixture fixture;
+    std::istringstream messages(row->messages);
+    for (std::string message; messages >> message;) {
+        const auto second = message.find(':', 2);
+        std::vector<std::string> domains;
+        std::istringstream list(message.substr(second + 1));
+        for (std::string domain; std::getline(list, domain, ',');)
+            domains.push_back(domain);
+        fixture.evacuate(LinkId(static_cast<uint32_t>(message[0] - '0')), std::stoull(message.substr(2)), domains);
+    }
+    const auto state = row->isRefused ? wire::GateState::Closed : wire::GateState::Open;
+    cr_expect(fixture.gate.state(fixture.now) == state, "%s", row->name);
+    for (const auto link : { firstLink, secondLink }) {
+        fixture.order(link, runId(raw(link)));
+        cr_expect_eq(fixture.starts.size(), row->isRefused ? 0U : raw(link), "%s", row->name);
+        cr_expect(!row->isRefused || fixture.lastRefusal[link] == wire::Refusal::Closed, "%s", row->name);
+        cr_expect_eq(fixture.reportedReason[link], row->isRefused ? "evacuated" : "", "%s", row->name);
+    }
+}
+
+/** A start call that is sent again counts as a start. */
+Test(RunGate, startWithoutAnAnswerIsNotRepeatedInAnEvacuatedDomain)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.evacuate(secondLink, 5, { "east" });
+    fixture.answerStart(runId(1), StartOutcome::NoAnswer);
+    fixture.advance(Milliseconds(200), listingOf({ runId(1) }));
+    cr_expect_eq(fixture.starts.size(), 1U, "%zu start calls", fixture.starts.size());
+    cr_assert_geq(fixture.stops.size(), 1U, "the run is stopped, as it may or may not have started");
+    cr_expect(fixture.stops.front() == runId(1));
+}
+
+/** Runs end by themselves: without polls and leases the server would end them. */
+Test(RunGate, runsGoOnInAnEvacuatedDomain)
+{
+    Fixture fixture;
+    fixture.order(firstLink, runId(1));
+    fixture.answerStart(runId(1), StartOutcome::Started);
+    fixture.evacuate(firstLink, 5, { "east" });
+    fixture.advance(Milliseconds(160), listingOf({ runId(1) }));
+    cr_expect(fixture.stops.empty());
+    cr_expect_eq(fixture.gate.runs(), 1U);
+    cr_expect_gt(fixture.leaseEnds - fixture.now, fixture.limits.lease - Milliseconds(200), "the lease is renewed");
+    fixture.answerPoll(listingOf({}, { { 1, runId(1), EndKind::Done } }));
+    cr_expect(fixture.outcome(runId(1)) == wire::RunOutcome::Done);
+    cr_expect_eq(fixture.gate.health().failures(), 0U);
+    fixture.evacuate(firstLink, 6, {});
+    cr_expect(fixture.reportedState == wire::GateState::Open, "the server is used again at once");
+    fixture.order(secondLink, runId(2));
+    cr_expect_eq(fixture.starts.size(), 2U);
+    cr_expect_eq(fixture.gate.counters().evacuations, 1U);
+}
+
+/** An agent's process that restarts knows nothing; what entries tell on their new links closes it before their orders.
+ */
+Test(RunGate, restartedAgentTakesTheNewestThatEntriesTell)
+{
+    Fixture restarted; // Both entries have greeted it, and neither has told anything yet.
+    restarted.evacuate(firstLink, 4, {}); // From an entry that lost the store before the request.
+    restarted.evacuate(secondLink, 9, { "west", "east" });
+    restarted.order(firstLink, runId(1));
+    cr_expect(restarted.starts.empty());
+    restarted.linkEntry(LinkId(3), 13); // A third one of an earlier release, which tells nothing.
+    restarted.collectEffects();
+    restarted.order(LinkId(3), runId(2));
+    cr_expect(restarted.starts.empty());
+    cr_expect_eq(restarted.reportedReason[LinkId(3)], "evacuated");
+}
