Entries count without the servers of evacuated failure domains

About a third of all servers may become unusable at once. Agents of evacuated domains, known from the store or from the report of their gate, now get no orders and don't count in the predicted capacity, the mean slowness, the servers that a job may fit, preferred spans, alternatives of stragglers, servers for isolated routes and demands. The measured rate of finished work is scaled in the same moment, as it would show the loss only after about a second. Agents that know the message are told each newer state, and on each new link before their orders.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -4,6 +4,7 @@
 #include <sequoia/CrashRecords.h>
 #include <sequoia/Effects.h>
 #include <sequoia/EstimateModel.h>
+#include <sequoia/Evacuations.h>
 #include <sequoia/JobTrace.h>
 #include <sequoia/LoadModel.h>
 #include <sequoia/ResubmissionDetector.h>
@@ -95,6 +96,7 @@
     /** Orphaned runs of other entries whose task was ordered here before they were told of. */
     uint64_t jobsElsewhere = 0;
     uint64_t demands = 0; ///< Demand messages sent.
+    uint64_t evacuations = 0; ///< Evacuations of failure domains that have begun.
     uint64_t resourceUpdates = 0; ///< RoomUpdate messages, which agents send without a run result.
     uint64_t messagesSent = 0;
     uint64_t messagesReceived = 0;
@@ -120,6 +122,9 @@
     LinkId link {};
     bool isLinked = false;
     bool takesRelays = false; ///< It knows RelayedOrphans, unlike earlier releases.
+    bool takesEvacuations = false; ///< It knows Evacuations, unlike earlier releases.
+    bool isInEvacuatedDomain = false; ///< This entry knows that its failure domain is evacuated.
+    bool isGateEvacuated = false; ///< Its last report on this link told that its failure domain is evacuated.
     bool isPreferred = true; ///< This entry orders from it first; see AgentShares.h.
     bool isForIsolatedRoutes = false; ///< While routes are isolated, its server runs their tasks and no others.
     wire::GateState state = wire::GateState::Closed;
@@ -147,11 +152,12 @@
     std::map<RunId, ForeignRun> foreignRuns; ///< Those of `runs` that other entries ordered.
     std::map<RunId, TimePoint> suspects; ///< Suspects of `runs`, and until when they are; see CrashRecords.h.
 
+    /** Whether no run may start on its server until the operators withdraw the evacuation of its failure domain. */
+    bool isEvacuated() const { return isInEvacuatedDomain || isGateEvacuated; }
+    /** Whether runs can be ordered from it now. */
+    bool isUsable() const { return isLinked && state != wire::GateState::Closed && !isEvacuated(); }
     /** Whether runs of a service can be ordered from it now. */
-    bool acceptsRunsOf(const std::string& name) const
-    {
-        return isLinked && state != wire::GateState::Closed && service == name;
-    }
+    bool acceptsRunsOf(const std::string& name) const { return isUsable() && service == name; }
     /** Incarnation of the agent that has a run. */
     Incarnation incarnationOf(const RunId& id) const
     {
@@ -212,6 +218,11 @@
 
     /** Sets how many entries share the agents, and the position of this one in the order that all entries agree on. */
     void setEntries(size_t entries, size_t position);
+    /** The operators want these failure domains evacuated, as of a version of the store; older versions are ignored.
+     * Agents there get no orders from now on, and count neither in predicted waits nor among the servers that a job
+     * may fit. All agents that know the message are told. `cause` is who told this entry. */
+    void setEvacuations(
+        const std::vector<std::string>& domains, StoreVersion version, std::string_view cause, TimePoint now);
     /** Run times, speeds and caller timeouts that this entry has learned from traffic. */
     Learned learned() const;
     /** Takes over what other entries or an earlier process have learned. */
@@ -228,6 +239,7 @@
     size_t queuedTasks() const;
     size_t linkedAgents() const;
     bool hasIsolatedRoutes() const { return m_hasIsolation; }
+    const Evacuations& evacuations() const { return m_evacuations; }
 
 private:
     static constexpr size_t maxRelays = 3; ///< Linked agents that are told of ownerless runs.
@@ -346,6 +358,15 @@
      * can't meet their deadline are refused.
      */
     void reviewQueue(TimePoint now);
+    /** Work per millisecond, at slowness 1, of all agents that accept it. */
+    double usableCapacity() const;
+    /** Agents have become usable or unusable, of `capacityBefore` in all, as their failure domains are evacuated or no
+     * longer are: adapts what was derived from the usable agents, and the queue. */
+    void usableAgentsChanged(double capacityBefore, TimePoint now);
+    /** Tells an agent which failure domains are evacuated, if it knows the message and there is something to tell. */
+    void sendEvacuations(AgentView& agent, TimePoint now);
+    /** Whether the discovery of agents after the start is complete. */
+    bool isSettled(TimePoint now) const { return m_settledAt != TimePoint() && now >= m_settledAt; }
     /** Mean slowness of the agents that accept work, weighted by their processors. */
     double meanSlowness() const;
     QueueKey keyOf(const Job& job, TimePoint now) const;
@@ -452,6 +473,7 @@
     LoadModel m_load;
     ResubmissionDetector m_resubmissions;
     CrashRecords m_crashes;
+    Evacuations m_evacuations;
     bool m_hasIsolation = false; ///< Routes are isolated, and there are agents for them.
     std::set<std::string> m_isolatingServices; ///< Services with such agents.
     /** When a job of each route last arrived, by service and name. */
--- a/include/sequoia/LoadModel.h
+++ b/include/sequoia/LoadModel.h
@@ -20,6 +20,8 @@
     void add(double work, TimePoint now);
     /** Work per millisecond. */
     double perMs(TimePoint now) const;
+    /** Multiplies the rate. */
+    void scale(double factor) { m_sum *= factor; }
 
 private:
     Milliseconds m_timeConstant;
@@ -46,6 +48,9 @@
     void recordArrival(uint32_t priority, double work, TimePoint now);
     /** A task with this much work has ended. */
     void recordCompletion(double work, TimePoint now);
+    /** The capacity of the usable servers has changed. The measured rate is scaled with it, as it would follow only in
+     * about its time constant; with no capacity before or after, the measurement begins anew. */
+    void capacityChanged(double before, double after, TimePoint now);
     /** Whether tasks wait for resources; only then does the rate of finished work show the capacity. */
     void setBacklogged(bool isBacklogged, TimePoint now);
 
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -159,7 +159,7 @@
         return ""; // Agents are still being discovered.
     for (size_t i = 0; i < job.steps.size(); ++i) {
         const bool isPossible = std::any_of(m_agents.begin(), m_agents.end(),
-            [&](const AgentView& agent) { return agent.isLinked && couldRun(job, i, agent); });
+            [&](const AgentView& agent) { return agent.isLinked && !agent.isEvacuated() && couldRun(job, i, agent); });
         if (!isPossible)
             return "no-server-fits";
     }
@@ -174,8 +174,9 @@
 bool Dispatcher::mayFitLater(const Job& job) const
 {
     for (size_t i = 0; i < job.steps.size(); ++i) {
-        const bool isPossible = std::any_of(m_agents.begin(), m_agents.end(),
-            [&](const AgentView& agent) { return agent.service.empty() || couldRun(job, i, agent); });
+        const bool isPossible = std::any_of(m_agents.begin(), m_agents.end(), [&](const AgentView& agent) {
+            return !agent.isEvacuated() && (agent.service.empty() || couldRun(job, i, agent));
+        });
         if (!isPossible)
             return false;
     }
@@ -270,17 +271,22 @@
     return work;
 }
 
-LoadView Dispatcher::loadView(TimePoint now) const
+double Dispatcher::usableCapacity() const
 {
-    LoadView load;
-    load.isComplete = m_settledAt != TimePoint() && now >= m_settledAt;
     double totalCapacity = 0;
     for (const auto& agent : m_agents) {
         const bool isIsolated = m_hasIsolation && agent.isForIsolatedRoutes;
-        if (agent.isLinked && agent.state != wire::GateState::Closed && !isIsolated)
+        if (agent.isUsable() && !isIsolated)
             totalCapacity += static_cast<double>(agent.total.cpu) / agent.slowness;
     }
-    load.capacity = m_load.capacity(totalCapacity / static_cast<double>(m_entryCount), now);
+    return totalCapacity;
+}
+
+LoadView Dispatcher::loadView(TimePoint now) const
+{
+    LoadView load;
+    load.isComplete = isSettled(now);
+    load.capacity = m_load.capacity(usableCapacity() / static_cast<double>(m_entryCount), now);
     load.arrivalRate = m_load.arrivalRate(now);
     return load;
 }
@@ -686,7 +692,7 @@
     double cpu = 0;
     double sum = 0;
     for (const auto& agent : m_agents) {
-        if (!agent.isLinked || agent.state == wire::GateState::Closed)
+        if (!agent.isUsable())
             continue;
         cpu += static_cast<double>(agent.total.cpu);
         sum += static_cast<double>(agent.total.cpu) * agent.slowness;
@@ -821,7 +827,8 @@
     ++step.done;
     ran = toMicroseconds(ran / m_agents[task.agent].slowness);
     const auto work = static_cast<double>(job.spec.steps[index].resources.cpu) * FloatMs(ran).count();
-    m_load.recordCompletion(work, now);
+    if (!m_agents[task.agent].isEvacuated()) // Its server does nothing of what waits.
+        m_load.recordCompletion(work, now);
     step.totalRunTime += ran;
     step.maxRunTime = std::max(step.maxRunTime, ran);
     if (--job.tasksLeft == 0) {
@@ -910,7 +917,8 @@
         }
         if (result.refusal == wire::Refusal::RunTooLow)
             task.run = RunNumber(raw(task.run) + runNumberJump);
-        if (result.refusal != wire::Refusal::NoRoom)
+        // An evacuated server is as good as before once the operators withdraw the request.
+        if (result.refusal != wire::Refusal::NoRoom && !agent.isEvacuated() && result.reason != evacuatedReason)
             task.avoidedAgents.push_back(agentIndex);
         break;
     case wire::RunOutcome::Stopped:
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -34,7 +34,7 @@
     m_isPreferenceStale = false;
     std::vector<AgentView*> linked;
     for (auto& agent : m_agents) {
-        if (agent.isLinked)
+        if (agent.isLinked && !agent.isEvacuated())
             linked.push_back(&agent);
     }
     // Entries are sorted by failure domain too, so that most agents are preferred by entries of their own domain.
@@ -45,6 +45,57 @@
         linked[i]->isPreferred = isPreferredAgent(i, linked.size(), m_entryPosition, m_entryCount);
 }
 
+void Dispatcher::setEvacuations(
+    const std::vector<std::string>& domains, StoreVersion version, std::string_view cause, TimePoint now)
+{
+    detectSuspension(now);
+    const auto change = m_evacuations.update(domains, version);
+    if (!change.isNews)
+        return;
+    m_counters.evacuations += change.begun.size();
+    const auto capacityBefore = usableCapacity();
+    for (auto& agent : m_agents) {
+        agent.isInEvacuatedDomain = m_evacuations.contains(agent.failureDomain);
+        sendEvacuations(agent, now);
+    }
+    for (const auto& [changed, isBegun] : { std::pair(&change.begun, true), std::pair(&change.ended, false) }) {
+        for (const auto& domain : *changed) {
+            const auto agents = std::count_if(m_agents.begin(), m_agents.end(),
+                [&](const AgentView& agent) { return agent.isLinked && agent.failureDomain == domain; });
+            m_effects.record(isBegun ? LogLevel::Warning : LogLevel::Info, "evacuation",
+                { { "domain", domain }, { "state", isBegun ? "begun" : "ended" },
+                    { "store_version", static_cast<int64_t>(version) }, { "cause", std::string(cause) },
+                    { "agents", static_cast<int64_t>(agents) },
+                    { "capacity_before", static_cast<int64_t>(capacityBefore) },
+                    { "capacity", static_cast<int64_t>(usableCapacity()) } });
+        }
+    }
+    if (!change.begun.empty() || !change.ended.empty())
+        usableAgentsChanged(capacityBefore, now);
+}
+
+void Dispatcher::usableAgentsChanged(double capacityBefore, TimePoint now)
+{
+    updatePreferredAgents();
+    updateIsolation(now);
+    m_load.capacityChanged(capacityBefore, usableCapacity(), now);
+    m_meanSlowness = meanSlowness();
+    if (isSettled(now))
+        refuseWhatFitsNoServer(now);
+    reviewQueue(now);
+    dispatchQueued(now);
+}
+
+void Dispatcher::sendEvacuations(AgentView& agent, TimePoint now)
+{
+    if (!agent.isLinked || !agent.takesEvacuations || !m_evacuations.version())
+        return;
+    wire::EvacuationsT message;
+    message.version = static_cast<uint64_t>(*m_evacuations.version());
+    message.domains.assign(m_evacuations.domains().begin(), m_evacuations.domains().end());
+    send(agent, std::move(message), now);
+}
+
 LearnedSpeed Dispatcher::speedOf(const std::string& name) const
 {
     if (const auto it = m_agentByName.find(name); it != m_agentByName.end()) {
@@ -102,12 +153,16 @@
     agent.lastHeard = agent.lastReceived = now;
     agent.agentTime = agentTime;
     agent.takesRelays = hello.relays;
+    agent.takesEvacuations = hello.evacuations;
+    agent.isInEvacuatedDomain = m_evacuations.contains(agent.failureDomain);
+    agent.isGateEvacuated = false; // Until its first report.
     agent.lastSent = now;
     agent.state = wire::GateState::Closed; // Until its first report.
     agent.ordersSent = 0;
     agent.unacknowledgedOrders.clear();
     agent.nextDemand = now;
     m_agentByLink[link] = index;
+    sendEvacuations(agent, now); // Before all orders on this link.
     const Incarnation incarnation { hello.incarnation };
     // A restarted agent links only after all runs of its previous incarnation are over.
     std::vector<RunId> ended;
@@ -290,13 +345,17 @@
 {
     auto& agent = m_agents[index];
     const auto total = fromWire(report.total.get());
-    const bool isChanged = agent.state != report.state || agent.total != total;
+    const bool isGateEvacuated = report.state == wire::GateState::Closed && report.reason == evacuatedReason;
+    const bool isEvacuationChanged = agent.isGateEvacuated != isGateEvacuated;
+    const bool isChanged = agent.state != report.state || agent.total != total || isEvacuationChanged;
+    const auto capacityBefore = isEvacuationChanged ? usableCapacity() : 0;
     const bool hasShrunk = !agent.total.fitsIn(total);
     agent.relinkUntil = {};
     agent.service = report.service;
     agent.labels = report.labels;
     agent.state = report.state;
     agent.total = total;
+    agent.isGateEvacuated = isGateEvacuated;
     agent.serverStartedMs = report.server_life;
     agent.slownessSamples = report.samples;
     updateResources(agent, report, now);
@@ -308,6 +367,9 @@
             { "slowness_percent", static_cast<int64_t>(agent.slowness * 100) } });
     if (hasShrunk)
         refuseWhatFitsNoServer(now);
+    // An entry that learned of the evacuation from the store has adapted to it before.
+    if (isEvacuationChanged && !agent.isInEvacuatedDomain)
+        usableAgentsChanged(capacityBefore, now);
 }
 
 bool Dispatcher::isWanted(const RunId& id)
--- a/src/DispatcherCrashes.cpp
+++ b/src/DispatcherCrashes.cpp
@@ -71,7 +71,7 @@
     std::map<std::string, std::vector<std::pair<uint64_t, AgentView*>>> byService;
     for (auto& agent : m_agents) {
         agent.isForIsolatedRoutes = false;
-        if (agent.isLinked)
+        if (agent.isLinked && !agent.isEvacuated())
             byService[agent.service].emplace_back(hashOf(agent.name), &agent);
     }
     for (auto& [service, agents] : byService) {
@@ -112,7 +112,8 @@
     if (agent.isForIsolatedRoutes == wanted)
         return true;
     return std::none_of(m_agents.begin(), m_agents.end(), [&](const AgentView& other) {
-        return other.isLinked && other.isForIsolatedRoutes == wanted && couldRun(job, step, other);
+        return other.isLinked && !other.isEvacuated() && other.isForIsolatedRoutes == wanted
+            && couldRun(job, step, other);
     });
 }
 
--- a/src/LoadModel.cpp
+++ b/src/LoadModel.cpp
@@ -41,6 +41,16 @@
 
 void LoadModel::recordCompletion(double work, TimePoint now) { m_finished.add(work, now); }
 
+void LoadModel::capacityChanged(double before, double after, TimePoint now)
+{
+    if (before > 0 && after > 0) {
+        m_finished.scale(after / before);
+    } else if (before != after) {
+        m_finished = WorkRate(m_limits.serviceTimeConstant);
+        m_backloggedSince = now;
+    }
+}
+
 void LoadModel::setBacklogged(bool isBacklogged, TimePoint now)
 {
     if (isBacklogged && !m_isBacklogged)
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -4,6 +4,8 @@
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
+#include <sstream>
+
 using namespace sequoia;
 
 namespace {
@@ -19,7 +21,10 @@
                  ++placements;
                  return choosePlacement(candidates, request, {});
              },
-                [](const auto& job, const auto& load) { return admit(job, load, {}); },
+                [this](const auto& job, const auto& load) {
+                    lastCapacity = load.capacity;
+                    return admitsAll ? Admission() : admit(job, load, {});
+                },
                 [this](WaiterId waiter) { return !left.contains(raw(waiter)); } })
     {
         dispatcher.tick(now);
@@ -36,6 +41,7 @@
         hello.agent = "agent" + std::to_string(i);
         hello.incarnation = 100 + i + 1000 * restart;
         hello.relays = takesRelays;
+        hello.evacuations = takesEvacuations;
         dispatcher.agentLinked(LinkId(i), hello, now, now);
         wire::RoomReportT report;
         report.service = "service";
@@ -61,6 +67,45 @@
         deliver(agent, std::move(report));
     }
 
+    /** The store tells which failure domains are to be evacuated. */
+    void evacuate(uint64_t version, const std::vector<std::string>& domains)
+    {
+        dispatcher.setEvacuations(domains, StoreVersion(version), "store", now);
+        collectEffects();
+    }
+
+    /** The gate of an agent reports that it is closed because of an evacuation. */
+    void reportEvacuated(size_t agent)
+    {
+        wire::RoomReportT report;
+        report.service = "service";
+        report.labels = { "label" + std::to_string(agent) };
+        report.state = wire::GateState::Closed;
+        report.reason = "evacuated";
+        report.total = std::make_unique<wire::Room>(agentCpu, 1000, 1);
+        report.free = std::make_unique<wire::Room>(agentCpu, 1000, 1);
+        report.slowness = 1;
+        deliver(agent, std::move(report));
+    }
+
+    /** Two servers crash under the task of a run, so that its route is isolated. */
+    void reportCrashes(const RunId& id)
+    {
+        for (uint32_t n = 1; n <= 2; ++n) {
+            wire::ServerCrashT crash;
+            crash.agent_incarnation = 100 + n;
+            crash.number = 1;
+            auto run = std::make_unique<wire::CrashedRunT>();
+            run->id = std::make_unique<wire::RunId>(toWire(id));
+            run->route = "route";
+            run->age_ms = 10;
+            run->is_latest = true;
+            run->is_suspect = n == 2;
+            crash.runs.push_back(std::move(run));
+            deliver(0, std::move(crash));
+        }
+    }
+
     /** Delivers a message of an agent. */
     template <typename Message> void deliver(size_t agent, Message message)
     {
@@ -107,9 +152,10 @@
 
     /** Delivers the result of a run from its agent. */
     void end(const RunId& id, wire::RunOutcome outcome, Milliseconds ran = Milliseconds(100),
-        wire::Refusal refusal = wire::Refusal::None, uint32_t activeRun = 0)
+        wire::Refusal refusal = wire::Refusal::None, uint32_t activeRun = 0, const std::string& reason = "")
     {
         wire::RunResultT result;
+        result.reason = reason;
         result.refusal = refusal;
         result.active_run = activeRun;
         result.id = std::make_unique<wire::RunId>(toWire(id));
@@ -148,6 +194,8 @@
             if (send == nullptr)
                 continue;
             agentTimes[raw(send->link)] = send->agentTime;
+            if (const auto* told = send->body.AsEvacuations())
+                evacuationsTold[raw(send->link)].push_back(*told);
             if (const auto* order = send->body.AsRunOrder()) {
                 orders.push_back(fromWire(*order->id));
                 agentByRun[orders.back()] = raw(send->link);
@@ -165,6 +213,10 @@
     Milliseconds age {}; ///< Of the requests that are submitted.
     std::set<uint64_t> left; ///< Jobs whose callers have ended their connections.
     size_t placements = 0; ///< Calls of the placement policy.
+    bool admitsAll = false; ///< Otherwise jobs are admitted by the load.
+    double lastCapacity = 0; ///< In the load of the last admission.
+    bool takesEvacuations = true; ///< Agents that link know the message.
+    std::map<size_t, std::vector<wire::EvacuationsT>> evacuationsTold; ///< By agent.
     Dispatcher dispatcher;
     std::map<uint64_t, WorkAnswer> answers;
     std::vector<RunId> orders;
@@ -1407,19 +1459,7 @@
     if (row->hasOtherRoute)
         fixture.submit(1, stepOf(1, 1000), Milliseconds(5000), 0, "other");
     fixture.submit(2, stepOf(1, 1000), Milliseconds(5000));
-    for (uint32_t n = 1; n <= 2; ++n) {
-        wire::ServerCrashT crash;
-        crash.agent_incarnation = 100 + n;
-        crash.number = 1;
-        auto run = std::make_unique<wire::CrashedRunT>();
-        run->id = std::make_unique<wire::RunId>(toWire(fixture.orders.back()));
-        run->route = "route";
-        run->age_ms = 10;
-        run->is_latest = true;
-        run->is_suspect = n == 2;
-        crash.runs.push_back(std::move(run));
-        fixture.deliver(0, std::move(crash));
-    }
+    fixture.reportCrashes(fixture.orders.back());
     cr_assert(fixture.answers.contains(2), "%s", row->name);
     cr_expect_eq(fixture.answers.at(2).reason, "crashes-servers", "%s", row->name);
     fixture.submit(3, stepOf(8, 1000), Milliseconds(5000));
@@ -1435,3 +1475,256 @@
     }
     cr_expect_eq(agents.size() == 1, row->isConfined, "%s: %zu servers", row->name, agents.size());
 }
+
+namespace {
+
+/** Agents 0 and 1 are in the failure domain "a", 2 and 3 in "b". */
+class EvacuationFixture : public DispatcherFixture {
+public:
+    EvacuationFixture()
+        : DispatcherFixture(0)
+    {
+        for (size_t i = 0; i < 4; ++i)
+            link(i, 0, i < 2 ? "a" : "b");
+    }
+
+    /** Agents that get the tasks of a job that fills all usable ones. */
+    std::set<size_t> agentsOfNextJob()
+    {
+        const auto before = orders.size();
+        submit(++m_lastJob, stepOf(4, agentCpu / 2 + 1));
+        std::set<size_t> agents;
+        for (size_t i = before; i < orders.size(); ++i)
+            agents.insert(agentByRun.at(orders[i]));
+        dispatcher.cancel(WorkId(m_lastJob), now);
+        for (auto i = before; i < orders.size(); ++i)
+            end(orders[i], wire::RunOutcome::Stopped);
+        return agents;
+    }
+
+private:
+    uint64_t m_lastJob = 1000;
+};
+
+} // namespace
+
+struct EntryEvacuationRow {
+    char name[56];
+    char states[48]; ///< Store version and domains of each, as in "5:a,b 6:".
+    char expected[8]; ///< Agents that get orders.
+};
+
+ParameterizedTestParameters(Dispatcher, ordersNothingFromAgentsOfEvacuatedDomains)
+{
+    static EntryEvacuationRow rows[] = {
+        { "none", "5:", "0123" },
+        { "one domain", "5:a", "23" },
+        { "two domains", "5:a,b", "" },
+        { "one of two withdrawn", "5:a,b 6:b", "01" },
+        { "withdrawn", "5:a 6:", "0123" },
+        { "repeated", "5:a 6: 7:a", "23" },
+        { "an older answer of the store", "5:a 4:", "23" },
+        { "an older request", "5: 4:a", "0123" },
+        { "a domain without servers", "5:c", "0123" },
+    };
+    return cr_make_param_array(EntryEvacuationRow, rows, sizeof(rows) / sizeof(EntryEvacuationRow));
+}
+
+ParameterizedTest(EntryEvacuationRow* row, Dispatcher, ordersNothingFromAgentsOfEvacuatedDomains)
+{
+    EvacuationFixture fixture;
+    std::istringstream states(row->states);
+    for (std::string state; states >> state;) {
+        std::vector<std::string> domains;
+        std::istringstream list(state.substr(2));
+        for (std::string domain; std::getline(list, domain, ',');)
+            domains.push_back(domain);
+        fixture.evacuate(std::stoull(state), domains);
+    }
+    std::string agents;
+    for (const auto agent : fixture.agentsOfNextJob())
+        agents += std::to_string(agent);
+    cr_expect_eq(agents, std::string(row->expected), "%s: %s", row->name, agents.c_str());
+}
+
+Test(Dispatcher, agentsThatKnowTheMessageAreToldOfEvacuationsBeforeTheirOrders)
+{
+    EvacuationFixture fixture;
+    cr_expect(fixture.evacuationsTold.empty(), "nothing is known yet");
+    fixture.evacuate(5, { "a" });
+    for (size_t i = 0; i < 4; ++i)
+        cr_assert_eq(fixture.evacuationsTold[i].size(), 1U, "agent %zu", i);
+    cr_expect_eq(fixture.evacuationsTold[3].back().version, 5U);
+    cr_expect_eq(fixture.evacuationsTold[3].back().domains.size(), 1U);
+    fixture.evacuate(8, { "a" });
+    cr_expect_eq(fixture.evacuationsTold[0].back().version, 8U, "an agent must be able to ignore states before 8");
+    fixture.evacuate(7, {});
+    cr_expect_eq(fixture.evacuationsTold[0].size(), 2U, "older states are not told");
+    fixture.takesEvacuations = false;
+    fixture.link(2, 1, "b");
+    cr_expect_eq(fixture.evacuationsTold[2].size(), 2U, "an agent of an earlier release would close the link");
+    fixture.takesEvacuations = true;
+    fixture.submit(1, stepOf(1, agentCpu)); // Waits for agent 4 if the others are full.
+    fixture.submit(2, stepOf(1, agentCpu));
+    const auto orders = fixture.orders.size();
+    fixture.submit(3, stepOf(1, agentCpu));
+    cr_assert_eq(fixture.orders.size(), orders);
+    fixture.link(4, 0, "c");
+    cr_expect_eq(fixture.evacuationsTold[4].size(), 1U);
+    cr_expect_eq(fixture.agentOf(3), 4U);
+}
+
+/** A job that no usable server is large enough for would wait until its caller leaves. */
+Test(Dispatcher, jobThatOnlyAnEvacuatedDomainCouldServeIsRefusedAtOnce)
+{
+    EvacuationFixture fixture;
+    auto step = stepOf(1, agentCpu);
+    step.requiredLabel = "label0";
+    fixture.submit(1, step);
+    fixture.submit(2, step);
+    cr_assert_eq(fixture.orders.size(), 1U);
+    fixture.evacuate(5, { "a" });
+    cr_expect_not(fixture.answers.contains(1), "what runs goes on");
+    cr_assert(fixture.answers.contains(2), "what waits is refused");
+    fixture.submit(3, step);
+    cr_assert(fixture.answers.contains(3), "what arrives is refused");
+    for (const uint64_t id : { 2, 3 }) {
+        cr_expect(fixture.answers.at(id).status == WorkStatus::NotRun);
+        cr_expect_eq(fixture.answers.at(id).reason, "no-server-fits");
+    }
+    fixture.end(fixture.orders[0], wire::RunOutcome::Done);
+    cr_expect(fixture.answers.at(1).status == WorkStatus::Succeeded);
+    fixture.evacuate(6, {});
+    fixture.submit(4, step);
+    cr_expect_eq(fixture.agentOf(4), 0U);
+}
+
+/** The request arrives while agents are being discovered: no job is refused for want of them. */
+Test(Dispatcher, evacuationDuringTheDiscoveryOfAgentsRefusesNoWaitingJob)
+{
+    DispatcherFixture fixture(0);
+    Dispatcher starting({}, {},
+        { [](const auto& candidates, const auto& request) { return choosePlacement(candidates, request, {}); },
+            [](const auto& job, const auto& load) { return admit(job, load, {}); } });
+    starting.tick(fixture.now);
+    WorkSpec spec;
+    spec.id = WorkId(1);
+    spec.steps = { stepOf(1, 1000) };
+    RoutePolicy route;
+    route.service = "service";
+    route.objective = Milliseconds(60);
+    starting.submit(spec, route, { WaiterId(1), fixture.now, Milliseconds(2000) }, fixture.now);
+    starting.setEvacuations({ "a" }, StoreVersion(5), "store", fixture.now);
+    cr_expect(starting.isOpen(WorkId(1)));
+}
+
+/** The measured rate of finished work would show the loss only after about a second, in which too many jobs would be
+ * admitted that can't be in time. */
+Test(Dispatcher, admissionSeesTheCapacityOfAnEvacuatedDomainAtOnce)
+{
+    EvacuationFixture fixture;
+    fixture.admitsAll = true;
+    // Servers do half of their capacity: each run of 300 ms takes 600 ms. Always some jobs wait.
+    uint64_t id = 0;
+    for (int round = 0; round < 8; ++round) {
+        for (int n = 0; n < (round == 0 ? 10 : 4); ++n)
+            fixture.submit(++id, stepOf(1, agentCpu, Milliseconds(300)), Milliseconds(20000));
+        fixture.advance(Milliseconds(600));
+        const std::vector running(fixture.orders.end() - 4, fixture.orders.end());
+        for (const auto& run : running)
+            fixture.end(run, wire::RunOutcome::Done, Milliseconds(300));
+    }
+    fixture.tick();
+    cr_expect_lt(fixture.lastCapacity, 3 * agentCpu, "the measured rate is in use: %f", fixture.lastCapacity);
+    const auto before = fixture.lastCapacity;
+    fixture.evacuate(5, { "a" });
+    constexpr double tolerance = 0.01;
+    cr_expect_float_eq(fixture.lastCapacity / before, 0.5, tolerance, "%f", fixture.lastCapacity / before);
+    fixture.evacuate(6, {});
+    cr_expect_float_eq(fixture.lastCapacity / before, 1.0, tolerance, "%f", fixture.lastCapacity / before);
+}
+
+/** The entries of an evacuated domain would otherwise prefer unusable agents only, and order from what others prefer.
+ */
+Test(Dispatcher, preferredAgentsAreChosenAmongUsableOnes)
+{
+    for (size_t position = 0; position < 2; ++position) {
+        EvacuationFixture fixture;
+        fixture.dispatcher.setEntries(2, position);
+        fixture.tick();
+        fixture.evacuate(5, { "a" });
+        fixture.submit(1, stepOf(1, 1000));
+        cr_expect_eq(fixture.agentOf(1), 2 + position, "entry %zu: agent %zu", position, fixture.agentOf(1));
+    }
+}
+
+/** An entry without contact to the store learns of the evacuation from the reports of the gates. */
+Test(Dispatcher, reportsOfEvacuatedGatesCountAsTheRequest)
+{
+    EvacuationFixture fixture;
+    auto step = stepOf(1, agentCpu);
+    step.requiredLabel = "label0";
+    fixture.submit(1, step);
+    fixture.submit(2, step);
+    cr_assert_eq(fixture.orders.size(), 1U);
+    fixture.reportEvacuated(0);
+    cr_assert(fixture.answers.contains(2));
+    cr_expect_eq(fixture.answers.at(2).reason, "no-server-fits");
+    fixture.reportCapacity(0, agentCpu, agentCpu);
+    fixture.submit(3, step);
+    cr_expect_eq(fixture.agentOf(3), 0U, "the server is used again at once");
+}
+
+/** A task whose order a gate refused because of an evacuation avoided this server, and waited for the others. */
+Test(Dispatcher, refusalByAnEvacuatedGateIsNoReasonToAvoidTheServer)
+{
+    EvacuationFixture fixture;
+    fixture.evacuate(5, { "b" });
+    fixture.submit(1, stepOf(2, agentCpu), Milliseconds(20000));
+    cr_assert_eq(fixture.orders.size(), 2U);
+    const auto refused = fixture.orders[0];
+    const auto agent = fixture.agentByRun.at(refused);
+    fixture.reportEvacuated(agent);
+    fixture.end(refused, wire::RunOutcome::NotStarted, {}, wire::Refusal::Closed, 0, "evacuated");
+    cr_assert_eq(fixture.orders.size(), 2U);
+    fixture.reportCapacity(agent, agentCpu, agentCpu);
+    cr_assert_eq(fixture.orders.size(), 3U, "the server is used again at once");
+    cr_expect_eq(fixture.agentByRun.at(fixture.orders[2]), agent);
+}
+
+/** A run was stopped as a straggler although all other servers that could repeat it were evacuated. */
+Test(Dispatcher, evacuatedAgentsAreNoAlternativesOfStragglers)
+{
+    DispatcherFixture fixture(0);
+    fixture.link(0, 0, "a");
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(20000));
+    cr_assert_eq(fixture.orders.size(), 1U);
+    fixture.link(1, 0, "b");
+    fixture.evacuate(5, { "b" });
+    fixture.advance(Milliseconds(1000));
+    cr_expect(fixture.stops.empty());
+    fixture.evacuate(6, {});
+    fixture.advance(Milliseconds(20));
+    cr_expect_eq(fixture.stops.size(), 1U);
+}
+
+/** The servers chosen for isolated routes were unusable ones, and the jobs of these routes waited for them. */
+Test(Dispatcher, isolatedRoutesGetUsableServers)
+{
+    EvacuationFixture fixture;
+    fixture.submit(1, stepOf(1, 1000), Milliseconds(5000), 0, "other");
+    fixture.submit(2, stepOf(1, 1000), Milliseconds(5000));
+    fixture.reportCrashes(fixture.orders.back());
+    fixture.submit(3, stepOf(1, 1000), Milliseconds(5000));
+    const auto confined = fixture.agentOf(3);
+    cr_assert_lt(confined, 4U);
+    const bool isInA = confined < 2;
+    fixture.evacuate(5, { isInA ? "a" : "b" });
+    for (const auto& agent : fixture.dispatcher.agents())
+        cr_expect(!agent.isForIsolatedRoutes || agent.isUsable(), "%s", agent.name.c_str());
+    fixture.submit(4, stepOf(2, 1000), Milliseconds(5000));
+    cr_assert_lt(fixture.agentOf(4), 4U);
+    cr_expect_eq(fixture.agentOf(4) >= 2, isInA, "agent %zu", fixture.agentOf(4));
+    fixture.submit(5, stepOf(1, 1000), Milliseconds(5000), 0, "other");
+    cr_expect_neq(fixture.agentOf(5), fixture.agentOf(4), "the routes stay apart");
+}
