Entries follow the operators' evacuation requests in the store

One watch of the operators' prefix serves the configuration and the requests where evacuation_bound_ms is set, so that there are no further calls to the store. An item whose value can't be read still requests the evacuation, as only its key counts. A watch's answer that is older than one before is not followed, as it would undo what came after it under the newer version; the prefix is listed again. Entries without the store take the state from their peers before the configuration: a starting entry would otherwise place jobs with a configuration of a peer and without the requests.

--- a/include/sequoia/PlatformEntryProcess.h
+++ b/include/sequoia/PlatformEntryProcess.h
@@ -22,6 +22,8 @@
 /** Adapters to the platform: its configuration, and functions that make the clients and handlers of its protocols. */
 struct PlatformEntryAdapters {
     std::string configurationKey; ///< Store key of the operators' configuration.
+    std::string operatorPrefix; ///< Prefix of that key and of `evacuationPrefix`.
+    std::string evacuationPrefix; ///< Prefix of the store keys that name failure domains to evacuate.
     RouteTableReader readConfiguration;
     std::function<SharedStore(HttpLoop&, const std::string& address, Log&, PostHook)> connectStore;
     /** Handler of callers' requests. */
@@ -66,8 +68,14 @@
     void apply(AnswerCaller& action);
     template <typename Action> void apply(Action& action) { m_effects.apply(action); }
 
+    /** The operators have changed the configuration, or which failure domains are to be evacuated. */
+    void updateOperatorItems(const std::map<std::string, std::string>& items);
+    /** Another entry has told which failure domains are evacuated. */
+    void updateEvacuationsFromPeer(const std::string& text);
+    bool followsEvacuations() const { return m_settings.evacuation_bound_ms > 0; }
     void updateEntries(const std::map<std::string, std::string>& items);
-    /** While the store is unavailable, fetches the configuration from another entry, which may have a newer one. */
+    /** While the store is unavailable, fetches the configuration and the evacuations from another entry, which may have
+     * newer ones. */
     void fetchConfigurationFromPeer();
 
     void serveReadiness(const HttpExchangePtr& exchange);
@@ -92,7 +100,9 @@
     AsyncHttpServer m_peerServer;
     AsyncHttpServer m_metricsServer;
     SharedStore m_store;
-    StoreWatcher m_configurationWatcher;
+    std::string m_configurationKey;
+    std::string m_evacuationPrefix;
+    StoreWatcher m_configurationWatcher; ///< Of the evacuations as well, if they are followed.
     StoreWatcher m_entriesWatcher;
     Registration m_registration;
     LearnedPublisher m_learnedPublisher;
--- a/include/sequoia/StoreWatcher.h
+++ b/include/sequoia/StoreWatcher.h
@@ -38,6 +38,8 @@
     /** Whether the items have been listed and the last call succeeded. */
     bool isConnected() const { return m_failures == 0 && m_version.has_value(); }
     const std::map<std::string, std::string>& items() const { return m_items; }
+    /** Version of the store that the items are of; only known from the first `changed` on. */
+    StoreVersion version() const { return m_version.value_or(StoreVersion()); }
 
 private:
     void onListReply(const StoreReply<SharedItems>& reply);
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -19,6 +19,7 @@
     constexpr Milliseconds arrivalPeriod { 50 };
     constexpr int ticksPerLinkCleanup = 50;
     constexpr std::string_view configurationPath = "/v1/configuration";
+    constexpr std::string_view evacuationsPath = "/v1/evacuations";
 
     DispatcherLimits dispatcherLimits(const RoomEntrySettings& settings)
     {
@@ -69,12 +70,10 @@
     , m_metricsServer(
           m_loop, {}, [this](const HttpServerRequest&, const HttpExchangePtr& exchange) { serveMetrics(exchange); })
     , m_store(ports.connectStore(m_loop, settings.store_address, m_log, [this](auto work) { post(std::move(work)); }))
-    , m_configurationWatcher(ports.configurationKey, m_store, m_log, {},
-          { [this, key = ports.configurationKey](const auto& items) {
-               if (const auto it = items.find(key); it != items.end())
-                   m_routes.update(it->second, "store");
-           },
-              suspendAwareNow })
+    , m_configurationKey(ports.configurationKey)
+    , m_evacuationPrefix(ports.evacuationPrefix)
+    , m_configurationWatcher(settings.evacuation_bound_ms > 0 ? ports.operatorPrefix : ports.configurationKey, m_store,
+          m_log, {}, { [this](const auto& items) { updateOperatorItems(items); }, suspendAwareNow })
     , m_entriesWatcher(std::string(entryItemsPrefix), m_store, m_log, entriesWatcherLimits(),
           { [this](const auto& items) { updateEntries(items); }, suspendAwareNow })
     , m_registration(std::string(entryItemsPrefix) + settings.name,
@@ -269,6 +268,16 @@
     m_pendingRequests.erase(it);
 }
 
+void PlatformEntryProcess::updateOperatorItems(const std::map<std::string, std::string>& items)
+{
+    // The evacuations come first: no job may be placed under a configuration that came with them before they hold.
+    if (followsEvacuations())
+        m_core.setEvacuations(
+            evacuatedDomains(items, m_evacuationPrefix), m_configurationWatcher.version(), "store", suspendAwareNow());
+    if (const auto it = items.find(m_configurationKey); it != items.end())
+        m_routes.update(it->second, "store");
+}
+
 void PlatformEntryProcess::updateEntries(const std::map<std::string, std::string>& items)
 {
     auto directory = EntryDirectory::fromItems(items);
@@ -315,14 +324,36 @@
         m_log.event(LogLevel::Warning, "peer-malformed", { { "address", address } });
         return;
     }
-    client->call(
-        { "GET", std::string(configurationPath), "", {} }, peerTimeout, [this, client](const HttpResult& result) {
+    const auto fetchConfiguration = [this, client] {
+        client->call(
+            { "GET", std::string(configurationPath), "", {} }, peerTimeout, [this, client](const HttpResult& result) {
+                const auto* reply = std::get_if<HttpReply>(&result);
+                if (reply != nullptr && reply->status == 200)
+                    post([this, text = reply->body] { m_routes.update(text, "peer"); });
+            });
+    };
+    if (!followsEvacuations())
+        return fetchConfiguration();
+    // The evacuations come first, as a starting entry would otherwise place jobs without them.
+    client->call({ "GET", std::string(evacuationsPath), "", {} }, peerTimeout,
+        [this, fetchConfiguration](const HttpResult& result) {
             const auto* reply = std::get_if<HttpReply>(&result);
-            if (reply != nullptr && reply->status == 200)
-                m_routes.update(reply->body, "peer");
+            if (reply == nullptr)
+                return;
+            if (reply->status == 200) // Peers of earlier releases don't know the path.
+                post([this, text = reply->body] { updateEvacuationsFromPeer(text); });
+            fetchConfiguration();
         });
 }
 
+void PlatformEntryProcess::updateEvacuationsFromPeer(const std::string& text)
+{
+    if (const auto state = parseEvacuations(text))
+        m_core.setEvacuations(state->domains, state->version, "peer", suspendAwareNow());
+    else
+        m_log.event(LogLevel::Warning, "evacuations-malformed", { { "source", "peer" } });
+}
+
 void PlatformEntryProcess::serveReadiness(const HttpExchangePtr& exchange)
 {
     const bool isReady = !m_isStopping && m_hasAgents && m_routes.current() != nullptr;
@@ -331,6 +362,13 @@
 
 void PlatformEntryProcess::servePeer(const HttpServerRequest& call, const HttpExchangePtr& exchange)
 {
+    if (call.method == "GET" && call.target == evacuationsPath) {
+        post([this, exchange] {
+            const auto text = toText(m_core.evacuations());
+            exchange->reply({ text.empty() ? 404 : 200, text.empty() ? "{}" : text, "application/json", {} });
+        });
+        return;
+    }
     const auto text = m_routes.text();
     const bool isKnown = call.method == "GET" && call.target == configurationPath && !text.empty();
     exchange->reply({ isKnown ? 200 : 404, isKnown ? text : "{}", "application/json", {} });
@@ -362,6 +400,9 @@
     out.counter("runs_stuck_total", "Runs stopped because they took too long.", n.stragglers);
     out.counter("server_crashes_total", "Crashes of servers that agents reported.", n.serverCrashes);
     out.counter("route_isolations_total", "Isolations of routes whose tasks crash servers.", n.isolations);
+    out.counter("evacuations_total", "Evacuations of failure domains that have begun.", n.evacuations);
+    out.gauge("domains_evacuated", "Failure domains in which no task may start.",
+        static_cast<double>(m_core.evacuations().domains().size()));
     out.gauge("routes_isolated", "1 while a route is isolated.", m_core.hasIsolatedRoutes() ? 1 : 0);
     out.counter("runs_ownerless_total", "Runs that went on although nobody wanted them.", n.ownerlessRuns);
     out.counter("runs_adopted_total", "Runs of other entries that jobs submitted here waited for.", n.adoptedRuns);
@@ -381,8 +422,7 @@
     out.gauge("queued_tasks", "Tasks that wait for room.", static_cast<double>(m_core.queuedTasks()));
     out.gauge("linked_agents", "Agents that are linked.", static_cast<double>(m_core.linkedAgents()));
     for (const auto& agent : m_core.agents()) {
-        const bool isUsable = agent.isLinked && agent.state != wire::GateState::Closed;
-        out.gauge("agent_open", "1 if the agent takes runs.", isUsable ? 1 : 0, { { "agent", agent.name } });
+        out.gauge("agent_open", "1 if the agent takes runs.", agent.isUsable() ? 1 : 0, { { "agent", agent.name } });
         out.gauge("agent_slowness", "Run time over the expected time.", agent.slowness, { { "agent", agent.name } });
     }
     const auto table = m_routes.current();
--- a/src/StoreWatcher.cpp
+++ b/src/StoreWatcher.cpp
@@ -55,6 +55,16 @@
     onSuccess();
     m_hasWatched = true;
     const auto& found = std::get<SharedItems>(reply);
+    if (found.version < *m_version && !found.items.empty()) {
+        // An old answer: what it tells was known, and may have changed since. The pause keeps a store that goes on
+        // answering so from being called without end.
+        m_log.event(LogLevel::Warning, "store-answer-old",
+            { { "prefix", m_prefix }, { "version", static_cast<int64_t>(found.version) },
+                { "known", static_cast<int64_t>(*m_version) } });
+        m_version.reset();
+        m_nextCallAt = m_hooks.now() + m_limits.maxBackoff;
+        return;
+    }
     m_version = std::max(*m_version, found.version);
     for (const auto& item : found.items) {
         if (item.isRemoved)
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -220,6 +220,37 @@
     }
 }
 
+struct EvacuationItemRow {
+    char name[40];
+    char item[96]; ///< JSON text of the item.
+    bool isRemoval;
+};
+
+ParameterizedTestParameters(Codec, onlyTheKeyOfAnEvacuationCounts)
+{
+    static EvacuationItemRow rows[] = {
+        { "any value", R"({"key":"op/evacuate/odd","value":"eA==","revision":1})", false },
+        { "value of another type", R"({"key":"op/evacuate/odd","value":[1],"revision":1})", false },
+        { "no value", R"({"key":"op/evacuate/odd","revision":1})", false },
+        { "no revision", R"({"key":"op/evacuate/odd","value":""})", false },
+        { "removed of another type", R"({"key":"op/evacuate/odd","revision":1,"removed":7})", false },
+        { "removed", R"({"key":"op/evacuate/odd","revision":1,"removed":true})", true },
+        { "removed, odd revision", R"({"key":"op/evacuate/odd","revision":-1,"removed":true})", true },
+    };
+    return cr_make_param_array(EvacuationItemRow, rows, sizeof(rows) / sizeof(EvacuationItemRow));
+}
+
+/** The operators may write anything as the value: an item that can't be read would be taken for a withdrawn request. */
+ParameterizedTest(EvacuationItemRow* row, Codec, onlyTheKeyOfAnEvacuationCounts)
+{
+    const auto decoded = decodeItems(R"({"current_rev":9,"items":[)" + std::string(row->item) + "]}", nullptr);
+    cr_assert(std::holds_alternative<SharedItems>(decoded), "%s: %s", row->name, problemPlace(decoded).c_str());
+    const auto& items = std::get<SharedItems>(decoded).items;
+    cr_assert_eq(items.size(), 1U, "%s", row->name);
+    cr_expect_eq(items[0].key, "op/evacuate/odd", "%s", row->name);
+    cr_expect_eq(items[0].isRemoved, row->isRemoval, "%s", row->name);
+}
+
 struct OddListingRow {
     char name[40];
     char from[48]; ///< Text of a valid listing that is replaced.
--- a/tests/StoreUseTest.cpp
+++ b/tests/StoreUseTest.cpp
@@ -1,6 +1,7 @@
 /** @file StoreUseTest.cpp Tests the classes of entries that use the shared store, with a fake of the store. */
 #include <sequoia/ActiveRoutes.h>
 #include <sequoia/EntryDirectory.h>
+#include <sequoia/Evacuations.h>
 #include <sequoia/LearnedPublisher.h>
 #include <sequoia/Registration.h>
 #include <sequoia/StoreWatcher.h>
@@ -112,6 +113,95 @@
     cr_expect_eq(fake.calls.back(), "list");
 }
 
+/** One watch serves the configuration and the requests for evacuations, which name a failure domain in their keys. */
+Test(StoreWatcher, watchesConfigurationAndEvacuationsTogether)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    StoreWatcher* self = nullptr;
+    std::vector<std::string> states; ///< Configuration, store version and evacuated domains at each change.
+    StoreWatcher watcher("o/", store, fake.log, {},
+        { [&](const auto& items) {
+             std::string text = items.contains("o/config") ? items.at("o/config") : "";
+             text += "@" + std::to_string(static_cast<uint64_t>(self->version()));
+             for (const auto& domain : evacuatedDomains(items, "o/e/"))
+                 text += " " + domain;
+             states.push_back(text);
+         },
+            [&] { return fake.now; } });
+    self = &watcher;
+    watcher.tick();
+    fake.items(itemsOf(5,
+        { { "o/config", "c1", StoreVersion(1), false }, { "o/e/east", "any", StoreVersion(5), false },
+            { "o/e/", "", StoreVersion(4), false }, { "o/ea", "", StoreVersion(4), false } }));
+    cr_expect_eq(states.back(), "c1@5 east", "%s", states.back().c_str());
+    fake.items(itemsOf(7, { { "o/e/a/b", "", StoreVersion(7), false } }));
+    cr_expect_eq(states.back(), "c1@7 a/b east", "%s", states.back().c_str());
+    fake.items(itemsOf(8, { { "o/config", "c2", StoreVersion(8), false } }));
+    cr_expect_eq(states.back(), "c2@8 a/b east", "%s", states.back().c_str());
+    fake.items(itemsOf(9, { { "o/e/east", "", StoreVersion(9), true } }));
+    cr_expect_eq(states.back(), "c2@9 a/b", "%s", states.back().c_str());
+    fake.items(SharedStoreError::HistoryGone);
+    watcher.tick();
+    fake.items(itemsOf(12, { { "o/config", "c2", StoreVersion(8), false } }));
+    cr_expect_eq(states.back(), "c2@12", "what was removed meanwhile: %s", states.back().c_str());
+    cr_expect_eq(fake.calls.back(), "watch 12");
+    cr_expect_eq(fake.calls.size(), 7U, "one call at a time serves both");
+}
+
+struct EvacuationTextRow {
+    char text[72];
+    bool isValid;
+};
+
+ParameterizedTestParameters(Evacuations, readsWhatPeersTell)
+{
+    static EvacuationTextRow rows[] = {
+        { R"({"version":7,"domains":["a","b"]})", true },
+        { R"({"version":7,"domains":[]})", true },
+        { R"({"version":-7,"domains":[]})", false },
+        { R"({"version":7.5,"domains":[]})", false },
+        { R"({"version":7,"domains":[1]})", false },
+        { R"({"version":7})", false },
+        { R"([7])", false },
+        { "", false },
+    };
+    return cr_make_param_array(EvacuationTextRow, rows, sizeof(rows) / sizeof(EvacuationTextRow));
+}
+
+ParameterizedTest(EvacuationTextRow* row, Evacuations, readsWhatPeersTell)
+{
+    const auto state = parseEvacuations(row->text);
+    cr_assert_eq(state.has_value(), row->isValid, "%s", row->text);
+    if (!state)
+        return;
+    Evacuations evacuations;
+    cr_expect(toText(evacuations).empty(), "an entry that knows nothing tells nothing");
+    evacuations.update(state->domains, state->version);
+    const auto again = parseEvacuations(toText(evacuations));
+    cr_assert(again.has_value());
+    cr_expect(again->domains == state->domains && again->version == state->version, "%s", row->text);
+}
+
+/** An answer that is older than one before would undo what came after it, and count as the newest. */
+Test(StoreWatcher, oldAnswersToAWatchAreNotFollowed)
+{
+    FakeStore fake;
+    const auto store = fake.store();
+    size_t changes = 0;
+    StoreWatcher watcher("o/", store, fake.log, {}, { [&](const auto&) { ++changes; }, [&] { return fake.now; } });
+    watcher.tick();
+    fake.items(itemsOf(9, { { "o/e/east", "", StoreVersion(8), false } }));
+    fake.items(itemsOf(6, { { "o/e/east", "", StoreVersion(6), true } }));
+    cr_expect_eq(watcher.items().size(), 1U);
+    cr_expect_eq(changes, 1U);
+    fake.now += Milliseconds(400);
+    watcher.tick();
+    cr_expect_eq(fake.calls.back(), "list");
+    fake.items(itemsOf(10, { { "o/e/east", "", StoreVersion(8), false } }));
+    cr_expect_eq(changes, 2U);
+}
+
 Test(Registration, registersAgainAfterItsLeaseHasEnded)
 {
     FakeStore fake;
