Simulations of evacuations beside faults

Scenarios have failure domains, requests and entries without the store, and a start in an evacuated domain is a violation. 13 cases with three seeds each pass: one and two domains, repeated requests, lost replies, entries without the store, restarts of agents and entries, suspensions, a loss of power and a partition.

--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -192,6 +192,13 @@
 
         void taskBegins(const TaskId& task, size_t server)
         {
+            const auto domain = server % m_scenario.failureDomains;
+            auto& starts = m_report.startsByDomainAndSecond[domain];
+            starts.resize(m_report.offeredValueBySecond.size());
+            ++starts.at(static_cast<size_t>(toMilliseconds(events.now() - simulationStart).count() / 1000));
+            const auto evacuated = m_evacuated.find(domain);
+            if (evacuated != m_evacuated.end() && events.now() > evacuated->second + m_scenario.evacuationBound)
+                violation(fmt::format("task {} was started in the evacuated domain {}", toString(task), domain));
             auto& places = m_runningOn[task];
             if (!places.empty())
                 violation(fmt::format(
@@ -226,6 +233,11 @@
     private:
         void startEntry(size_t i);
         void startGate(size_t i);
+        /** The operators request the evacuation of a failure domain, or withdraw the request. */
+        void changeEvacuation(size_t domain, bool isRequested);
+        /** An entry lists the store, or gets the answer to a watch. */
+        void readStore(size_t entry);
+        std::vector<std::string> evacuatedDomains() const;
         void killEntry(size_t i, Milliseconds downTime);
         void killGate(size_t i, Milliseconds downTime);
         void losePower();
@@ -296,6 +308,8 @@
         std::map<TaskId, std::set<size_t>> m_runningOn;
         std::set<std::pair<size_t, RunId>> m_toldResults; ///< Runs that are over, as their agent has told an entry.
         std::map<TaskId, uint32_t> m_crashes; ///< Servers that each task has crashed.
+        std::map<size_t, TimePoint> m_evacuated; ///< Evacuated failure domains, and since when.
+        uint64_t m_storeVersion = 1;
         uint64_t m_pings = 0;
         double m_stranded = 0;
         size_t m_strandedSamples = 0;
@@ -449,7 +463,8 @@
         m_gateIncarnations[i] = ++m_lastGateIncarnation;
         const std::chrono::system_clock::time_point startedAt(
             std::chrono::duration_cast<std::chrono::system_clock::duration>(events.now().time_since_epoch()));
-        m_gates[i] = std::make_unique<RunGate>(Incarnation(m_lastGateIncarnation), m_tuning.gate, startedAt);
+        m_gates[i] = std::make_unique<RunGate>(Incarnation(m_lastGateIncarnation), m_tuning.gate, startedAt,
+            fmt::format("domain{}", i % m_scenario.failureDomains));
     }
 
     void ClusterSimulation::startEntry(size_t i)
@@ -467,6 +482,47 @@
             } };
         m_entries[i] = std::make_unique<Dispatcher>(m_tuning.dispatcher, m_tuning.placement, hooks);
         m_entries[i]->setEntries(m_scenario.entries, i);
+        // An entry accepts no job before it has a configuration, and the evacuations come with it.
+        if (!m_scenario.evacuations.empty())
+            m_entries[i]->setEvacuations(evacuatedDomains(), StoreVersion(m_storeVersion), "store", events.now());
+    }
+
+    std::vector<std::string> ClusterSimulation::evacuatedDomains() const
+    {
+        std::vector<std::string> domains;
+        for (const auto& [domain, since] : m_evacuated)
+            domains.push_back(fmt::format("domain{}", domain));
+        return domains;
+    }
+
+    void ClusterSimulation::changeEvacuation(size_t domain, bool isRequested)
+    {
+        ++m_storeVersion;
+        if (isRequested)
+            m_evacuated.emplace(domain, events.now());
+        else
+            m_evacuated.erase(domain);
+        for (size_t i = 0; i < m_entries.size(); ++i)
+            readStore(i);
+    }
+
+    void ClusterSimulation::readStore(size_t entry)
+    {
+        const bool isCut = std::any_of(m_scenario.storeCuts.begin(), m_scenario.storeCuts.end(), [&](const auto& cut) {
+            return cut.entry == entry && at(cut.at) <= events.now() && events.now() < at(cut.at + cut.length);
+        });
+        if (isCut || !m_entries[entry])
+            return;
+        const Milliseconds delay { std::uniform_int_distribution<int64_t>(1, m_scenario.storeDelay.count())(
+            m_generator) };
+        events.add(events.now() + delay,
+            [this, entry, domains = evacuatedDomains(), version = m_storeVersion, incarnation = m_incarnations[entry]] {
+                if (m_incarnations[entry] != incarnation)
+                    return;
+                withEntry(entry, [this, domains, version](Dispatcher& dispatcher) {
+                    dispatcher.setEvacuations(domains, StoreVersion(version), "store", events.now());
+                });
+            });
     }
 
     void ClusterSimulation::killEntry(size_t i, Milliseconds downTime)
@@ -623,6 +679,9 @@
         hello.agent = fmt::format("agent{}", agent);
         hello.incarnation = m_gateIncarnations[agent];
         hello.relays = true;
+        hello.evacuations = true;
+        hello.failure_domain
+            = m_scenario.failureDomains > 1 ? fmt::format("domain{}", agent % m_scenario.failureDomains) : "";
         m_entries[entry]->agentLinked(id, hello, events.now(), events.now());
         m_gates[agent]->entryLinked(id, welcome, events.now(), events.now());
         applyEntryEffects(entry);
@@ -1162,6 +1221,12 @@
                 events.add(at(change.at + change.length), [this, i] { m_servers[i]->scale(1); });
             }
         }
+        for (const auto& request : m_scenario.evacuations) {
+            events.add(at(request.at), [this, request] { changeEvacuation(request.domain, true); });
+            events.add(at(request.at + request.length), [this, request] { changeEvacuation(request.domain, false); });
+        }
+        for (const auto& cut : m_scenario.storeCuts)
+            events.add(at(cut.at + cut.length), [this, cut] { readStore(cut.entry); });
         for (const auto& [agent, when] : m_scenario.agentKills) {
             constexpr Milliseconds restartTime { 150 };
             events.add(at(when), [this, agent = agent] { killGate(agent, restartTime); });
@@ -1201,6 +1266,8 @@
             m_report.refusedOrders += entry->counters().refusedOrders();
             m_report.isolations += entry->counters().isolations;
         }
+        for (const auto& gate : m_gates)
+            m_report.quarantined += gate && gate->health().health() == Health::Quarantined ? 1 : 0;
         for (const auto& gate : m_gates)
             m_report.wastedRuns += gate ? gate->counters().stopped + gate->counters().lost : 0;
         m_report.strandedShare = m_strandedSamples > 0 ? m_stranded / static_cast<double>(m_strandedSamples) : 0;
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -60,6 +60,20 @@
     Milliseconds length {};
 };
 
+/** Period in which the operators want a failure domain evacuated. */
+struct EvacuationRequest {
+    size_t domain = 0;
+    Milliseconds at {};
+    Milliseconds length {};
+};
+
+/** Period in which an entry has no contact to the store. */
+struct StoreCut {
+    size_t entry = 0;
+    Milliseconds at {};
+    Milliseconds length {};
+};
+
 /** Parameters of one simulation. */
 struct Scenario {
     std::string name;
@@ -95,6 +109,12 @@
     std::vector<Burst> bursts;
     std::vector<ServerFault> faults;
     std::vector<CapacityChange> capacityChanges;
+    size_t failureDomains = 1; ///< Server i is in the failure domain i modulo this.
+    std::vector<EvacuationRequest> evacuations;
+    std::vector<StoreCut> storeCuts;
+    Milliseconds storeDelay { 10 }; ///< Longest time until an entry learns of a change of the store.
+    /** A start in a failure domain this long after the request counts as a violation. */
+    Milliseconds evacuationBound { 100 };
     bool guardsCapacity = false; ///< Servers reject starts that don't fit; otherwise they start whatever they are told.
     Milliseconds crashesFrom { 5000 }; ///< Jobs with a task that crashes servers arrive from here on, see JobKind.
     Milliseconds crashesUntil { 15000 };
@@ -179,6 +199,9 @@
     uint64_t crashingJobsFailed = 0; ///< Jobs with a task that crashes servers that were answered as failed.
     uint64_t crashingJobsGivenUp = 0; ///< Those that were answered otherwise after a run of them had been ordered.
     uint64_t crashingJobs = 0; ///< Jobs with a task that crashes servers.
+    /** Tasks started in each failure domain, by second. */
+    std::map<size_t, std::vector<uint64_t>> startsByDomainAndSecond;
+    uint64_t quarantined = 0; ///< Agents whose server is in quarantine at the end.
     uint32_t mostCrashes = 0; ///< Crashes under the task that crashed most servers.
     double strandedShare = 0; ///< Mean share of processors that were free while tasks waited.
     double valueShare() const; ///< Earned share of the value of all jobs.
--- a/tests/TaskPlacementTest.cpp
+++ b/tests/TaskPlacementTest.cpp
@@ -986,3 +986,127 @@
         expectServed(report, 0.95, nameOf(seed));
     }
 }
+
+namespace {
+
+/** Three failure domains of four servers; two thirds of them can carry the load. */
+Scenario evacuationScenario(std::string name)
+{
+    auto scenario = mingaScenario(std::move(name));
+    scenario.servers = 12;
+    scenario.failureDomains = 3;
+    scenario.load = 0.7;
+    scenario.length = Milliseconds(16000);
+    scenario.evacuations = { { 0, Milliseconds(4000), Milliseconds(6000) } };
+    return scenario;
+}
+
+} // namespace
+
+/** Faults and requests beside or instead of the usual request. */
+struct EvacuationCase {
+    const char* name;
+    void (*change)(Scenario& scenario);
+    double minServed; ///< Share of jobs.
+};
+
+const EvacuationCase evacuationCases[] = {
+    { "one domain", [](Scenario&) {}, 0.97 },
+    { "withdrawn and repeated",
+        [](Scenario& scenario) {
+            scenario.evacuations = { { 0, Milliseconds(3000), Milliseconds(2000) },
+                { 0, Milliseconds(6000), Milliseconds(2000) }, { 0, Milliseconds(8200), Milliseconds(1800) } };
+        },
+        0.97 },
+    { "two domains",
+        [](Scenario& scenario) {
+            scenario.evacuations.push_back({ 1, Milliseconds(6000), Milliseconds(4000) });
+            scenario.load = 0.3;
+        },
+        0.97 },
+    { "starts without an answer",
+        [](Scenario& scenario) {
+            scenario.lostReplies = 0.3;
+            scenario.lostPolls = 0.1;
+        },
+        0.8 },
+    { "an entry without the store",
+        [](Scenario& scenario) {
+            scenario.storeCuts = { { 0, Milliseconds(2000), Milliseconds(13000) } };
+        },
+        0.95 },
+    { "an entry without the store from within the evacuation",
+        [](Scenario& scenario) {
+            scenario.storeCuts = { { 1, Milliseconds(6000), Milliseconds(7000) } };
+        },
+        0.95 },
+    { "agents restart, an entry is without the store",
+        [](Scenario& scenario) {
+            scenario.storeCuts = { { 0, Milliseconds(2000), Milliseconds(13000) } };
+            for (size_t i = 0; i < scenario.servers; i += 3)
+                scenario.agentKills.emplace_back(i, Milliseconds(5000 + 300 * static_cast<int64_t>(i)));
+        },
+        0.9 },
+    { "an entry restarts",
+        [](Scenario& scenario) {
+            scenario.entryKills = { { 0, Milliseconds(5000) } };
+        },
+        0.9 },
+    { "an entry is suspended from before the request to after it",
+        [](Scenario& scenario) {
+            scenario.entrySuspensions = { { 0, Milliseconds(3500) } };
+        },
+        0.7 },
+    { "an entry is suspended while the request is withdrawn and repeated",
+        [](Scenario& scenario) {
+            scenario.entrySuspensions = { { 0, Milliseconds(5000) } };
+            scenario.evacuations
+                = { { 0, Milliseconds(4000), Milliseconds(1500) }, { 0, Milliseconds(6500), Milliseconds(3500) } };
+        },
+        0.7 },
+    { "all machines lose power", [](Scenario& scenario) { scenario.powerLoss = Milliseconds(6000); }, 0.6 },
+    { "an entry can't reach the agents",
+        [](Scenario& scenario) {
+            scenario.entryPartitions = { { 0, Milliseconds(3500) } };
+        },
+        0.7 },
+    { "agents are suspended",
+        [](Scenario& scenario) {
+            scenario.agentSuspensions = { { 0, Milliseconds(3900) }, { 3, Milliseconds(3000) } };
+        },
+        0.9 },
+};
+
+// Pointers to functions don't survive the copy of a row to the process of its test.
+struct EvacuationRow {
+    size_t index;
+};
+
+ParameterizedTestParameters(ClusterSimulation, nothingStartsInAnEvacuatedDomain)
+{
+    static std::vector<EvacuationRow> rows;
+    for (size_t i = 0; i < std::size(evacuationCases); ++i)
+        rows.push_back({ i });
+    return cr_make_param_array(EvacuationRow, rows.data(), rows.size());
+}
+
+/** The simulation checks that no task starts there from shortly after the request until its withdrawal; double runs
+ * and exceeded capacity are violations as in all simulations. */
+ParameterizedTest(EvacuationRow* row, ClusterSimulation, nothingStartsInAnEvacuatedDomain, .timeout = 120)
+{
+    const auto& test = evacuationCases[row->index];
+    for (const uint64_t seed : { 1, 2, 3 }) {
+        auto scenario = evacuationScenario(test.name);
+        scenario.seed = seed;
+        test.change(scenario);
+        const auto report = simulate(scenario);
+        for (const auto& violation : report.violations)
+            cr_expect_fail("%s, seed %zu: %s", test.name, static_cast<size_t>(seed), violation.c_str());
+        cr_expect_geq(report.servedShare(), test.minServed, "%s, seed %zu: served %f", test.name,
+            static_cast<size_t>(seed), report.servedShare());
+        const auto& starts = report.startsByDomainAndSecond.at(0);
+        cr_expect_gt(starts.at(2), 0U, "%s: before the request", test.name);
+        cr_expect_gt(starts.at(10), 0U, "%s: the servers are used again at once", test.name);
+        cr_expect_eq(report.quarantined, 0U, "%s", test.name);
+    }
+}
