The soak plays evacuations

A group of faults writes and removes the operators' request for a failure domain. The judge reports a start in it later than 5 s after the store's answer, or after the last disturbed call to the store, while the agent is in touch.

--- a/tests/PlatformSoak.cpp
+++ b/tests/PlatformSoak.cpp
@@ -134,12 +134,16 @@
 /** An agent with its backend server. */
 struct Agent {
     Agent(HttpLoop& loop, Random& random, Judge& judge, size_t number, const std::string& folder)
-        : unit(loop, judge, fmt::format("agent{}", number), "sequoia-platform-agent",
-            fmt::format("{}/agent{}.toml", folder, number))
+        : domain(fmt::format("d{}", number % domains))
+        , unit(loop, judge, fmt::format("agent{}", number), "sequoia-platform-agent",
+              fmt::format("{}/agent{}.toml", folder, number))
         , server(loop, random, judge, static_cast<int>(number), pings.text)
     {
     }
 
+    static constexpr size_t domains = 3;
+
+    std::string domain; ///< Failure domain.
     Unit unit;
     ReservedAddress pings;
     SoakServer server;
@@ -185,6 +189,11 @@
                     it->server.settle();
             };
             agent->server.isAgentInTouch = [&unit = agent->unit] { return unit.isInTouch(); };
+            agent->server.isEvacuated = [this, &unit = agent->unit, domain = agent->domain] {
+                const auto since = evacuatedSince.find(domain);
+                return since != evacuatedSince.end() && unit.isInTouch()
+                    && Clock::now() - std::max(since->second, store->lastDisturbed()) > evacuationBound;
+            };
             agent->unit.start();
         }
         std::vector<std::string> addresses;
@@ -278,6 +287,9 @@
         store->write("op/config", configuration.dump(), 0);
     }
 
+    static constexpr Milliseconds evacuationBound { 5000 };
+    std::map<std::string, TimePoint> evacuatedSince; ///< By failure domain.
+
     FailureGuard failures { {},
         { [this](std::string_view place, const std::string& error) {
              judge->broken("TEST", fmt::format("exception in {}: {}", place, error));
@@ -323,17 +335,17 @@
             it.unit.settings = fmt::format("name = \"entry{}\"\ncallers_address = \"{}\"\nreadiness_address = \"{}\"\n"
                                            "peers_address = \"{}\"\nlink_address = \"{}\"\nstore_address = \"{}\"\n"
                                            "seeds = [\"{}\"]\ncaller_resend_ms = 1300\nrotation_ms = 500\n"
-                                           "stop_timeout_ms = 3000\n",
+                                           "stop_timeout_ms = 3000\nevacuation_bound_ms = {}\n",
                 i, it.callers.text, it.readiness.text, it.peers.text, it.link.text, store->address,
-                entries.front()->peers.text);
+                entries.front()->peers.text, evacuationBound.count());
         }
         for (size_t i = 0; i < agents.size(); ++i) {
             auto& it = *agents[i];
             it.unit.settings = fmt::format(
                 "name = \"agent{}\"\npings_address = \"{}\"\nserver_address = \"{}\"\nstore_address = \"{}\"\n"
                 "seeds = [\"127.0.0.1:1\", \"127.0.0.2:1\", \"127.0.0.3:1\"]\nlink_port = {}\n"
-                "stop_timeout_ms = 3000\n",
-                i, it.pings.text, it.server.address(), store->address, m_linkPort.port);
+                "stop_timeout_ms = 3000\nfailure_domain = \"{}\"\n",
+                i, it.pings.text, it.server.address(), store->address, m_linkPort.port, it.domain);
         }
     }
 
@@ -580,6 +592,22 @@
     return {};
 }
 
+/** The operators want a failure domain evacuated, and withdraw the request later. */
+EndOfFault evacuateDomain(Soak& soak)
+{
+    const auto domain = soak.drawAgent().domain;
+    if (soak.store->isDown() || soak.evacuatedSince.contains(domain))
+        return {};
+    const auto key = "op/evacuate/" + domain;
+    soak.store->write(key, chance(soak.faultRandom, 0.5) ? "" : "yes", 0);
+    soak.evacuatedSince[domain] = Clock::now();
+    soak.judge->note(fmt::format("evacuation of {} requested", domain));
+    return [&soak, key, domain] {
+        soak.evacuatedSince.erase(domain);
+        soak.store->remove(key);
+    };
+}
+
 // clang-format off
 const FaultRow faultRows[] = {
     { "", "links-reset", 6, 0ms, 0ms, [](Soak& s) -> EndOfFault { s.drawEntry().linkProxy.reset(s.faultRandom, 0.5); return {}; } },
@@ -639,6 +667,7 @@
     { "resends", "jobs-reset", 4, 100ms, 1500ms, [](Soak& s) { return resetJobs(s, s.drawEntry()); } },
     { "resends", "ending-entry-jobs-reset", 4, 500ms, 1500ms, resetJobsOfEndingEntry },
     { "delays", "links-delayed", 4, 3000ms, 6000ms, delayLinks },
+    { "evacuation", "evacuation", 6, 2000ms, 9000ms, evacuateDomain },
 };
 // clang-format on
 
@@ -729,8 +758,8 @@
 
 ParameterizedTestParameters(PlatformSoak, keepsTheRules)
 {
-    static SeedRow rows[]
-        = { { 1, "", "" }, { 2, "", "" }, { 3, "", "" }, { 4, "", "" }, { 5, "", "" }, { 6, "", "" }, { 41, "", "" } };
+    static SeedRow rows[] = { { 1, "", "" }, { 2, "", "" }, { 3, "", "" }, { 4, "", "" }, { 5, "", "" }, { 6, "", "" },
+        { 41, "", "" }, { 7, "evacuation", "" } };
     if (std::getenv("SEQUOIA_SEED") == nullptr)
         return cr_make_param_array(SeedRow, rows, sizeof(rows) / sizeof(SeedRow));
     rows[0].seed = fromEnvironment("SEQUOIA_SEED", 1);
--- a/tests/soak/Judge.h
+++ b/tests/soak/Judge.h
@@ -42,6 +42,7 @@
     int64_t cpuBefore = 0; ///< In use on the server, with the runs that are being stopped.
     int64_t cpuTotal = 0;
     bool isLateDrain = false; ///< The server's drain was acknowledged longer ago than is allowed.
+    bool isInEvacuatedDomain = false; ///< The store acknowledged the request for it longer ago than is allowed.
 };
 
 /** Account of all jobs and runs. Used on the event loop's thread. */
@@ -113,6 +114,8 @@
             broken("LIMIT", fmt::format("{}: {} + {} of {}", text, start.cpuBefore, cpu, start.cpuTotal));
         if (start.isLateDrain)
             broken("DRAIN", text);
+        if (start.isInEvacuatedDomain)
+            broken("EVACUATED", text);
         if (const auto step = stepIndex(task); step > 0)
             expectDone(id, job, step - 1, "ORDER");
         if (job.crashes[task] == maxCrashes) // Once for a task, however often it is started then.
--- a/tests/soak/Server.h
+++ b/tests/soak/Server.h
@@ -103,6 +103,7 @@
     /** Time without faults on the agent; a drain is judged only then. */
     std::function<bool()> isAgentInTouch;
     std::function<void()> settleAll; ///< Settles all servers.
+    std::function<bool()> isEvacuated = [] { return false; }; ///< No task may start any more.
     double slowness = 1; ///< Factor of run times.
     Milliseconds delay { 3 }; ///< Longest delay of a reply.
     double unansweredShare = 0; ///< Calls that get no reply, carried out or not.
@@ -320,7 +321,7 @@
             cpu += run.cpu;
         const bool isLateDrain
             = m_drainReply && !isLate && Clock::now() - *m_drainReply > drainTime && isAgentInTouch();
-        m_judge.started({ id, spec, m_number, cpu, m_cpuTotal, isLateDrain });
+        m_judge.started({ id, spec, m_number, cpu, m_cpuTotal, isLateDrain, !isLate && isEvacuated() });
         const auto step = m_judge.stepOf(id.first);
         const auto factor = slowness * static_cast<double>(draw(m_random, 80, 120)) / 100;
         Run run { Clock::now() + std::chrono::duration_cast<Clock::duration>(step.time * factor) };
--- a/tests/soak/Store.h
+++ b/tests/soak/Store.h
@@ -80,6 +80,10 @@
             replyJson(watch.exchange, Json::object(), 503);
     }
 
+    bool isDown() const { return m_isDown; }
+    /** When a call last got no good or a late reply. */
+    TimePoint lastDisturbed() const { return m_lastDisturbed; }
+
     std::string address;
     Milliseconds delay { 0 }; ///< Longest delay of a reply.
     double lostShare = 0; ///< Calls that get no reply.
@@ -138,10 +142,14 @@
 
     void receive(const HttpServerRequest& call, const HttpExchangePtr& exchange)
     {
+        if (m_isDown || delay.count() > 0)
+            m_lastDisturbed = Clock::now();
         if (m_isDown)
             return replyJson(exchange, Json::object(), 503);
         endLeases();
         const bool isLost = chance(m_random, lostShare);
+        if (isLost)
+            m_lastDisturbed = Clock::now();
         if (isLost && chance(m_random, 0.5)) // The other half are carried out without a reply.
             return;
         if (call.target.find("kv-watch") != std::string::npos) {
@@ -215,6 +223,7 @@
     std::function<std::string(const std::string&)> m_rewrite;
     AsyncHttpServer m_server;
     bool m_isDown = false;
+    TimePoint m_lastDisturbed {};
     uint64_t m_revision = 1;
     uint64_t m_lastLease = 0;
     std::map<std::string, Json> m_items;
