--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -1640,6 +1640,13 @@
     fixture.evacuate(5, { "a" });
     constexpr double tolerance = 0.01;
     cr_expect_float_eq(fixture.lastCapacity / before, 0.5, tolerance, "%f", fixture.lastCapacity / before);
+    const auto halved = fixture.lastCapacity;
+    for (const auto& run : std::vector(fixture.orders.end() - 4, fixture.orders.end())) {
+        if (fixture.agentByRun.at(run) < 2)
+            fixture.end(run, wire::RunOutcome::Done, Milliseconds(300));
+    }
+    fixture.tick();
+    cr_expect_leq(fixture.lastCapacity, halved, "what ends in the evacuated domain shows no capacity");
     fixture.evacuate(6, {});
     cr_expect_float_eq(fixture.lastCapacity / before, 1.0, tolerance, "%f", fixture.lastCapacity / before);
 }
