Entries place by what is free for the priority of a job

Orders and demands tell the priority of the route. placeStep and hasRoomFor use the reported free resources less what the agent keeps from that priority, so that orders which the gate would refuse aren't sent.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -6,6 +6,7 @@
 #include <sequoia/EstimateModel.h>
 #include <sequoia/JobTrace.h>
 #include <sequoia/LoadModel.h>
+#include <sequoia/PriorityShares.h>
 #include <sequoia/ResubmissionDetector.h>
 #include <sequoia/TaskPlacement.h>
 #include <sequoia/Work.h>
@@ -126,6 +127,7 @@
     Resources total;
     Resources free; ///< As last reported by the agent, less the orders that the report does not cover yet.
     uint32_t ordersSent = 0; ///< Run orders sent on this link; numbers them.
+    std::vector<KeptCpu> kept; ///< Part of `free` that the agent keeps from each priority for others.
     /** Numbers of orders that the agent has not reported as seen, with the resources that they take. */
     std::deque<std::pair<uint32_t, Resources>> unacknowledgedOrders;
     double slowness = 1.0; ///< Ratio of run time to estimate, smoothed.
@@ -147,6 +149,8 @@
     std::map<RunId, ForeignRun> foreignRuns; ///< Those of `runs` that other entries ordered.
     std::map<RunId, TimePoint> suspects; ///< Suspects of `runs`, and until when they are; see CrashRecords.h.
 
+    /** The resources that tasks of a priority may take. */
+    Resources freeFor(uint32_t priority) const;
     /** Whether runs of a service can be ordered from it now. */
     bool acceptsRunsOf(const std::string& name) const
     {
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -389,7 +389,7 @@
 {
     const auto& resources = job.spec.steps[step].resources;
     return std::any_of(m_agents.begin(), m_agents.end(), [&](const AgentView& agent) {
-        return resources.fitsIn(agent.free) && agent.acceptsRunsOf(job.route.service)
+        return resources.fitsIn(agent.freeFor(job.route.priority)) && agent.acceptsRunsOf(job.route.service)
             && isOpenToRoute(job, step, agent, now) && !agent.isBlockedFor(job.spec.id, now);
     });
 }
@@ -437,7 +437,7 @@
         const bool isNear = agent.hasLabel(spec.preferredLabel);
         const bool isTrial = agent.state == wire::GateState::Trial;
         const int64_t maxTrials = agent.runs.empty() ? 1 : 0;
-        candidates.push_back({ agent.free, agent.slowness, agent.slownessSpread, isNear,
+        candidates.push_back({ agent.freeFor(job.route.priority), agent.slowness, agent.slownessSpread, isNear,
             isTrial ? maxTrials : maxTasksAt(job, index, i), isTrial, agent.total, agent.isPreferred });
     }
     PlacementRequest request;
@@ -496,6 +496,7 @@
     message.route = job.route.name;
     message.service = job.route.service;
     message.required_label = spec.requiredLabel;
+    message.priority = job.route.priority;
     const auto suspicion = suspicionTime(job, id.task, now);
     message.suspect_ms = static_cast<uint32_t>(suspicion.count());
     if (suspicion.count() > 0)
@@ -542,6 +543,7 @@
         message.smallest = std::make_unique<wire::Room>(toWire(smallest.value_or(Resources())));
         message.band = key->band;
         message.priority = key->priority;
+        message.route_priority = first.route.priority;
         message.slack_ms = static_cast<int32_t>(msOf(key->latestStart - now));
         message.valid_ms = static_cast<uint32_t>(2 * period.count());
         ++m_counters.demands;
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -235,6 +235,15 @@
     });
 }
 
+Resources AgentView::freeFor(uint32_t priority) const
+{
+    auto resources = free;
+    const auto it = std::find_if(kept.begin(), kept.end(), [&](const auto& it) { return it.priority == priority; });
+    if (it != kept.end())
+        resources.cpu = lessKept(free.cpu, it->cpu);
+    return resources;
+}
+
 template <typename Message> void Dispatcher::updateResources(AgentView& agent, const Message& message, TimePoint now)
 {
     if (message.free == nullptr)
@@ -242,6 +251,9 @@
     while (!agent.unacknowledgedOrders.empty() && agent.unacknowledgedOrders.front().first <= message.orders_seen)
         agent.unacknowledgedOrders.pop_front();
     agent.free = fromWire(message.free.get());
+    agent.kept.clear();
+    for (const auto& it : message.kept)
+        agent.kept.push_back({ it.priority(), it.cpu() });
     for (const auto& [number, resources] : agent.unacknowledgedOrders)
         agent.free -= resources;
     if (message.slowness > 0) {
