--- a/tests/PrioritySharesTest.cpp
+++ b/tests/PrioritySharesTest.cpp
@@ -1,10 +1,13 @@
-/** @file PrioritySharesTest.cpp Processors kept by priority: the rule and the recent use. */
+/** @file PrioritySharesTest.cpp Processors kept by priority: the rule, the recent use, and simulated clusters. */
+#include "ClusterSimulation.h"
+
 #include <sequoia/PriorityShares.h>
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
 
 using namespace sequoia;
+using namespace sequoia::test;
 
 namespace {
 
@@ -86,3 +89,103 @@
     shares.forgetOld(start + Milliseconds(12000));
     cr_expect_eq(shares.mostUrgent(), 3U);
 }
+
+namespace {
+
+/** Three kinds of jobs as on the tickets deployment, on half of its servers and at half of its load. */
+Scenario sharedScenario(double load, uint64_t seed)
+{
+    Scenario scenario;
+    scenario.seed = seed;
+    scenario.entries = 12;
+    scenario.servers = 34;
+    scenario.serverCpu = 32000;
+    scenario.sizes = { 1, 1, 1, 1.5 };
+    scenario.slowness = { 1.0, 1.3 };
+    scenario.kinds = { { "check-in", 90.5, 8, 32, Milliseconds(51), Milliseconds(204), 3300, 0.00485, 0, 0 },
+        { "release", 264, 2, 8, Milliseconds(170), Milliseconds(680), 3300, 0.00167, 0, 1 },
+        { "purchase", 16.5, 4, 16, Milliseconds(760), Milliseconds(3040), 3300, 0.0267, 0, 2 } };
+    scenario.load = load;
+    scenario.length = Milliseconds(5000);
+    return scenario;
+}
+
+SimulationTuning withShares()
+{
+    SimulationTuning tuning;
+    tuning.gate.shares.maxUrgentShare = 0.12;
+    tuning.gate.shares.floorShare = 0.1;
+    return tuning;
+}
+
+double earnedShare(const SimulationReport& report, const char* kind)
+{
+    const auto& result = report.kinds.at(kind);
+    return result.earnedValue / result.offeredValue;
+}
+
+} // namespace
+
+struct SharedLoadRow {
+    char name[32];
+    double load;
+    double urgentFactor; ///< Further factor on the load of the urgent kind.
+    uint64_t seed;
+};
+
+ParameterizedTestParameters(ClusterSimulation, urgentJobsAreServedBestAndTheOthersKeepTheirFloor)
+{
+    static SharedLoadRow rows[] = {
+        { "2.0 times the load", 2.0, 1, 1 },
+        { "2.0 times the load", 2.0, 1, 2 },
+        { "2.4 times the load", 2.4, 1, 3 },
+        { "2.8 times the load", 2.8, 1, 4 },
+        { "flood of urgent jobs", 1.0, 5, 5 },
+    };
+    return cr_make_param_array(SharedLoadRow, rows, sizeof(rows) / sizeof(SharedLoadRow));
+}
+
+ParameterizedTest(
+    SharedLoadRow* row, ClusterSimulation, urgentJobsAreServedBestAndTheOthersKeepTheirFloor, .timeout = 120)
+{
+    // Guards against urgent jobs that are served worse than others, since these hold the servers for longer, and
+    // against a kind of job that is starved.
+    auto scenario = sharedScenario(row->load, row->seed);
+    scenario.bursts = { { "check-in", row->urgentFactor, Milliseconds(0), scenario.length } };
+    const auto report = simulate(scenario, withShares());
+    const auto before = simulate(scenario);
+    cr_expect(report.violations.empty(), "%s", row->name);
+    const auto checkIn = earnedShare(report, "check-in");
+    // A tenth of the processors of a deployment is a third of what its purchases take at 2.8 times the load.
+    constexpr double leastShare = 0.3;
+    for (const auto* name : { "release", "purchase" }) {
+        const auto share = earnedShare(report, name);
+        cr_expect_geq(share, leastShare, "%s: %s %f", row->name, name, share);
+        if (row->urgentFactor == 1)
+            cr_expect_geq(checkIn, share, "%s: check-in %f, %s %f", row->name, checkIn, name, share);
+    }
+    cr_expect_geq(checkIn, earnedShare(before, "check-in"), "%s: check-in %f", row->name, checkIn);
+    cr_expect_geq(report.valueShare(), before.valueShare(), "%s: all %f, without shares %f", row->name,
+        report.valueShare(), before.valueShare());
+}
+
+Test(ClusterSimulation, onePriorityIsServedAsWithoutShares, .timeout = 60)
+{
+    auto scenario = sharedScenario(2, 6);
+    for (auto& kind : scenario.kinds)
+        kind.priority = 1;
+    const auto report = simulate(scenario, withShares());
+    const auto before = simulate(scenario);
+    cr_expect_eq(report.orders, before.orders);
+    cr_expect_eq(report.refusedOrders, before.refusedOrders);
+    cr_expect_eq(report.messages, before.messages);
+    cr_expect_eq(report.strandedShare, before.strandedShare);
+    cr_expect(report.earnedValueBySecond == before.earnedValueBySecond);
+    for (const auto& [name, kind] : report.kinds) {
+        const auto& other = before.kinds.at(name);
+        cr_expect_eq(kind.inTime, other.inTime, "%s", name.c_str());
+        cr_expect_eq(kind.late, other.late, "%s", name.c_str());
+        cr_expect_eq(kind.sumRatio, other.sumRatio, "%s", name.c_str());
+        cr_expect(kind.refusedAfterMs == other.refusedAfterMs, "%s", name.c_str());
+    }
+}
