--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -7,6 +7,7 @@
 #include <sequoia/Evacuations.h>
 #include <sequoia/JobTrace.h>
 #include <sequoia/LoadModel.h>
+#include <sequoia/PriorityShares.h>
 #include <sequoia/ResubmissionDetector.h>
 #include <sequoia/RunProgress.h>
 #include <sequoia/TaskPlacement.h>
@@ -135,6 +136,7 @@
     Resources total;
     Resources free; ///< As last reported by the agent, less the orders that the report does not cover yet.
     uint32_t ordersSent = 0; ///< Run orders sent on this link; numbers them.
+    std::vector<KeptCpu> kept; ///< Part of `free` that the agent keeps from each priority for others.
     /** Numbers of orders that the agent has not reported as seen, with the resources that they take. */
     std::deque<std::pair<uint32_t, Resources>> unacknowledgedOrders;
     double slowness = 1.0; ///< Ratio of run time to estimate, smoothed.
@@ -160,6 +162,8 @@
     bool isEvacuated() const { return isInEvacuatedDomain || isGateEvacuated; }
     /** Whether runs can be ordered from it now. */
     bool isUsable() const { return isLinked && state != wire::GateState::Closed && !isEvacuated(); }
+    /** The resources that tasks of a priority may take. */
+    Resources freeFor(uint32_t priority) const;
     /** Whether runs of a service can be ordered from it now. */
     bool acceptsRunsOf(const std::string& name) const { return isUsable() && service == name; }
     /** Incarnation of the agent that has a run. */
