Settings of the resources that gates keep by priority

urgent_share_percent and floor_share_percent of the agent are 0 by default, so that nothing is kept.

--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -75,6 +75,9 @@
     AgentLimits health { .quarantinePause = Milliseconds(300), .quarantinePauseMax = Milliseconds(1200) };
     RunProgressLimits progress; ///< When runs count as stuck, and their server as slow.
     PriorityShareLimits shares; ///< What is kept for other priorities than that of an order.
+    /** Nothing is kept with fewer linked entries. A few entries see most of the load, so that the order of their queues
+     * is enough, and what is kept costs capacity. */
+    size_t sharesMinEntries = 0;
 
     /** A run has to be over this long after this agent sent the last message that the run's owner has answered: then
      * the owner, which had the link when it received that message, or an entry that gets the job again may start its
@@ -396,8 +399,8 @@
     Resources freeFor(const EntryLink& link, TimePoint now) const;
     /** The same for tasks of a priority: less what is kept for other ones. */
     Resources freeFor(const EntryLink& link, uint32_t priority, TimePoint now) const;
-    /** Nothing is kept while many calls of the server get lost: the runs of these calls hold resources until they are
-     * known to be over, so that the recent use doesn't tell what a priority needs. */
+    /** Nothing is kept with few entries, nor while many calls of the server get lost: the runs of these calls hold
+     * resources until they are known to be over, so that the recent use doesn't tell what a priority needs. */
     bool areSharesKept() const;
     int64_t keptFrom(uint32_t priority, TimePoint now) const;
     /** The priority that an order or a demand tells. One of an entry of an earlier release, which doesn't tell it,
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -22,7 +22,11 @@
 
     RunGateLimits gateLimits(const RoomAgentSettings& settings)
     {
+        constexpr double percent = 100;
         RunGateLimits limits;
+        limits.shares.maxUrgentShare = static_cast<double>(settings.urgent_share_percent) / percent;
+        limits.shares.floorShare = static_cast<double>(settings.floor_share_percent) / percent;
+        limits.sharesMinEntries = static_cast<size_t>(settings.share_min_entries);
         limits.lease = Milliseconds(settings.lease_ms);
         limits.maxLease = Milliseconds(settings.longest_lease_ms);
         limits.ownerTimeout = Milliseconds(settings.owner_silence_ms);
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -143,7 +143,10 @@
     return free;
 }
 
-bool RunGate::areSharesKept() const { return m_lostCallShare <= m_limits.maxLostCallShare; }
+bool RunGate::areSharesKept() const
+{
+    return m_links.size() >= m_limits.sharesMinEntries && m_lostCallShare <= m_limits.maxLostCallShare;
+}
 
 int64_t RunGate::keptFrom(uint32_t priority, TimePoint now) const
 {
--- a/src/SettingsTables.cpp
+++ b/src/SettingsTables.cpp
@@ -215,6 +215,14 @@
         number<S>("quarantine_pause_max_ms", &S::quarantine_pause_max_ms, 1200, 10, hourMs,
             "Maximum pause between trials, ms."),
         number<S>("stop_timeout_ms", &S::stop_timeout_ms, 5500, 0, hourMs, "Maximum duration of a graceful stop, ms."),
+        number<S>("urgent_share_percent", &S::urgent_share_percent, 0, 0, 50,
+            "Maximum share of the server that is kept for more urgent priorities whose orders are refused, %; 0: "
+            "none."),
+        number<S>("floor_share_percent", &S::floor_share_percent, 0, 0, 50,
+            "Share of the server that is kept for the less urgent priorities whose tasks wait, %; 0: none."),
+        number<S>("share_min_entries", &S::share_min_entries, 8, 1, 1000,
+            "Both shares are kept only while at least so many entries are linked: few entries order by priority "
+            "alone."),
         text<S>("log_level", &S::log_level, "info", logLevels, "Lowest level of the events that are printed."),
     };
     return rows;
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -2994,3 +2994,16 @@
     f.advance(Milliseconds(400), listingOf({ runId(2) }));
     cr_expect(f.kept[firstLink].empty(), "No urgent order was refused lately.");
 }
+
+Test(RunGate, nothingIsKeptWithFewEntries)
+{
+    // Guards against capacity that is kept where the order of the entries' queues is enough.
+    auto limits = shareLimits();
+    limits.sharesMinEntries = 3;
+    Fixture f(limits);
+    f.runFor(0, firstLink, runId(1), 4000);
+    f.orderFor(0, firstLink, runId(9), 10001);
+    f.orderFor(1, secondLink, runId(2), 9000);
+    cr_expect(f.starts.back() == runId(2), "Two entries are linked.");
+    cr_expect(f.kept[firstLink].empty());
+}
