Limit what clients of the own product read beside the body

cpp-httplib's client reads headers and lines between chunks without end, so that a store or a peer could fill the memory of sequoia-entry, or hold a thread of sequoia-agent. HttpClient reads through a BoundedStream, as the server does; Store and BackendPool use it as well. Bodies stay unlimited, since watches of the store are bodies without end.

--- a/include/sequoia/HttpService.h
+++ b/include/sequoia/HttpService.h
@@ -51,9 +51,23 @@
     std::atomic<bool> m_isStopping { false };
 };
 
+/** The library's client with limits on what it reads of an answer beside the body, which has none: watches of the store
+ * are bodies without end. */
+class HttpClient : public httplib::ClientImpl {
+public:
+    /** A client of `host:port`; the calls of a client of a malformed address fail to connect. */
+    explicit HttpClient(const std::string& address);
+    /** The timeout applies to connecting and to each single read and write. */
+    HttpClient(const std::string& address, Milliseconds timeout);
+
+private:
+    explicit HttpClient(const std::pair<std::string, int>& host);
+    bool process_socket(const Socket& socket, std::function<bool(httplib::Stream&)> callback) override;
+};
+
 /** Makes a client of `host:port`; the timeout applies to connecting and to each single read and write. The calls of a
  * client of a malformed address fail to connect. */
-httplib::Client makeHttpClient(const std::string& address, Milliseconds timeout);
+HttpClient makeHttpClient(const std::string& address, Milliseconds timeout);
 
 /** Whether a request failed before anything was sent. */
 bool isConnectFailure(httplib::Error error);
--- a/src/BackendPool.cpp
+++ b/src/BackendPool.cpp
@@ -21,7 +21,7 @@
         }
 
         /** Opens a new connection unless the present one can be reused; returns the client for the next call. */
-        httplib::Client& prepare(const std::string& address)
+        HttpClient& prepare(const std::string& address)
         {
             connect(address);
             return *m_client;
@@ -65,7 +65,7 @@
             if (isReusable)
                 return;
             m_address = address;
-            m_client = std::make_unique<httplib::Client>("http://" + address);
+            m_client = std::make_unique<HttpClient>(address);
             m_client->set_tcp_nodelay(true);
             m_client->set_keep_alive(true);
             m_client->set_connection_timeout(connectTimeout);
@@ -74,7 +74,7 @@
 
         size_t m_maxAnswerBytes;
         std::string m_address;
-        std::unique_ptr<httplib::Client> m_client;
+        std::unique_ptr<HttpClient> m_client;
         TimePoint m_lastUsed {};
     };
 
--- a/src/BackendPool.h
+++ b/src/BackendPool.h
@@ -5,7 +5,7 @@
 
 #include <condition_variable>
 #include <deque>
-#include <httplib.h>
+#include <sequoia/HttpService.h>
 #include <mutex>
 #include <thread>
 
@@ -40,7 +40,7 @@
     std::vector<std::thread> m_threads;
     size_t m_idleThreads = 0;
     bool m_isStopped = false;
-    std::set<httplib::Client*> m_activeClients; ///< Clients with a call in progress, which the destructor aborts.
+    std::set<HttpClient*> m_activeClients; ///< Clients with a call in progress, which the destructor aborts.
 };
 
 } // namespace sequoia
--- a/src/HttpService.cpp
+++ b/src/HttpService.cpp
@@ -96,9 +96,13 @@
      */
     class BoundedStream : public httplib::Stream {
     public:
-        BoundedStream(socket_t socket, const HttpLimits& limits)
+        /** A client's stream limits neither bodies nor the time of an answer. */
+        enum class Side : uint8_t { Server, Client };
+
+        BoundedStream(socket_t socket, const HttpLimits& limits, Side side)
             : m_socket(socket)
             , m_limits(limits)
+            , m_side(side)
         {
         }
 
@@ -172,7 +176,9 @@
             if (!m_isInHeader && wanted > 1) {
                 m_lineBytes = 0;
                 m_bodyBytes += n;
-                return m_bodyBytes <= excessBodies * m_limits.maxBodyBytes;
+                if (m_side == Side::Client)
+                    m_framingBytes = 0;
+                return m_side == Side::Client || m_bodyBytes <= excessBodies * m_limits.maxBodyBytes;
             }
             for (const char c : std::string_view(data, n)) {
                 if (c != '\n') {
@@ -215,7 +221,8 @@
 
         socket_t m_socket;
         HttpLimits m_limits;
-        TimePoint m_deadline {}; ///< For reading the current request.
+        Side m_side;
+        TimePoint m_deadline = TimePoint::max(); ///< For reading the current request.
         std::array<char, 4096> m_buf {};
         size_t m_begin = 0;
         size_t m_end = 0;
@@ -239,7 +246,7 @@
     private:
         bool process_and_close_socket(socket_t socket) override
         {
-            BoundedStream stream(socket, m_limits);
+            BoundedStream stream(socket, m_limits, BoundedStream::Side::Server);
             bool isOpen = !isConnectionRefused;
             while (isOpen && svr_sock_ != INVALID_SOCKET && stream.waitForRequest()) {
                 bool isClosed = false;
@@ -253,6 +260,17 @@
         HttpLimits m_limits;
     };
 
+    /** Host and port of an address for the library's client. */
+    std::pair<std::string, int> hostOf(const std::string& address)
+    {
+        // The constructor that takes a URL throws on a port that is out of range, and its regular expression overflows
+        // the stack on a long host.
+        auto parts = splitAddress(address).value_or(std::pair(std::string(unreachableHost), 0));
+        if (parts.first.front() == '[')
+            parts.first = parts.first.substr(1, parts.first.size() - 2);
+        return parts;
+    }
+
 } // namespace
 
 bool isConnectFailure(httplib::Error error)
@@ -260,21 +278,36 @@
     return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout;
 }
 
-httplib::Client makeHttpClient(const std::string& address, Milliseconds timeout)
+HttpClient::HttpClient(const std::string& address)
+    : HttpClient(hostOf(address))
+{
+}
+
+HttpClient::HttpClient(const std::string& address, Milliseconds timeout)
+    : HttpClient(hostOf(address))
+{
+    set_tcp_nodelay(true);
+    set_connection_timeout(timeout);
+    set_read_timeout(timeout);
+    set_write_timeout(timeout);
+}
+
+HttpClient::HttpClient(const std::pair<std::string, int>& host)
+    : httplib::ClientImpl(host.first, host.second)
+{
+}
+
+bool HttpClient::process_socket(const Socket& socket, std::function<bool(httplib::Stream&)> callback)
 {
-    // The constructor that takes a URL throws on a port that is out of range, and its regular expression overflows the
-    // stack on a long host.
-    auto parts = splitAddress(address).value_or(std::pair(std::string(unreachableHost), 0));
-    if (parts.first.front() == '[')
-        parts.first = parts.first.substr(1, parts.first.size() - 2);
-    httplib::Client client(parts.first, parts.second);
-    client.set_tcp_nodelay(true);
-    client.set_connection_timeout(timeout);
-    client.set_read_timeout(timeout);
-    client.set_write_timeout(timeout);
-    return client;
+    HttpLimits limits;
+    limits.readTimeout = std::chrono::ceil<Milliseconds>(
+        std::chrono::seconds(read_timeout_sec_) + std::chrono::microseconds(read_timeout_usec_));
+    BoundedStream stream(socket.sock, limits, BoundedStream::Side::Client);
+    return callback(stream);
 }
 
+HttpClient makeHttpClient(const std::string& address, Milliseconds timeout) { return { address, timeout }; }
+
 HttpService::HttpService(HttpLimits limits)
     : m_server(std::make_unique<BoundedServer>(limits))
 {
--- a/src/Store.cpp
+++ b/src/Store.cpp
@@ -19,16 +19,6 @@
     constexpr unsigned base64Bits = 6;
     constexpr unsigned byteBits = 8;
 
-    httplib::Client makeClient(const std::string& address, Milliseconds timeout)
-    {
-        httplib::Client client("http://" + address);
-        client.set_tcp_nodelay(true);
-        client.set_connection_timeout(timeout);
-        client.set_read_timeout(timeout);
-        client.set_write_timeout(timeout);
-        return client;
-    }
-
     /** Reads an integer, which the gateway writes as a string if it has 64 bits; 0 if it is missing. */
     int64_t readNumber(const Json& object, const char* name, const std::string& place)
     {
@@ -174,7 +164,7 @@
 
 leaf::result<std::string> Store::post(const std::string& path, const std::string& body) const
 {
-    auto client = makeClient(m_address, m_timeout);
+    auto client = makeHttpClient(m_address, m_timeout);
     const auto result = client.Post(path, body, "application/json");
     if (!result) {
         const bool isUnsent = isConnectFailure(result.error());
@@ -272,7 +262,7 @@
 {
     ++m_calls.watches;
     constexpr Milliseconds maxSilence { 30000 };
-    auto client = makeClient(m_address, m_timeout);
+    auto client = makeHttpClient(m_address, m_timeout);
     client.set_read_timeout(maxSilence);
     const Json create { { "key", toBase64(prefix) }, { "range_end", toBase64(prefixEnd(prefix)) } };
     httplib::Request request;
