--- a/src/BackendPool.h
+++ b/src/BackendPool.h
@@ -5,8 +5,8 @@
 
 #include <condition_variable>
 #include <deque>
-#include <sequoia/HttpService.h>
 #include <mutex>
+#include <sequoia/HttpService.h>
 #include <thread>
 
 namespace sequoia {
