--- a/src/BackendPool.h
+++ b/src/BackendPool.h
@@ -5,8 +5,8 @@
 
 #include <condition_variable>
 #include <deque>
-#include <httplib.h>
 #include <mutex>
+#include <sequoia/HttpService.h>
 #include <thread>
 
 namespace sequoia {
@@ -40,7 +40,7 @@
     std::vector<std::thread> m_threads;
     size_t m_idleThreads = 0;
     bool m_isStopped = false;
-    std::set<httplib::Client*> m_activeClients; ///< Clients with a call in progress, which the destructor aborts.
+    std::set<HttpClient*> m_activeClients; ///< Clients with a call in progress, which the destructor aborts.
 };
 
 } // namespace sequoia
