Scenarios of two deployments under overload

The benchmark had no load of several kinds of different priorities on entries that get unequal shares of the requests. The scenarios tickets and donations have 12 entries in three failure domains, 70 and 68 servers, and loads or bursts around and above the capacity. Results are also summed by kind and by failure domain of the entry.

--- a/bench/PlacementBench.cpp
+++ b/bench/PlacementBench.cpp
@@ -73,6 +73,32 @@
         scenario.load = load;
         out.push_back(scenario);
     }
+    for (const bool isTickets : { true, false }) {
+        const auto make = [&](const std::string& name) {
+            return isTickets ? ticketsScenario("tickets " + name) : donationsScenario("donations " + name);
+        };
+        for (const double load : { 1.0, 2.0, 2.3, 2.8 }) {
+            auto scenario = make(fmt::format("load {:.2f}", load));
+            scenario.load = load;
+            out.push_back(scenario);
+        }
+        const std::string urgent = isTickets ? "check-in" : "check";
+        const std::string second = isTickets ? "release" : "receipt";
+        auto one = make("burst of one kind");
+        one.load = 1.5;
+        one.bursts = { { second, 2.3, Milliseconds(2000), Milliseconds(4500) } };
+        out.push_back(one);
+        auto two = make("burst of two kinds");
+        two.load = 1.4;
+        two.bursts = { { urgent, 2.3, Milliseconds(2000), Milliseconds(4000) },
+            { second, 2.3, Milliseconds(2500), Milliseconds(4500) } };
+        out.push_back(two);
+        auto uneven = make("burst, uneven entries");
+        uneven.load = 1.3;
+        uneven.bursts = two.bursts;
+        uneven.entryShares = { 4, 1, 1, 4, 1, 1, 4, 1, 1, 1, 1, 1 };
+        out.push_back(uneven);
+    }
     auto power = largeScenario("large, all lose power");
     power.powerLoss = Milliseconds(5000);
     out.push_back(power);
@@ -85,6 +111,7 @@
     double valueShare = 0;
     double worstWindowsShare = 0;
     double worstKindShare = 0;
+    double domainSpread = 0;
     double served = 0;
     double response = 0;
     double worstLargeJobRatio = 0;
@@ -102,6 +129,7 @@
         valueShare += report.valueShare();
         worstWindowsShare += report.worstWindowsShare();
         worstKindShare += report.worstKindShare();
+        domainSpread += report.domainSpread();
         served += report.servedShare();
         response += report.responseRatio();
         worstLargeJobRatio += report.worstLargeJobRatio();
@@ -115,6 +143,8 @@
             kinds[name].refused += kind.refused;
             kinds[name].failed += kind.failed;
             kinds[name].givenUp += kind.givenUp;
+            kinds[name].offeredValue += kind.offeredValue;
+            kinds[name].earnedValue += kind.earnedValue;
         }
         violations.insert(violations.end(), report.violations.begin(), report.violations.end());
     }
@@ -123,12 +153,13 @@
 void print(const std::string& name, const Summary& sum)
 {
     const auto mean = [&](double total) { return total / static_cast<double>(sum.simulations); };
-    fmt::print("{:<28}{:>7.3f}{:>7.3f}{:>7.3f}{:>7.3f}{:>7.2f}{:>7.2f}{:>7.3f}{:>7.3f}{:>8.2f}{:>8.0f}", name,
-        mean(sum.valueShare), mean(sum.worstWindowsShare), mean(sum.worstKindShare), mean(sum.served),
-        mean(sum.response), mean(sum.worstLargeJobRatio), mean(sum.stranded), mean(sum.refusedOrders),
+    fmt::print("{:<32}{:>7.3f}{:>7.3f}{:>7.3f}{:>7.3f}{:>7.3f}{:>7.2f}{:>7.2f}{:>7.3f}{:>7.3f}{:>8.2f}{:>8.0f}", name,
+        mean(sum.valueShare), mean(sum.worstWindowsShare), mean(sum.worstKindShare), mean(sum.domainSpread),
+        mean(sum.served), mean(sum.response), mean(sum.worstLargeJobRatio), mean(sum.stranded), mean(sum.refusedOrders),
         mean(sum.messages), mean(sum.wasted));
     for (const auto& [kindName, kind] : sum.kinds)
-        fmt::print("  {} {}/{}/{}/{}/{}", kindName, kind.inTime, kind.late, kind.refused, kind.failed, kind.givenUp);
+        fmt::print("  {} {:.3f} {}/{}/{}/{}/{}", kindName, kind.valueShare(), kind.inTime, kind.late, kind.refused,
+            kind.failed, kind.givenUp);
     fmt::print("\n");
     constexpr size_t maxPrinted = 3;
     for (size_t i = 0; i < std::min(sum.violations.size(), maxPrinted); ++i)
@@ -178,10 +209,18 @@
     nlohmann::ordered_json rows = nlohmann::ordered_json::array();
     for (size_t i = 0; i < reports.size(); ++i) {
         const auto& report = reports[i];
+        nlohmann::ordered_json kinds;
+        for (const auto& [name, kind] : report.kinds)
+            kinds[name] = { { "worth", kind.valueShare() }, { "jobs", kind.submitted }, { "in_time", kind.inTime },
+                { "late", kind.late }, { "refused", kind.refused }, { "failed", kind.failed },
+                { "given_up", kind.givenUp } };
+        const double orders = static_cast<double>(std::max<uint64_t>(report.orders, 1));
         rows.push_back({ { "scenario", scenarios[i / seeds].name }, { "seed", i % seeds + 1 },
             { "worth", report.valueShare() }, { "worst_windows", report.worstWindowsShare() },
-            { "worst_kind", report.worstKindShare() }, { "served", report.servedShare() },
-            { "largest", report.worstLargeJobRatio() }, { "violations", report.violations.size() } });
+            { "worst_kind", report.worstKindShare() }, { "domain_spread", report.domainSpread() },
+            { "served", report.servedShare() }, { "largest", report.worstLargeJobRatio() },
+            { "refused_orders", static_cast<double>(report.refusedOrders) / orders },
+            { "violations", report.violations.size() }, { "kinds", kinds } });
     }
     std::cout << rows.dump(1) << "\n";
 }
@@ -264,9 +303,10 @@
         printJson(chosen, reports, seeds);
         return 0;
     }
-    fmt::print(
-        "{:<28}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>8}{:>8}  by kind: in time/late/refused/failed/given up\n",
-        "scenario", "worth", "worst", "kind", "served", "resp", "size", "strand", "refus", "msg/run", "waste");
+    fmt::print("{:<32}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>7}{:>8}{:>8}"
+               "  by kind: worth in time/late/refused/failed/given up\n",
+        "scenario", "worth", "worst", "kind", "domain", "served", "resp", "size", "strand", "refus", "msg/run",
+        "waste");
     bool isClean = true;
     for (size_t i = 0; i < chosen.size(); ++i) {
         Summary sum;
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -54,6 +54,7 @@
     /** A submitted job with its true work, which the code under test does not know. */
     struct SimulatedJob {
         size_t kind = 0;
+        size_t failureDomain = 0;
         TimePoint sent {};
         std::vector<Milliseconds> work; ///< By task, at slowness 1.
         Resources resources;
@@ -923,9 +924,10 @@
 
     size_t ClusterSimulation::drawEntry()
     {
+        const size_t move = m_scenario.movesAt && events.now() >= at(*m_scenario.movesAt) ? 1 : 0;
         std::vector<double> shares(m_scenario.entries);
         for (size_t i = 0; i < shares.size(); ++i)
-            shares[i] = m_scenario.entryShares[i % m_scenario.entryShares.size()];
+            shares[i] = m_scenario.entryShares[(i + move) % m_scenario.entryShares.size()];
         return std::discrete_distribution<size_t>(shares.begin(), shares.end())(m_generator);
     }
 
@@ -953,7 +955,10 @@
         Milliseconds longest {};
         for (int64_t i = 0; i < width; ++i) {
             const double factor = 1 + std::uniform_real_distribution<>(-taskSpread, taskSpread)(m_generator);
-            job.work.emplace_back(std::max<int64_t>(std::llround(work * factor), 1));
+            const double length = chance(m_scenario.longTaskShare)
+                ? static_cast<double>(kind.work.count()) * m_scenario.longTaskFactor
+                : work * factor;
+            job.work.emplace_back(std::max<int64_t>(std::llround(length), 1));
             longest = std::max(longest, job.work.back());
         }
         const double error = std::exp(std::normal_distribution<>(0, m_scenario.estimateSpread)(m_generator));
@@ -977,7 +982,10 @@
         result.offeredValue += job.value;
         m_report.offeredValueBySecond[static_cast<size_t>(toMilliseconds(job.sent - simulationStart).count() / 1000)]
             += job.value;
-        submit(id, drawEntry());
+        const auto entry = drawEntry();
+        job.failureDomain = entry % m_scenario.failureDomains;
+        m_report.domains[job.failureDomain].offeredValue += job.value;
+        submit(id, entry);
     }
 
     void ClusterSimulation::submit(WorkId id, size_t entry)
@@ -1060,6 +1068,7 @@
         if (job.isServed)
             result.sumRatio += age / FloatMs(*std::max_element(job.work.begin(), job.work.end()));
         result.earnedValue += earned;
+        m_report.domains[job.failureDomain].earnedValue += earned;
         m_report.earnedValueBySecond[static_cast<size_t>(toMilliseconds(job.sent - simulationStart).count() / 1000)]
             += earned;
     }
@@ -1259,6 +1268,17 @@
     return worst;
 }
 
+double SimulationReport::domainSpread() const
+{
+    double worst = 1;
+    double best = 0;
+    for (const auto& [domain, result] : domains) {
+        worst = std::min(worst, share(result.earnedValue, result.offeredValue));
+        best = std::max(best, share(result.earnedValue, result.offeredValue));
+    }
+    return std::max(best - worst, 0.0);
+}
+
 double SimulationReport::servedShare() const
 {
     size_t submitted = 0;
@@ -1377,4 +1397,33 @@
     return scenario;
 }
 
+Scenario ticketsScenario(std::string name)
+{
+    Scenario scenario;
+    scenario.name = std::move(name);
+    scenario.entries = 12;
+    scenario.entryShares = { 1.6, 1, 0.6 };
+    scenario.servers = 70;
+    scenario.serverCpu = 32000;
+    scenario.slowness = { 1.0, 1.3 };
+    scenario.longTaskShare = 0.03;
+    scenario.kinds = { { "check-in", 181, 8, 32, Milliseconds(51), Milliseconds(204), 3300, 0.00485, 0, 0 },
+        { "release", 528, 2, 8, Milliseconds(170), Milliseconds(680), 3300, 0.00167, 0, 1 },
+        { "purchase", 33, 4, 16, Milliseconds(760), Milliseconds(3040), 3300, 0.0267, 0, 2 } };
+    scenario.length = Milliseconds(8000);
+    return scenario;
+}
+
+Scenario donationsScenario(std::string name)
+{
+    auto scenario = ticketsScenario(std::move(name));
+    scenario.servers = 68;
+    scenario.slowness = { 0.7, 1.7 };
+    scenario.longTaskShare = 0;
+    scenario.kinds = { { "check", 206, 8, 32, Milliseconds(60), Milliseconds(240), 3200, 0.00485, 0, 0 },
+        { "receipt", 600, 2, 8, Milliseconds(200), Milliseconds(800), 3200, 0.00167, 0, 1 },
+        { "transfer", 37.5, 4, 16, Milliseconds(900), Milliseconds(3600), 3200, 0.0267, 0, 2 } };
+    return scenario;
+}
+
 } // namespace sequoia::test
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -66,6 +66,9 @@
     uint64_t seed = 1;
     size_t entries = 3;
     std::vector<double> entryShares { 1 }; ///< Relative shares of the requests, repeated over the entries.
+    size_t failureDomains = 3; ///< Entries belong to them in turn.
+    /** From `movesAt` on, the entries of a failure domain get the share of those of the next domain. */
+    std::optional<Milliseconds> movesAt;
     std::vector<double> slowness { 0.7, 0.7, 1.7 }; ///< Repeated over the servers.
     std::vector<double> sizes { 1, 1, 1.5 }; ///< Relative to `serverCpu`, repeated over the servers.
     size_t servers = 11;
@@ -83,6 +86,9 @@
     /** Standard deviation of the logarithm of the ratio of estimate to work, as on the test days. */
     double estimateSpread = 0.4;
     double estimateFactor = 1; ///< Factor on all estimates.
+    /** Share of tasks that take `longTaskFactor` times the mean of their kind; estimates don't tell which ones. */
+    double longTaskShare = 0;
+    double longTaskFactor = 7;
     /** Share of starts and stops that get no answer and take effect late, in whatever process of the server there is:
      * starts after `minLateness` to `maxLateness`, stops after 5 s. */
     double lateOrders = 0;
@@ -156,6 +162,8 @@
     size_t largestServed = 0; ///< Jobs of the largest tenth that were served.
     std::vector<double> refusedAfterMs; ///< Ages of the refused jobs.
 
+    /** Earned share of the value of all jobs. */
+    double valueShare() const { return offeredValue > 0 ? earnedValue / offeredValue : 1; }
     /** Share of the jobs that were served. */
     double servedShare() const
     {
@@ -163,9 +171,16 @@
     }
 };
 
+/** Value of the jobs that callers of one failure domain submitted. */
+struct DomainResult {
+    double offeredValue = 0;
+    double earnedValue = 0;
+};
+
 /** Results of one simulation. */
 struct SimulationReport {
     std::map<std::string, KindResult> kinds;
+    std::map<size_t, DomainResult> domains; ///< By failure domain of the entry that a job was first submitted to.
     std::vector<double> offeredValueBySecond; ///< Value of the jobs submitted in each second.
     std::vector<double> earnedValueBySecond; ///< Value earned by the jobs submitted in each second.
     std::vector<std::string> violations; ///< Tasks with two runs at the same time, and overcommitted servers.
@@ -184,6 +199,7 @@
     double valueShare() const; ///< Earned share of the value of all jobs.
     double worstWindowsShare() const; ///< Mean of the earned shares of the two worst periods of 3 s.
     double worstKindShare() const; ///< Earned share of the worst kind.
+    double domainSpread() const; ///< Difference of the earned shares of the best and the worst failure domain.
     double servedShare() const; ///< Share of jobs answered correctly within three times the objective.
     /** Mean response time of served jobs over the work of their longest task. */
     double responseRatio() const;
@@ -228,5 +244,9 @@
 Scenario withPerfectView(Scenario scenario);
 /** Load of the large deployment: 160 servers, and 35 entries that get unequal shares of the requests. */
 Scenario largeScenario(std::string name);
+/** Deployments of 12 entries that get unequal shares of the requests, and 70 or 68 servers. The usual load needs 45% of
+ * the servers' processors. */
+Scenario ticketsScenario(std::string name);
+Scenario donationsScenario(std::string name);
 
 } // namespace sequoia::test
