Callers' connections leave descriptors for agents and the store

With 3,000 idle callers an entry on the smallest VM (3,075 descriptors, 200 of them for files) had none left for its links and calls; found by reading while the limits of the other ports were reviewed. The limits that both processes had twice are one function now. ServerLimits callersLeaveDescriptorsForLinksAndCalls: 5 rows; the smallest VM's gave 3,000 before.

--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -2,6 +2,7 @@
 #include <sequoia/PlatformAgentProcess.h>
 
 #include "ProcessMetrics.h"
+#include "ServerLimits.h"
 
 #include <sequoia/Address.h>
 
@@ -18,7 +19,6 @@
     constexpr Milliseconds flushGrace { 100 }; // Time to send the results that are still in the links' send buffers.
     constexpr Milliseconds storeQueryPeriod { 1000 }; // Between queries of the store while no entry is linked.
     constexpr int ticksPerLinkCleanup = 50;
-    constexpr size_t maxPeerConnections = 48; // On each port, so that descriptors are left for links and calls.
 
     RunGateLimits gateLimits(const RoomAgentSettings& settings)
     {
@@ -268,13 +268,7 @@
 
 AsyncHttpLimits PlatformAgentProcess::serverLimits()
 {
-    AsyncHttpLimits limits;
-    limits.maxConnections = maxPeerConnections;
-    limits.maxTrailerBytes = static_cast<size_t>(m_settings.max_trailer_bytes);
-    limits.onRefusal = [this](int status, const std::string& reason) {
-        m_log.event(LogLevel::Info, "request-refused", { { "status", status }, { "reason", reason } });
-    };
-    return limits;
+    return peerServerLimits(static_cast<size_t>(m_settings.max_trailer_bytes), m_log);
 }
 
 void PlatformAgentProcess::serveMetrics(const HttpExchangePtr& exchange)
--- a/src/PlatformEntryProcess.cpp
+++ b/src/PlatformEntryProcess.cpp
@@ -2,6 +2,7 @@
 #include <sequoia/PlatformEntryProcess.h>
 
 #include "ProcessMetrics.h"
+#include "ServerLimits.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -18,8 +19,6 @@
     constexpr Milliseconds peerTimeout { 300 };
     constexpr Milliseconds arrivalPeriod { 50 };
     constexpr int ticksPerLinkCleanup = 50;
-    /** On each port but that of callers, so that these ports leave descriptors for callers, links and the store. */
-    constexpr size_t maxPeerConnections = 48;
     constexpr std::string_view configurationPath = "/v1/configuration";
     constexpr std::string_view evacuationsPath = "/v1/evacuations";
 
@@ -136,19 +135,14 @@
 
 AsyncHttpLimits PlatformEntryProcess::serverLimits()
 {
-    AsyncHttpLimits limits;
-    limits.maxConnections = maxPeerConnections;
-    limits.maxTrailerBytes = static_cast<size_t>(m_settings.max_trailer_bytes);
-    limits.onRefusal = [this](int status, const std::string& reason) {
-        m_log.event(LogLevel::Info, "request-refused", { { "status", status }, { "reason", reason } });
-    };
-    return limits;
+    return peerServerLimits(static_cast<size_t>(m_settings.max_trailer_bytes), m_log);
 }
 
 AsyncHttpLimits PlatformEntryProcess::callerLimits()
 {
     auto limits = serverLimits();
-    limits.maxConnections = static_cast<size_t>(m_settings.max_connections);
+    limits.maxConnections = callerConnections(
+        static_cast<size_t>(m_settings.max_connections), static_cast<size_t>(m_settings.max_descriptors));
     limits.maxBodyBytes = static_cast<size_t>(m_settings.max_body_bytes);
     limits.arrivalPeriod = arrivalPeriod;
     return limits;
--- a/src/SettingsTables.cpp
+++ b/src/SettingsTables.cpp
@@ -165,6 +165,9 @@
         number<S>("max_open_jobs", &S::max_open_jobs, 4000, 1, 1000000, "Maximum number of unanswered jobs."),
         number<S>("max_queued_tasks", &S::max_queued_tasks, 40000, 1, 10000000, "Maximum number of queued tasks."),
         number<S>("max_connections", &S::max_connections, 3000, 4, 100000, "Maximum number of callers' connections."),
+        number<S>("max_descriptors", &S::max_descriptors, 0, 0, 10000000,
+            "File descriptors that the process may open; limits the callers' connections to what leaves 700 of them. "
+            "0: unknown."),
         number<S>("max_body_bytes", &S::max_body_bytes, mebibyte, 1024, 64 * mebibyte,
             "Maximum size of a request body, bytes."),
         number<S>("max_trailer_bytes", &S::max_trailer_bytes, 8192, 0, mebibyte,
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -1072,7 +1072,7 @@
         m_report.offeredValueBySecond[static_cast<size_t>(toMilliseconds(job.sent - simulationStart).count() / 1000)]
             += job.value;
         const auto entry = drawEntry();
-        job.failureDomain = entry % m_scenario.failureDomains;
+        job.failureDomain = entry % m_scenario.entryDomains;
         m_report.domains[job.failureDomain].offeredValue += job.value;
         submit(id, entry);
     }
--- a/tests/ClusterSimulation.h
+++ b/tests/ClusterSimulation.h
@@ -83,7 +83,7 @@
     uint64_t seed = 1;
     size_t entries = 3;
     std::vector<double> entryShares { 1 }; ///< Relative shares of the requests, repeated over the entries.
-    size_t failureDomains = 3; ///< Entries belong to them in turn.
+    size_t entryDomains = 3; ///< Failure domains to which the entries belong in turn.
     /** From `movesAt` on, the entries of a failure domain get the share of those of the next domain. */
     std::optional<Milliseconds> movesAt;
     std::vector<double> slowness { 0.7, 0.7, 1.7 }; ///< Repeated over the servers.
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -1,4 +1,6 @@
 /** @file PlumbingTest.cpp Tests of HTTP, control thread, error handling, log output, dialer and settings files. */
+#include "ServerLimits.h"
+
 #include <sequoia/AsyncHttp.h>
 #include <sequoia/ControlThread.h>
 #include <sequoia/Dialer.h>
@@ -669,3 +671,28 @@
     sender.shutdown();
     receiver.shutdown();
 }
+
+struct CallerConnectionsRow {
+    char name[40];
+    size_t maxConnections;
+    size_t maxDescriptors;
+    size_t expected;
+};
+
+ParameterizedTestParameters(ServerLimits, callersLeaveDescriptorsForLinksAndCalls)
+{
+    static CallerConnectionsRow rows[] = {
+        { "descriptors unknown", 3000, 0, 3000 },
+        { "smallest VM", 3000, 3075, 2375 },
+        { "enough descriptors", 3000, 4100, 3000 },
+        { "fewer connections set", 40, 3075, 40 },
+        { "very few descriptors", 3000, 500, 64 },
+    };
+    return cr_make_param_array(CallerConnectionsRow, rows, sizeof(rows) / sizeof(CallerConnectionsRow));
+}
+
+// Idle connections of callers must not take the descriptors that an entry needs for agents and the store.
+ParameterizedTest(CallerConnectionsRow* row, ServerLimits, callersLeaveDescriptorsForLinksAndCalls)
+{
+    cr_expect_eq(callerConnections(row->maxConnections, row->maxDescriptors), row->expected, "%s", row->name);
+}
