Find routes by host whatever the case of its letters

Cause: RouteTable::find turned the request's host into lower case and compared it with the route's host as it was written. Nothing brought that one into the same form, though its comment said so. Evidence: with the host and the version in `request-refused`, all three entries had version 9 within 2 ms of its acknowledgement and went on refusing Ficu95.example under version=9; so it was the look-up, not a late configuration. Change: a host is a HostName, which has the normal form from its constructor: without port, in lower case. Routes hold one and look-ups take one, so both sides have the same form, for configurations from the store and from peers. Also mended by it: a host with a port in the configuration, and an IPv6 address in brackets, both 404 for good. The soak's configurations write their host in capitals in every other version.

--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 #include <criterion/parameterized.h>
+#include <fmt/format.h>
 #include <random>
 
 using namespace sequoia;
@@ -168,8 +169,8 @@
     const auto& table = std::get<RouteTable>(decoded);
     cr_expect_eq(table.version, 7U);
     cr_expect_eq(table.routes[0].policy.maxFailures, 4U);
-    cr_expect(table.find("H.example:80", "/p/1") != nullptr);
-    cr_expect(table.find("h.example", "/q/1") == nullptr);
+    cr_expect(table.find(HostName("H.example:80"), "/p/1") != nullptr);
+    cr_expect(table.find(HostName("h.example"), "/q/1") == nullptr);
     bool isTruncated = false;
     const auto items = decodeItems(goodItems, &isTruncated);
     cr_assert(std::holds_alternative<SharedItems>(items), "%s", problemPlace(items).c_str());
@@ -178,6 +179,40 @@
     cr_expect(encodePut("k", "node-1", StoreLease(5)).find("bm9kZS0x") != std::string::npos);
 }
 
+struct HostRow {
+    char name[40];
+    char configured[24];
+    char requested[32];
+    bool isFound;
+};
+
+ParameterizedTestParameters(Codec, configuredHostsMatchInAnySpelling)
+{
+    static HostRow rows[] = {
+        { "capital in both", "Ficu95.example", "Ficu95.example", true },
+        { "capital in the configuration", "Ficu95.Example", "ficu95.example", true },
+        { "capital in the request", "ficu95.example", "FICU95.example", true },
+        { "capital in both, port in the request", "Ficu95.example", "Ficu95.example:8161", true },
+        { "port in the configuration", "ficu95.example:8161", "ficu95.example:8161", true },
+        { "IPv6 address", "[FE80::1]", "[fe80::1]:8161", true },
+        { "another IPv6 address", "[fe80::1]", "[fe80::2]", false },
+        { "another host", "Ficu95.example", "Ficu96.example", false },
+        { "any host in the configuration", "", "Ficu95.example", true },
+        { "no host in the request", "Ficu95.example", "", false },
+    };
+    return cr_make_param_array(HostRow, rows, sizeof(rows) / sizeof(HostRow));
+}
+
+// Guards against 404 for good on routes whose host has a capital letter (CONFIG).
+ParameterizedTest(HostRow* row, Codec, configuredHostsMatchInAnySpelling)
+{
+    const auto host = fmt::format("\"{}\"", row->configured);
+    const auto decoded = decodeConfiguration(replaced(goodConfiguration, "\"h.example\"", host, row->name));
+    cr_assert(std::holds_alternative<RouteTable>(decoded), "%s: %s", row->name, problemPlace(decoded).c_str());
+    const auto* route = std::get<RouteTable>(decoded).find(HostName(row->requested), "/p/1");
+    cr_expect_eq(route != nullptr, row->isFound, "%s", row->name);
+}
+
 struct OddItemRow {
     char name[40];
     char item[160]; ///< JSON text of the odd item; arrays nested deeply if empty.
--- a/tests/PlatformSoak.cpp
+++ b/tests/PlatformSoak.cpp
@@ -274,12 +274,12 @@
 
     void changeConfiguration()
     {
+        const auto* host = m_version % 2 == 0 ? "h.example" : "H.Example"; // Callers send the first.
         auto routes = Json::array();
         for (const auto* prefix : { "/p/", "/q/" }) {
             if (prefix[1] == 'p' || chance(faultRandom, 0.5)) {
-                routes.push_back(
-                    { { "name", prefix }, { "host", "h.example" }, { "prefix", prefix }, { "service", "s" },
-                        { "slo_ms", draw(faultRandom, 50, 500) }, { "max_attempts", 4 }, { "stretch", 1.6 } });
+                routes.push_back({ { "name", prefix }, { "host", host }, { "prefix", prefix }, { "service", "s" },
+                    { "slo_ms", draw(faultRandom, 50, 500) }, { "max_attempts", 4 }, { "stretch", 1.6 } });
             }
         }
         const Json configuration { { "version", m_version += static_cast<uint64_t>(draw(faultRandom, 1, 5)) },
--- a/tests/StoreUseTest.cpp
+++ b/tests/StoreUseTest.cpp
@@ -242,10 +242,9 @@
 ParameterizedTest(RouteRow* row, RouteTable, findsTheLongestPrefix)
 {
     RouteTable table;
-    for (const auto& [host, prefix] :
-        { std::pair("a.example", "/x/"), std::pair("a.example", "/x/y/"), std::pair("", "/z/") })
-        table.routes.push_back({ host, prefix, {} });
-    const auto* found = table.find(row->host, row->path);
+    const HostName host("a.example");
+    table.routes = { { host, "/x/", {} }, { host, "/x/y/", {} }, { std::nullopt, "/z/", {} } };
+    const auto* found = table.find(HostName(row->host), row->path);
     cr_expect_eq(found == nullptr ? -1 : found - table.routes.data(), row->route, "%s%s", row->host, row->path);
 }
 
