Dial an entry once whatever the case of its host

What was seen: nothing on the platform, whose addresses are numbers. Cause: the dialer knew entries by the text of their addresses. With a seed `Entry-a:7720` and the listed address `entry-a:7720` it opened two links to one entry. By reading: the entry closes the older one of an agent's links, and the dialer opens it again, for good. Change: targets are known by the address in lower case; an address is dialled as it was first given. Result: PlumbingTest dialsAnEntryOnceInAnySpelling: 3 of 5 rows failed before, all pass.

--- a/include/sequoia/Dialer.h
+++ b/include/sequoia/Dialer.h
@@ -46,6 +46,7 @@
 
 private:
     struct Target {
+        std::string address; ///< As it was first given.
         std::optional<LinkId> link;
         bool isWelcomed = false;
         TimePoint lastAttempt {}; ///< When the link was dialled or closed.
@@ -54,12 +55,10 @@
         Milliseconds welcomeTimeout {};
     };
 
-    Target makeTarget(TimePoint lastAttempt, TimePoint lastReferenced) const;
-
     DialerLimits m_limits;
     std::function<LinkId(const std::string&)> m_dial;
     std::function<void(LinkId)> m_close;
-    std::map<std::string, Target> m_targets;
+    std::map<std::string, Target> m_targets; ///< By address in lower case, since hosts in other case are the same.
 };
 
 } // namespace sequoia
--- a/src/Dialer.cpp
+++ b/src/Dialer.cpp
@@ -4,9 +4,21 @@
 #include <sequoia/Address.h>
 
 #include <algorithm>
+#include <boost/algorithm/string/case_conv.hpp>
+#include <locale>
+#include <set>
 
 namespace sequoia {
 
+namespace {
+
+    std::string keyOf(const std::string& address)
+    {
+        return boost::algorithm::to_lower_copy(address, std::locale::classic());
+    }
+
+} // namespace
+
 Dialer::Dialer(DialerLimits limits, std::function<LinkId(const std::string&)> dial, std::function<void(LinkId)> close)
     : m_limits(limits)
     , m_dial(std::move(dial))
@@ -14,17 +26,12 @@
 {
 }
 
-Dialer::Target Dialer::makeTarget(TimePoint lastAttempt, TimePoint lastReferenced) const
-{
-    return { std::nullopt, false, lastAttempt, lastReferenced, m_limits.initialBackoff,
-        m_limits.initialWelcomeTimeout };
-}
-
 void Dialer::setAddresses(const std::vector<std::string>& addresses, TimePoint now)
 {
-    std::erase_if(m_targets, [&](const auto& target) {
-        return !target.second.link && std::find(addresses.begin(), addresses.end(), target.first) == addresses.end();
-    });
+    std::set<std::string> listed;
+    for (const auto& address : addresses)
+        listed.insert(keyOf(address));
+    std::erase_if(m_targets, [&](const auto& target) { return !target.second.link && !listed.contains(target.first); });
     addAddresses(addresses, now);
 }
 
@@ -33,14 +40,16 @@
     for (const auto& address : addresses) {
         if (!isDialable(address))
             continue;
-        const auto [it, isNew] = m_targets.try_emplace(address, makeTarget({}, now));
+        const Target target { address, std::nullopt, false, {}, now, m_limits.initialBackoff,
+            m_limits.initialWelcomeTimeout };
+        const auto [it, isNew] = m_targets.try_emplace(keyOf(address), target);
         it->second.lastReferenced = now;
     }
 }
 
 bool Dialer::welcomed(LinkId link)
 {
-    for (auto& [address, target] : m_targets) {
+    for (auto& [key, target] : m_targets) {
         if (target.link != link)
             continue;
         target.isWelcomed = true;
@@ -53,7 +62,7 @@
 
 void Dialer::closed(LinkId link, TimePoint now)
 {
-    for (auto& [address, target] : m_targets) {
+    for (auto& [key, target] : m_targets) {
         if (target.link != link)
             continue;
         if (target.isWelcomed && now - target.lastAttempt >= m_limits.lastingLink)
@@ -67,7 +76,7 @@
 
 void Dialer::dialNow()
 {
-    for (auto& [address, target] : m_targets) {
+    for (auto& [key, target] : m_targets) {
         if (!target.link)
             target.lastAttempt = TimePoint();
     }
@@ -78,7 +87,7 @@
     std::erase_if(m_targets, [&](const auto& target) {
         return !target.second.link && now - target.second.lastReferenced > m_limits.addressTtl;
     });
-    for (auto& [address, target] : m_targets) {
+    for (auto& [key, target] : m_targets) {
         if (target.link) {
             if (!target.isWelcomed && now - target.lastAttempt > target.welcomeTimeout) {
                 target.welcomeTimeout = std::min(target.welcomeTimeout * 2, m_limits.maxWelcomeTimeout);
@@ -91,7 +100,7 @@
         target.backoff = std::clamp(
             toMilliseconds(target.backoff * m_limits.backoffFactor), m_limits.initialBackoff, m_limits.maxBackoff);
         target.lastAttempt = now;
-        target.link = m_dial(address);
+        target.link = m_dial(target.address);
     }
 }
 
@@ -104,8 +113,8 @@
 std::vector<std::string> Dialer::addresses() const
 {
     std::vector<std::string> out;
-    for (const auto& [address, target] : m_targets)
-        out.push_back(address);
+    for (const auto& [key, target] : m_targets)
+        out.push_back(target.address);
     return out;
 }
 
--- a/tests/PlumbingTest.cpp
+++ b/tests/PlumbingTest.cpp
@@ -579,6 +579,36 @@
     cr_expect(dialer.addresses().empty());
 }
 
+struct SpellingRow {
+    char seed[24];
+    char listed[24];
+    uint32_t links;
+};
+
+ParameterizedTestParameters(Dialer, dialsAnEntryOnceInAnySpelling)
+{
+    static SpellingRow rows[] = { { "Entry-a:7720", "entry-a:7720", 1 }, { "entry-a:7720", "Entry-A:7720", 1 },
+        { "[FE80::1]:7720", "[fe80::1]:7720", 1 }, { "entry-a:7720", "entry-b:7720", 2 },
+        { "entry-a:7720", "entry-a:7721", 2 } };
+    return cr_make_param_array(SpellingRow, rows, sizeof(rows) / sizeof(SpellingRow));
+}
+
+// Guards against two links to one entry that replace each other for good.
+ParameterizedTest(SpellingRow* row, Dialer, dialsAnEntryOnceInAnySpelling)
+{
+    uint32_t dialled = 0;
+    Dialer dialer(
+        {}, [&](const std::string&) { return LinkId(++dialled); }, [](LinkId) {});
+    const TimePoint now { std::chrono::seconds(100) };
+    dialer.addAddresses({ row->seed }, now);
+    dialer.tick(now);
+    dialer.addAddresses({ row->listed }, now);
+    dialer.tick(now);
+    dialer.setAddresses({ row->seed, row->listed }, now);
+    dialer.tick(now);
+    cr_expect_eq(dialled, row->links, "%s and %s", row->seed, row->listed);
+}
+
 Test(Dialer, redialsAtOnceAfterALinkThatHadLasted)
 {
     uint32_t dialled = 0;
