Tell job ids apart by the case of their letters

What callers saw: of two jobs whose ids differ only in case the second one wasn't run, and its caller got 200 "succeeded", the answer of the first one. Cause: ids were read as numbers of 64 bits and written in lower case, so the case was lost at the entry. Change: WorkId keeps which digits are letters in upper case; comparison, hash and text have it. Messages between entries and agents tell it in fields of their own, empty for ids in lower case, so that these messages are those of earlier releases. Agents say in their Hello that they know them; entries order no run of such a job at others. A quarter of the soak's ids is in upper case.

--- a/include/sequoia/Dispatcher.h
+++ b/include/sequoia/Dispatcher.h
@@ -128,6 +128,7 @@
     bool isLinked = false;
     bool takesRelays = false; ///< It knows RelayedOrphans, unlike earlier releases.
     bool takesEvacuations = false; ///< It knows Evacuations, unlike earlier releases.
+    bool takesUpperCase = false; ///< It tells job ids apart by the case of their letters, unlike earlier releases.
     bool isInEvacuatedDomain = false; ///< This entry knows that its failure domain is evacuated.
     bool isGateEvacuated = false; ///< Its last report on this link told that its failure domain is evacuated.
     bool isPreferred = true; ///< This entry orders from it first; see AgentShares.h.
@@ -474,7 +475,7 @@
     bool isStraggler(const Job& job, size_t step, Task& task, TimePoint now);
     /** Whether a run that takes too long is left running, as its progress shows that this is better. */
     bool isKept(const Job& job, size_t step, Task& task, TimePoint now);
-    void onProgress(size_t agent, const std::vector<wire::RunProgress>& runs, TimePoint now);
+    void onProgress(size_t agent, const wire::RoomUpdateT& update, TimePoint now);
     void recordSummary(TimePoint now);
     template <typename Message> void send(AgentView& agent, Message message, TimePoint now)
     {
--- a/include/sequoia/Ids.h
+++ b/include/sequoia/Ids.h
@@ -32,12 +32,23 @@
 /** Revision of the configuration; only increases. */
 enum class Revision : uint64_t {};
 
-/** Job number chosen by the caller, valid at every entry. */
-enum class WorkId : uint64_t {};
-
 /** Underlying value of an identifier. */
 template <typename Id> constexpr auto raw(Id id) { return static_cast<std::underlying_type_t<Id>>(id); }
 
+/** Job id chosen by the caller, valid at every entry: 16 hexadecimal digits. Ids whose digits differ in case differ. */
+struct WorkId {
+    constexpr WorkId() = default;
+    constexpr explicit WorkId(uint64_t digits, uint16_t capitals = 0)
+        : number(digits)
+        , upperCase(capitals)
+    {
+    }
+    auto operator<=>(const WorkId&) const = default;
+
+    uint64_t number = 0; ///< Value of the digits.
+    uint16_t upperCase = 0; ///< Which digits are letters in upper case; the lowest bit is that of the last digit.
+};
+
 /** Identifies a job between processes. */
 struct JobKey {
     Incarnation owner {}; ///< Incarnation of the entry that owns the job.
@@ -79,6 +90,8 @@
 std::string toString(const JobKey&);
 /** Formats a task key for logs and backend servers. */
 std::string toString(const TaskKey&);
+/** Parses 16 hexadecimal digits; empty for any other text. */
+std::optional<WorkId> parseWorkId(std::string_view text);
 /** Parses the text form of a SessionId; empty if the text is malformed. */
 std::optional<SessionId> parseSessionId(std::string_view text);
 /** Parses the text form of a JobId; empty if the text is malformed. */
@@ -89,6 +102,14 @@
 
 } // namespace sequoia
 
+template <> struct std::hash<sequoia::WorkId> {
+    size_t operator()(const sequoia::WorkId& id) const noexcept
+    {
+        constexpr unsigned shift = 48;
+        return id.number ^ (uint64_t(id.upperCase) << shift);
+    }
+};
+
 template <> struct std::hash<sequoia::JobKey> {
     size_t operator()(const sequoia::JobKey& key) const noexcept
     {
--- a/include/sequoia/RunGate.h
+++ b/include/sequoia/RunGate.h
@@ -418,7 +418,7 @@
     /** Sends a start call; the server ignores a repeated one if it has the run, or had it. */
     void callStart(const RunId& id, Run& run, TimePoint now);
     void onStops(LinkId link, const wire::RunStopT& message, TimePoint now);
-    void onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now);
+    void onQuery(LinkId link, const std::vector<RunId>& ids, TimePoint now);
     /** An entry tells which failure domains are evacuated. */
     void onEvacuations(LinkId link, const wire::EvacuationsT& message, TimePoint now);
     void stopRun(const RunId& id, Run& run, TimePoint now);
--- a/include/sequoia/Work.h
+++ b/include/sequoia/Work.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <optional>
+#include <vector>
 
 namespace sequoia {
 
@@ -82,8 +83,19 @@
 std::optional<TaskId> parseTaskId(const std::string& text);
 std::string_view toString(WorkStatus status);
 
+/** A run in a message. The message tells the case of the job id's letters apart from it, as `upper_case`. */
 wire::RunId toWire(const RunId& id);
-RunId fromWire(const wire::RunId& id);
+RunId fromWire(const wire::RunId& id, uint16_t upperCase);
+
+/** The list `upper_case` of a message with several runs. It ends with the last job that has letters in upper case, so
+ * that messages without such jobs are those of earlier releases. */
+void addUpperCase(WorkId job, size_t position, std::vector<uint16_t>& list);
+uint16_t upperCaseAt(const std::vector<uint16_t>& list, size_t position);
+
+/** Adds a run to the lists `ids` and `upper_case` of a message. */
+void addRun(const RunId& id, std::vector<wire::RunId>& ids, std::vector<uint16_t>& upperCase);
+/** The runs of such lists. */
+std::vector<RunId> runsOf(const std::vector<wire::RunId>& ids, const std::vector<uint16_t>& upperCase);
 
 } // namespace sequoia
 
@@ -91,7 +103,7 @@
     size_t operator()(const sequoia::RunId& id) const noexcept
     {
         constexpr uint64_t mix = 0x9E3779B97F4A7C15U;
-        uint64_t n = (sequoia::raw(id.task.job) ^ sequoia::raw(id.run)) * mix;
+        uint64_t n = (std::hash<sequoia::WorkId>()(id.task.job) ^ sequoia::raw(id.run)) * mix;
         n = (n ^ (n >> 29U) ^ (uint64_t(sequoia::raw(id.task.step)) << 16U) ^ sequoia::raw(id.task.index)) * mix;
         return n ^ (n >> 32U);
     }
--- a/src/Dispatcher.cpp
+++ b/src/Dispatcher.cpp
@@ -420,7 +420,8 @@
     const auto& avoided = job.steps[step].tasks[job.steps[step].ready.back()].avoidedAgents;
     for (size_t i = 0; i < m_agents.size(); ++i) {
         const auto& agent = m_agents[i];
-        if (!agent.acceptsRunsOf(job.route.service) || !agent.hasLabel(spec.requiredLabel)
+        const bool knowsId = agent.takesUpperCase || job.spec.id.upperCase == 0;
+        if (!knowsId || !agent.acceptsRunsOf(job.route.service) || !agent.hasLabel(spec.requiredLabel)
             || !isOpenToRoute(job, step, agent, now) || agent.isBlockedFor(job.spec.id, now))
             continue;
         eligible.push_back(i);
@@ -495,6 +496,7 @@
 
     wire::RunOrderT message;
     message.id = std::make_unique<wire::RunId>(toWire(id));
+    message.upper_case = id.task.job.upperCase;
     message.agent_incarnation = raw(agent.incarnation);
     message.room = std::make_unique<wire::Room>(toWire(spec.resources));
     message.payload = job.spec.payload;
@@ -651,7 +653,7 @@
         return; // The agent stops the runs itself, or is asked about them when it links again.
     wire::RunStopT message;
     for (const auto& id : ids)
-        message.ids.push_back(toWire(id));
+        addRun(id, message.ids, message.upper_case);
     message.caller_gone = isCallerGone;
     send(agent, std::move(message), now);
 }
--- a/src/DispatcherAgents.cpp
+++ b/src/DispatcherAgents.cpp
@@ -154,6 +154,7 @@
     agent.agentTime = agentTime;
     agent.takesRelays = hello.relays;
     agent.takesEvacuations = hello.evacuations;
+    agent.takesUpperCase = hello.upper_case;
     agent.isInEvacuatedDomain = m_evacuations.contains(agent.failureDomain);
     agent.isGateEvacuated = false; // Until its first report.
     agent.lastSent = now;
@@ -181,7 +182,7 @@
     if (!agent.runs.empty()) {
         wire::RunQueryT query;
         for (const auto& id : agent.runs)
-            query.ids.push_back(toWire(id));
+            addRun(id, query.ids, query.upper_case);
         send(agent, std::move(query), now);
     }
     // On the new link the agent goes on with its ownerless runs until it is told to stop them.
@@ -335,7 +336,7 @@
         const auto& update = *body.AsRoomUpdate();
         ++m_counters.resourceUpdates;
         updateResources(m_agents[*index], update, now);
-        onProgress(*index, update.progress, now);
+        onProgress(*index, update, now);
         break;
     }
     case wire::Body::ServerCrash:
@@ -385,10 +386,11 @@
         usableAgentsChanged(capacityBefore, now);
 }
 
-void Dispatcher::onProgress(size_t index, const std::vector<wire::RunProgress>& runs, TimePoint now)
+void Dispatcher::onProgress(size_t index, const wire::RoomUpdateT& update, TimePoint now)
 {
-    for (const auto& run : runs) {
-        const auto id = fromWire(run.id());
+    for (size_t i = 0; i < update.progress.size(); ++i) {
+        const auto& run = update.progress[i];
+        const auto id = fromWire(run.id(), upperCaseAt(update.upper_case, i));
         auto* task = findTask(id.task);
         if (!isWanted(id) || task->agent != index)
             continue;
@@ -411,7 +413,7 @@
     updateResources(agent, result, now);
     if (result.id == nullptr)
         return;
-    const auto id = fromWire(*result.id);
+    const auto id = fromWire(*result.id, result.upper_case);
     if (result.outcome == wire::RunOutcome::Running) {
         if (isWanted(id))
             return;
--- a/src/DispatcherCrashes.cpp
+++ b/src/DispatcherCrashes.cpp
@@ -28,8 +28,8 @@
     for (const auto& run : message.runs) {
         if (run == nullptr || run->id == nullptr)
             continue;
-        crash.runs.push_back(
-            { fromWire(*run->id).task, run->route, Milliseconds(run->age_ms), run->is_latest, run->is_suspect });
+        crash.runs.push_back({ fromWire(*run->id, run->upper_case).task, run->route, Milliseconds(run->age_ms),
+            run->is_latest, run->is_suspect });
         if (m_crashes.isIsolated(run->route, now))
             isolatedBefore.insert(run->route);
     }
--- a/src/DispatcherOrphans.cpp
+++ b/src/DispatcherOrphans.cpp
@@ -113,17 +113,16 @@
 
 void Dispatcher::onOrphanedRuns(size_t index, const wire::OrphanedRunsT& message, TimePoint now)
 {
-    for (const auto& id : message.ids)
-        onOrphan(index, fromWire(id), { m_agents[index].incarnation, {} }, now);
+    for (const auto& id : runsOf(message.ids, message.upper_case))
+        onOrphan(index, id, { m_agents[index].incarnation, {} }, now);
 }
 
 void Dispatcher::onRelayedOrphans(const wire::RelayedOrphansT& message, TimePoint now)
 {
     for (const auto& runs : message.agents) {
         const auto index = agentNamed(runs->agent);
-        for (const auto& id : runs->ids)
-            onOrphan(
-                index, fromWire(id), { Incarnation(runs->agent_incarnation), now + Milliseconds(runs->lapse_ms) }, now);
+        for (const auto& id : runsOf(runs->ids, runs->upper_case))
+            onOrphan(index, id, { Incarnation(runs->agent_incarnation), now + Milliseconds(runs->lapse_ms) }, now);
     }
 }
 
@@ -206,7 +205,7 @@
             entry.agent_incarnation = raw(incarnation);
             const auto lapse = std::max<int64_t>(toMilliseconds(lapseOf(agent, id, now) - now).count(), 0);
             entry.lapse_ms = std::max(entry.lapse_ms, static_cast<uint32_t>(lapse));
-            entry.ids.push_back(toWire(id));
+            addRun(id, entry.ids, entry.upper_case);
         }
     }
     if (byIncarnation.empty())
--- a/src/Ids.cpp
+++ b/src/Ids.cpp
@@ -1,6 +1,7 @@
 /** @file Ids.cpp Text forms of identifiers. */
 #include <sequoia/Ids.h>
 
+#include <cctype>
 #include <charconv>
 #include <fmt/format.h>
 #include <random>
@@ -13,6 +14,7 @@
     constexpr char separator = '~';
     constexpr int hexadecimal = 16;
     constexpr int decimal = 10;
+    constexpr size_t workIdDigits = 16;
 
     template <typename Number> std::optional<Number> parseNumber(std::string_view text, int base)
     {
@@ -54,7 +56,15 @@
 
 std::string toString(const JobId& id) { return fmt::format("{}~{}", toString(id.session), raw(id.sequence)); }
 
-std::string toString(WorkId id) { return fmt::format("{:016x}", raw(id)); }
+std::string toString(WorkId id)
+{
+    auto text = fmt::format("{:016x}", id.number);
+    for (size_t i = 0; i < workIdDigits; ++i) {
+        if ((id.upperCase >> (workIdDigits - 1 - i)) % 2 != 0)
+            text[i] = static_cast<char>(std::toupper(static_cast<unsigned char>(text[i])));
+    }
+    return text;
+}
 
 std::string toString(const JobKey& key)
 {
@@ -63,6 +73,17 @@
 
 std::string toString(const TaskKey& key) { return fmt::format("{}~{}", toString(key.job), raw(key.index)); }
 
+std::optional<WorkId> parseWorkId(std::string_view text)
+{
+    const auto number = parseNumber<uint64_t>(text, hexadecimal);
+    if (!number || text.size() != workIdDigits)
+        return std::nullopt;
+    uint16_t upperCase = 0;
+    for (const unsigned char c : text)
+        upperCase = static_cast<uint16_t>(upperCase << 1U | (std::isupper(c) != 0 ? 1U : 0U));
+    return WorkId(*number, upperCase);
+}
+
 std::optional<SessionId> parseSessionId(std::string_view text)
 {
     const auto parts = split(text);
--- a/src/PlatformAgentProcess.cpp
+++ b/src/PlatformAgentProcess.cpp
@@ -196,6 +196,7 @@
     hello.failure_domain = m_settings.failure_domain;
     hello.relays = true;
     hello.evacuations = true;
+    hello.upper_case = true;
     Frame frame;
     frame.body.Set(std::move(hello));
     setAgentTime(frame, suspendAwareNow());
--- a/src/RunGate.cpp
+++ b/src/RunGate.cpp
@@ -49,7 +49,7 @@
 
 JobKey RunGate::healthKey(const RunId& id)
 {
-    return { Incarnation(0), SessionNumber(raw(id.task.job)), JobSequence(0) };
+    return { Incarnation(0), SessionNumber(id.task.job.number), JobSequence(id.task.job.upperCase) };
 }
 
 std::vector<GateEffect> RunGate::takeEffects() { return m_effects.take(); }
@@ -186,7 +186,7 @@
         relayOrphans(link, *body.AsRelayedOrphans(), now);
         break;
     case wire::Body::RunQuery:
-        onQuery(link, body.AsRunQuery()->ids, now);
+        onQuery(link, runsOf(body.AsRunQuery()->ids, body.AsRunQuery()->upper_case), now);
         break;
     case wire::Body::Evacuations:
         onEvacuations(link, *body.AsEvacuations(), now);
@@ -261,7 +261,7 @@
     auto& link = m_links.at(linkId);
     ++link.ordersSeen;
     ++m_counters.orders;
-    const auto id = fromWire(*order.id);
+    const auto id = fromWire(*order.id, order.upper_case);
     const auto resources = fromWire(order.room.get());
     const auto priority = priorityOf(order.priority);
     link.reserved = { std::max<int64_t>(link.reserved.cpu - resources.cpu, 0),
@@ -501,8 +501,7 @@
 void RunGate::onStops(LinkId link, const wire::RunStopT& message, TimePoint now)
 {
     std::vector<RunId> orphans;
-    for (const auto& wireId : message.ids) {
-        const auto id = fromWire(wireId);
+    for (const auto& id : runsOf(message.ids, message.upper_case)) {
         const auto it = m_runs.find(id);
         if (it != m_runs.end()) {
             addSuccessor(it->second, m_links.at(link), now);
@@ -522,10 +521,9 @@
     sendOrphansToOthers(orphans, link, now);
 }
 
-void RunGate::onQuery(LinkId link, const std::vector<wire::RunId>& ids, TimePoint now)
+void RunGate::onQuery(LinkId link, const std::vector<RunId>& ids, TimePoint now)
 {
-    for (const auto& wireId : ids) {
-        const auto id = fromWire(wireId);
+    for (const auto& id : ids) {
         if (const auto it = m_runs.find(id); it != m_runs.end()) {
             // The run of another entry with this number kept the order from being started.
             const bool isOther = !concerns(it->second, m_links.at(link).entry);
--- a/src/RunGateCrashes.cpp
+++ b/src/RunGateCrashes.cpp
@@ -67,6 +67,7 @@
     for (const auto& run : crash.runs) {
         auto entry = std::make_unique<wire::CrashedRunT>();
         entry->id = std::make_unique<wire::RunId>(toWire(RunId { run.task, RunNumber(0) }));
+        entry->upper_case = run.task.job.upperCase;
         entry->route = run.route;
         entry->age_ms = static_cast<uint32_t>(run.age.count());
         entry->is_latest = run.isLatest;
--- a/src/RunGateLinks.cpp
+++ b/src/RunGateLinks.cpp
@@ -48,7 +48,7 @@
         return; // Entries of an earlier release don't know the message.
     wire::OrphanedRunsT message;
     for (const auto& id : ids)
-        message.ids.push_back(toWire(id));
+        addRun(id, message.ids, message.upper_case);
     send(link, std::move(message), now);
 }
 
@@ -167,6 +167,7 @@
     auto& link = m_links.at(linkId);
     wire::RunResultT result;
     result.id = std::make_unique<wire::RunId>(toWire(id));
+    result.upper_case = id.task.job.upperCase;
     result.outcome = outcome;
     result.refusal = refusal;
     result.reason = reason;
@@ -494,7 +495,7 @@
         return;
     constexpr double mentionedShare = 0.75; // Entries may judge by an older slowness, and the prediction may be off.
     constexpr double changedShare = 0.25; // A prediction that is off by more of the time left is corrected.
-    std::map<LinkId, std::vector<wire::RunProgress>> reports;
+    std::map<LinkId, wire::RoomUpdateT> reports;
     for (auto& [id, run] : m_runs) {
         if (run.state != RunState::Running || run.estimate.count() == 0)
             continue;
@@ -516,14 +517,14 @@
             continue;
         run.told = report;
         ++m_counters.progressReports;
-        reports[*link].emplace_back(toWire(id),
+        auto& update = reports[*link];
+        addUpperCase(id.task.job, update.progress.size(), update.upper_case);
+        update.progress.emplace_back(toWire(id),
             static_cast<uint32_t>(std::max<int64_t>(toMilliseconds(report.end - now).count(), 0)),
             static_cast<uint32_t>(report.work.count()), static_cast<uint8_t>(run.progress.percent().value_or(0)),
             report.isStuck);
     }
-    for (auto& [id, runs] : reports) {
-        wire::RoomUpdateT update;
-        update.progress = std::move(runs);
+    for (auto& [id, update] : reports) {
         auto& link = m_links.at(id);
         fillResources(update, link, now);
         send(id, std::move(update), now);
--- a/src/Work.cpp
+++ b/src/Work.cpp
@@ -10,20 +10,19 @@
 
 std::string toString(const TaskId& task)
 {
-    return fmt::format("{:016x}.{}.{}", raw(task.job), raw(task.step), raw(task.index));
+    return fmt::format("{}.{}.{}", toString(task.job), raw(task.step), raw(task.index));
 }
 
 std::optional<TaskId> parseTaskId(const std::string& text)
 {
-    uint64_t job = 0;
+    const auto job = parseWorkId(std::string_view(text).substr(0, text.find('.')));
     uint16_t step = 0;
     uint16_t index = 0;
     int length = 0;
-    const auto fields
-        = std::sscanf(text.c_str(), "%16" SCNx64 ".%5" SCNu16 ".%5" SCNu16 "%n", &job, &step, &index, &length);
-    if (fields != 3 || static_cast<size_t>(length) != text.size())
+    const auto fields = std::sscanf(text.c_str(), "%*16[^.].%5" SCNu16 ".%5" SCNu16 "%n", &step, &index, &length);
+    if (!job || fields != 2 || static_cast<size_t>(length) != text.size())
         return std::nullopt;
-    return TaskId { WorkId(job), StepIndex(step), TaskIndex(index) };
+    return TaskId { *job, StepIndex(step), TaskIndex(index) };
 }
 
 std::string_view toString(WorkStatus status)
@@ -41,11 +40,41 @@
     return "";
 }
 
-wire::RunId toWire(const RunId& id) { return { raw(id.task.job), raw(id.task.step), raw(id.task.index), raw(id.run) }; }
+wire::RunId toWire(const RunId& id)
+{
+    return { id.task.job.number, raw(id.task.step), raw(id.task.index), raw(id.run) };
+}
+
+RunId fromWire(const wire::RunId& id, uint16_t upperCase)
+{
+    return { { WorkId(id.job(), upperCase), StepIndex(id.step()), TaskIndex(id.index()) }, RunNumber(id.run()) };
+}
+
+void addUpperCase(WorkId job, size_t position, std::vector<uint16_t>& list)
+{
+    if (job.upperCase == 0)
+        return;
+    list.resize(position + 1);
+    list[position] = job.upperCase;
+}
+
+uint16_t upperCaseAt(const std::vector<uint16_t>& list, size_t position)
+{
+    return position < list.size() ? list[position] : 0;
+}
+
+void addRun(const RunId& id, std::vector<wire::RunId>& ids, std::vector<uint16_t>& upperCase)
+{
+    addUpperCase(id.task.job, ids.size(), upperCase);
+    ids.push_back(toWire(id));
+}
 
-RunId fromWire(const wire::RunId& id)
+std::vector<RunId> runsOf(const std::vector<wire::RunId>& ids, const std::vector<uint16_t>& upperCase)
 {
-    return { { WorkId(id.job()), StepIndex(id.step()), TaskIndex(id.index()) }, RunNumber(id.run()) };
+    std::vector<RunId> runs;
+    for (size_t i = 0; i < ids.size(); ++i)
+        runs.push_back(fromWire(ids[i], upperCaseAt(upperCase, i)));
+    return runs;
 }
 
 } // namespace sequoia
--- a/tests/ClusterSimulation.cpp
+++ b/tests/ClusterSimulation.cpp
@@ -799,7 +799,7 @@
         const auto& connection = m_connections.at(id);
         if (const auto* result = message.body.AsRunResult(); result != nullptr
             && result->outcome != wire::RunOutcome::Running && result->refusal != wire::Refusal::Occupied)
-            m_toldResults.emplace(connection.agent, fromWire(*result->id));
+            m_toldResults.emplace(connection.agent, fromWire(*result->id, result->upper_case));
         if (!connection.isOpen || isCut(connection))
             return;
         events.add(arrivalOn(connection), [this, id, message = std::make_shared<SendMessage>(std::move(message))] {
@@ -1103,7 +1103,7 @@
         route.priority = m_scenario.kinds[job.kind].priority;
         route.stretch = m_scenario.stretch;
         route.objective = m_scenario.objective;
-        const WaiterId waiter { raw(id) };
+        const WaiterId waiter { id.number };
         m_waiters[waiter] = entry;
         arriveFromCaller(entry, [=, this](Dispatcher& dispatcher, TimePoint arrival) {
             dispatcher.submit(spec, route, { waiter, arrival, budget }, events.now());
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -5,6 +5,7 @@
 #include <criterion/parameterized.h>
 #include <fmt/format.h>
 #include <random>
+#include <sequoia/generated/Messages_generated.h>
 
 using namespace sequoia;
 using namespace sequoia::platform;
@@ -111,7 +112,7 @@
 
 ParameterizedTest(IdRow* row, Codec, jobIdsHaveSixteenDigits)
 {
-    cr_expect_eq(decodeWorkId(row->text).has_value(), row->isGood, "%s", row->text);
+    cr_expect_eq(parseWorkId(row->text).has_value(), row->isGood, "%s", row->text);
 }
 
 Test(Codec, decodesServerReportsAndListings)
@@ -134,6 +135,60 @@
     cr_expect_eq(decodeServerReply(R"({"clock_ms":5,"reason":"late"})").reason, "late");
 }
 
+struct IdCaseRow {
+    char text[24];
+};
+
+ParameterizedTestParameters(Codec, jobIdsKeepTheCaseOfTheirLetters)
+{
+    static IdCaseRow rows[] = { { "5c0e7a21d94b36f8" }, { "5C0E7A21D94B36F8" }, { "ABCDEFabcdef0123" },
+        { "F00000000000000a" }, { "f00000000000000A" }, { "0000000000000000" } };
+    return cr_make_param_array(IdCaseRow, rows, sizeof(rows) / sizeof(IdCaseRow));
+}
+
+// Guards against tasks that a backend server gets under another id than the caller's (UNASKED).
+ParameterizedTest(IdCaseRow* row, Codec, jobIdsKeepTheCaseOfTheirLetters)
+{
+    const auto id = parseWorkId(row->text);
+    cr_assert(id.has_value(), "%s", row->text);
+    cr_expect_eq(toString(*id), std::string(row->text));
+    const TaskId task { *id, StepIndex(1), TaskIndex(17) };
+    cr_expect(parseTaskId(toString(task)) == task, "%s", row->text);
+    const auto name = fmt::format("\"{}.0.1.17\"", row->text);
+    StartRun start;
+    start.id = { task, RunNumber(2) };
+    cr_expect_neq(encodeStart(start, Milliseconds(1)).find(name), std::string::npos, "%s", row->text);
+    const auto listing = decodeListing(replaced(goodListing, "\"5c0e7a21d94b36f8.0.1.17\"", name, row->text));
+    cr_assert(std::holds_alternative<Listing>(listing), "%s", row->text);
+    cr_expect(std::get<Listing>(listing).running.at(0).id == start.id, "%s", row->text);
+}
+
+struct UpperCaseRow {
+    char name[40];
+    uint16_t upperCase[3]; ///< Of the jobs of three runs.
+    size_t listed; ///< Expected length of the list in the message.
+};
+
+ParameterizedTestParameters(Codec, messagesTellTheCaseOfSeveralIds)
+{
+    static UpperCaseRow rows[] = { { "all in lower case", { 0, 0, 0 }, 0 }, { "the first one", { 1, 0, 0 }, 1 },
+        { "the last one", { 0, 0, 0x8000 }, 3 }, { "all", { 1, 2, 3 }, 3 } };
+    return cr_make_param_array(UpperCaseRow, rows, sizeof(rows) / sizeof(UpperCaseRow));
+}
+
+ParameterizedTest(UpperCaseRow* row, Codec, messagesTellTheCaseOfSeveralIds)
+{
+    std::vector<RunId> runs;
+    std::vector<wire::RunId> ids;
+    std::vector<uint16_t> upperCase;
+    for (const auto it : row->upperCase) {
+        runs.push_back({ { WorkId(0xab, it), StepIndex(1), TaskIndex(2) }, RunNumber(3) });
+        addRun(runs.back(), ids, upperCase);
+    }
+    cr_expect_eq(upperCase.size(), row->listed, "%s", row->name);
+    cr_expect(runsOf(ids, upperCase) == runs, "%s", row->name);
+}
+
 struct PingRow {
     char name[32];
     char from[40]; ///< Text of a valid ping that is replaced.
--- a/tests/DispatcherTest.cpp
+++ b/tests/DispatcherTest.cpp
@@ -42,6 +42,7 @@
         hello.incarnation = 100 + i + 1000 * restart;
         hello.relays = takesRelays;
         hello.evacuations = takesEvacuations;
+        hello.upper_case = takesUpperCase;
         dispatcher.agentLinked(LinkId(i), hello, now, now);
         wire::RoomReportT report;
         report.service = "service";
@@ -120,7 +121,7 @@
     {
         size_t last = SIZE_MAX;
         for (const auto& [run, agent] : agentByRun) {
-            if (raw(run.task.job) == id)
+            if (run.task.job.number == id)
                 last = agent;
         }
         return last;
@@ -159,6 +160,7 @@
         result.refusal = refusal;
         result.active_run = activeRun;
         result.id = std::make_unique<wire::RunId>(toWire(id));
+        result.upper_case = id.task.job.upperCase;
         result.outcome = outcome;
         result.run_us = static_cast<uint32_t>(Microseconds(ran).count());
         result.free = std::make_unique<wire::Room>(agentCpu, 1000, 1);
@@ -188,8 +190,10 @@
     void collectEffects()
     {
         for (auto& effect : dispatcher.takeEffects()) {
-            if (auto* answer = std::get_if<AnswerCaller>(&effect))
-                answers[raw(answer->job)] = answer->answer;
+            if (auto* answer = std::get_if<AnswerCaller>(&effect)) {
+                answers[answer->job.number] = answer->answer;
+                answeredJobs.push_back(answer->job);
+            }
             const auto* send = std::get_if<SendMessage>(&effect);
             if (send == nullptr)
                 continue;
@@ -197,11 +201,11 @@
             if (const auto* told = send->body.AsEvacuations())
                 evacuationsTold[raw(send->link)].push_back(*told);
             if (const auto* order = send->body.AsRunOrder()) {
-                orders.push_back(fromWire(*order->id));
+                orders.push_back(fromWire(*order->id, order->upper_case));
                 agentByRun[orders.back()] = raw(send->link);
             } else if (const auto* stop = send->body.AsRunStop()) {
-                for (const auto& id : stop->ids)
-                    stops.push_back(fromWire(id));
+                for (const auto& id : runsOf(stop->ids, stop->upper_case))
+                    stops.push_back(id);
             } else if (const auto* relayed = send->body.AsRelayedOrphans()) {
                 relays.push_back(raw(send->link));
                 lastRelayed = *relayed;
@@ -216,9 +220,11 @@
     bool admitsAll = false; ///< Otherwise jobs are admitted by the load.
     double lastCapacity = 0; ///< In the load of the last admission.
     bool takesEvacuations = true; ///< Agents that link know the message.
+    bool takesUpperCase = true; ///< Agents that link tell ids apart by the case of their letters.
     std::map<size_t, std::vector<wire::EvacuationsT>> evacuationsTold; ///< By agent.
     Dispatcher dispatcher;
     std::map<uint64_t, WorkAnswer> answers;
+    std::vector<WorkId> answeredJobs; ///< In the order of their answers.
     std::vector<RunId> orders;
     std::map<RunId, size_t> agentByRun;
     std::vector<RunId> stops;
@@ -363,7 +369,7 @@
     const bool isFailed = row->at == LeavingAt::Repeat;
     fixture.end(fixture.orders[0], isFailed ? wire::RunOutcome::Failed : wire::RunOutcome::Done);
     for (size_t i = 1; i < fixture.orders.size(); ++i)
-        cr_expect_neq(raw(fixture.orders[i].task.job), leaving, "%s", row->name);
+        cr_expect_neq(fixture.orders[i].task.job.number, leaving, "%s", row->name);
     cr_expect_not(fixture.dispatcher.isOpen(WorkId(leaving)), "%s", row->name);
 }
 
@@ -444,6 +450,53 @@
     }
 }
 
+struct IdCaseRow {
+    char name[48];
+    WorkId first;
+    WorkId second;
+    bool isKnownToAgents; ///< Whether agents tell ids apart by case.
+    size_t orders;
+};
+
+ParameterizedTestParameters(Dispatcher, jobsWhoseIdsDifferInCaseAreTwoJobs)
+{
+    static IdCaseRow rows[] = { { "lower case and upper case", WorkId(0xab), WorkId(0xab, 3), true, 2 },
+        { "upper case and lower case", WorkId(0xab, 3), WorkId(0xab), true, 2 },
+        { "one digit each", WorkId(0xab, 1), WorkId(0xab, 2), true, 2 },
+        { "agents of an earlier release", WorkId(0xab), WorkId(0xab, 3), false, 1 } };
+    return cr_make_param_array(IdCaseRow, rows, sizeof(rows) / sizeof(IdCaseRow));
+}
+
+// Guards against a job that isn't run and gets the answer of another one, whose id differs only in case (UNASKED).
+ParameterizedTest(IdCaseRow* row, Dispatcher, jobsWhoseIdsDifferInCaseAreTwoJobs)
+{
+    DispatcherFixture fixture(0);
+    fixture.takesUpperCase = row->isKnownToAgents;
+    fixture.link(0);
+    fixture.advance(DispatcherLimits().settleTime);
+    uint64_t waiter = 0;
+    for (const auto& id : { row->first, row->second }) {
+        WorkSpec spec;
+        spec.id = id;
+        spec.steps.push_back(stepOf(1, 1000));
+        RoutePolicy route;
+        route.service = "service";
+        fixture.dispatcher.submit(
+            std::move(spec), std::move(route), { WaiterId(++waiter), fixture.now, Milliseconds(2000) }, fixture.now);
+        fixture.collectEffects();
+    }
+    cr_assert_eq(fixture.orders.size(), row->orders, "%s: %zu", row->name, fixture.orders.size());
+    cr_expect(fixture.orders[0].task.job == row->first, "%s", row->name);
+    fixture.end(fixture.orders[0], wire::RunOutcome::Done);
+    cr_expect(fixture.answeredJobs == std::vector({ row->first }), "%s", row->name);
+    if (row->orders == 1)
+        return;
+    cr_expect(fixture.orders[1].task.job == row->second, "%s", row->name);
+    fixture.dispatcher.cancel(row->second, fixture.now);
+    fixture.collectEffects();
+    cr_expect(fixture.stops == std::vector({ fixture.orders[1] }), "%s", row->name);
+}
+
 Test(Dispatcher, keepsJobsOpenUntilTheFirstAgentIsLinked)
 {
     DispatcherFixture fixture(0);
@@ -1048,7 +1101,7 @@
     for (const auto& runs : fixture.lastRelayed.agents) {
         for (const auto& id : runs->ids) {
             ++told;
-            const auto agent = fixture.agentByRun.at(fromWire(id));
+            const auto agent = fixture.agentByRun.at(fromWire(id, 0));
             cr_expect(runs->agent == "agent" + std::to_string(agent), "%s", row->name);
             cr_expect_eq(runs->agent_incarnation, 100 + agent, "%s", row->name);
         }
@@ -1076,7 +1129,7 @@
     cr_expect_eq(fixture.relays.size(), 3U);
     cr_assert_eq(fixture.lastRelayed.agents.size(), 1U);
     cr_expect_eq(fixture.lastRelayed.agents.front()->lapse_ms, lapse);
-    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front()) == run);
+    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front(), 0) == run);
     fixture.end(run, wire::RunOutcome::Stopped);
     fixture.dispatcher.linkClosed(LinkId(agent), fixture.now);
     fixture.link(agent);
@@ -1111,7 +1164,7 @@
     fixture.link((agent + 1) % agents);
     cr_assert_eq(fixture.relays.size(), 1U, "nobody is told of the run");
     cr_expect_eq(fixture.relays.front(), (agent + 1) % agents);
-    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front()) == run);
+    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front(), 0) == run);
     fixture.relays.clear();
     loseLinks(); // What was sent may be lost with them.
     linkOthers();
@@ -1150,7 +1203,7 @@
     fixture.link(other);
     cr_expect(std::find(fixture.relays.begin(), fixture.relays.end(), other) != fixture.relays.end(),
         "only the suspended agent is told of the run");
-    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front()) == run);
+    cr_expect(fromWire(fixture.lastRelayed.agents.front()->ids.front(), 0) == run);
     for (size_t i = 2; i < agents; ++i)
         fixture.link((agent + i) % agents);
     cr_expect_leq(fixture.relays.size(), 6U, "the number of messages grows with the number of agents");
@@ -1523,12 +1576,12 @@
     fixture.submit(3, stepOf(8, 1000), Milliseconds(5000));
     std::set<size_t> agents;
     for (const auto& [run, agent] : fixture.agentByRun) {
-        if (raw(run.task.job) == 3)
+        if (run.task.job.number == 3)
             agents.insert(agent);
     }
     fixture.submit(4, stepOf(4, 5000), Milliseconds(5000));
     for (const auto& [run, agent] : fixture.agentByRun) {
-        if (raw(run.task.job) == 4)
+        if (run.task.job.number == 4)
             agents.insert(agent);
     }
     cr_expect_eq(agents.size() == 1, row->isConfined, "%s: %zu servers", row->name, agents.size());
--- a/tests/RunGateTest.cpp
+++ b/tests/RunGateTest.cpp
@@ -138,6 +138,7 @@
     {
         wire::RunOrderT order;
         order.id = std::make_unique<wire::RunId>(toWire(id));
+        order.upper_case = id.task.job.upperCase;
         order.agent_incarnation = incarnation;
         order.room = std::make_unique<wire::Room>(toWire(Resources { cpu, 64, 0 }));
         order.estimate_ms = 100;
@@ -187,7 +188,7 @@
     {
         wire::RunStopT stop;
         stop.caller_gone = isCallerGone;
-        stop.ids.push_back(toWire(id));
+        addRun(id, stop.ids, stop.upper_case);
         wire::BodyUnion body;
         body.Set(std::move(stop));
         deliver(link, body, answered);
@@ -197,7 +198,7 @@
     void query(LinkId link, const RunId& id)
     {
         wire::RunQueryT query;
-        query.ids.push_back(toWire(id));
+        addRun(id, query.ids, query.upper_case);
         wire::BodyUnion body;
         body.Set(std::move(query));
         deliver(link, body);
@@ -321,8 +322,9 @@
         ++messages;
         lastSent[send.link] = send.agentTime;
         if (const auto* result = send.body.AsRunResult()) {
-            results[fromWire(*result->id)] = result->outcome;
-            refusals[fromWire(*result->id)] = result->refusal;
+            const auto id = fromWire(*result->id, result->upper_case);
+            results[id] = result->outcome;
+            refusals[id] = result->refusal;
             lastRefusal[send.link] = result->refusal;
             activeRun = result->active_run;
             free[send.link] = fromWire(result->free.get());
@@ -337,20 +339,21 @@
         } else if (const auto* update = send.body.AsRoomUpdate()) {
             free[send.link] = fromWire(update->free.get());
             noteKept(send.link, update->kept);
-            for (const auto& run : update->progress) {
-                progress.try_emplace(fromWire(run.id()), run, now);
+            for (size_t i = 0; i < update->progress.size(); ++i) {
+                const auto& run = update->progress[i];
+                progress.try_emplace(fromWire(run.id(), upperCaseAt(update->upper_case, i)), run, now);
                 ++progressReports;
             }
         } else if (const auto* message = send.body.AsOrphanedRuns()) {
-            for (const auto& id : message->ids)
-                orphans[send.link].push_back(fromWire(id));
+            for (const auto& id : runsOf(message->ids, message->upper_case))
+                orphans[send.link].push_back(id);
         } else if (const auto* message = send.body.AsRelayedOrphans())
             relayed[send.link] = *message;
         else if (const auto* message = send.body.AsServerCrash()) {
             accused.clear();
             accusedAges.clear();
             for (const auto& run : message->runs) {
-                accused.push_back(fromWire(*run->id).task);
+                accused.push_back(fromWire(*run->id, run->upper_case).task);
                 accusedAges.push_back(run->age_ms);
             }
         }
@@ -2514,6 +2517,40 @@
     cr_expect_eq(fixture.starts.size(), row->isStarted ? 1U : 0U, "%s", row->name);
 }
 
+struct IdPairRow {
+    char name[40];
+    WorkId first;
+    WorkId second;
+};
+
+ParameterizedTestParameters(RunGate, runsOfIdsThatDifferInCaseAreTwoRuns)
+{
+    static IdPairRow rows[] = { { "lower case and upper case", WorkId(0xab), WorkId(0xab, 3) },
+        { "upper case and lower case", WorkId(0xab, 3), WorkId(0xab) },
+        { "one digit each", WorkId(0xab, 1), WorkId(0xab, 2) } };
+    return cr_make_param_array(IdPairRow, rows, sizeof(rows) / sizeof(IdPairRow));
+}
+
+// Guards against an agent that takes the runs of one job for those of another job, whose id differs only in case.
+ParameterizedTest(IdPairRow* row, RunGate, runsOfIdsThatDifferInCaseAreTwoRuns)
+{
+    Fixture fixture;
+    const RunId first { { row->first, StepIndex(0), TaskIndex(0) }, RunNumber(1) };
+    const RunId second { { row->second, StepIndex(0), TaskIndex(0) }, RunNumber(1) };
+    for (const auto& id : { first, second }) {
+        fixture.order(firstLink, id);
+        fixture.answerStart(id, StartOutcome::Started);
+    }
+    cr_expect(fixture.starts == std::vector({ first, second }), "%s", row->name);
+    fixture.query(firstLink, second);
+    cr_expect_eq(fixture.results.at(second), wire::RunOutcome::Running, "%s", row->name);
+    fixture.answerPoll(listingOf({ second }, { { 1, first, EndKind::Done } }));
+    cr_expect_eq(fixture.results.at(first), wire::RunOutcome::Done, "%s", row->name);
+    cr_expect_eq(fixture.results.at(second), wire::RunOutcome::Running, "%s", row->name);
+    fixture.stop(firstLink, second, {}, true);
+    cr_expect(fixture.orphans.at(secondLink) == std::vector({ second }), "%s", row->name);
+}
+
 struct LatePingRow {
     char name[40];
     int64_t startedMs;
--- a/tests/soak/Caller.h
+++ b/tests/soak/Caller.h
@@ -51,7 +51,8 @@
             m_isIdle = true;
             return;
         }
-        m_id = fmt::format("{:016x}", m_random());
+        const auto number = m_random();
+        m_id = number % 4 == 0 ? fmt::format("{:016X}", number) : fmt::format("{:016x}", number);
         m_attempts = 0;
         m_chain = Milliseconds(0);
         JobRecord job;
