--- a/review/Lab3.h
+++ b/review/Lab3.h
@@ -539,6 +539,7 @@
     /** Whether the answer of a call gets lost. */
     std::function<bool(const Call&)> losesAnswer;
 
+    int64_t born() const { return m_born; }
     size_t running()
     {
         const std::lock_guard lock(m_mutex);
